--- /dev/null
+++ b/src/bin/laburnum-control.rs
@@ -0,0 +1,3 @@
+//! The control daemon.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/laburnum-node.rs
@@ -0,0 +1,3 @@
+//! The node daemon.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/laburnumctl.rs
@@ -0,0 +1,3 @@
+//! The operator's client.
+
+fn main() {}
--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,1 @@
+//! Release notes and the configuration that they build.
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,1 @@
+//! The control daemon: replica driver, operator's interface and distribution to nodes.
--- /dev/null
+++ b/src/ctl/mod.rs
@@ -0,0 +1,1 @@
+//! The operator's client.
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,1 @@
+//! The registry of nodes, their records and gossip.
--- /dev/null
+++ b/src/freshness/mod.rs
@@ -0,0 +1,1 @@
+//! Evidence that a node's configuration is current.
--- /dev/null
+++ b/src/gate/mod.rs
@@ -0,0 +1,1 @@
+//! The slots and the fair queue of one target.
--- /dev/null
+++ b/src/http/mod.rs
@@ -0,0 +1,1 @@
+//! Rules for headers and bodies, and refusals as HTTP answers.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,32 @@
+//! A proxy fleet for targets with gray failures.
+//!
+//! Every caller gets the whole answer to its own request or an honest refusal, no client account
+//! crowds out another, and operators drive the fleet by release notes alone. `docs/design.md`
+//! describes the architecture; the daemons in `src/bin` are thin.
+//!
+//! Decision modules take time, randomness and messages as arguments and use no sockets, files or
+//! clocks: [`config`], [`replica`], [`fleet`], [`freshness`], [`limit`], [`route`] and [`gate`].
+//! The edge connects them: [`storage`], [`wire`], [`http`], [`node`], [`control`] and [`ctl`].
+
+pub mod config;
+pub mod control;
+pub mod ctl;
+pub mod error;
+pub mod fleet;
+pub mod freshness;
+pub mod gate;
+pub mod http;
+pub mod ids;
+pub mod limit;
+pub mod logging;
+pub mod metrics;
+pub mod node;
+pub mod outcome;
+pub mod prelude;
+pub mod replica;
+pub mod route;
+pub mod settings;
+pub mod storage;
+pub mod time;
+pub mod units;
+pub mod wire;
--- /dev/null
+++ b/src/limit/mod.rs
@@ -0,0 +1,1 @@
+//! Rates and bursts of client accounts over the whole fleet.
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,1 @@
+//! The node daemon: ingress, egress, admin listener, sync and gossip.
--- /dev/null
+++ b/src/outcome.rs
@@ -0,0 +1,179 @@
+//! Outcomes of requests and the reasons behind refusals.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use http::StatusCode;
+use serde::{Deserialize, Serialize};
+
+use crate::error::{Error, Result};
+
+/// How a request ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The target answered; the answer is passed on whole or visibly cut.
+    Answer,
+    /// The request did not run.
+    NotRun(Refusal),
+    /// The request may have run; nobody sends it again unless it is idempotent.
+    Unknown(Reason),
+}
+
+/// A refusal of a request that did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why it was refused.
+    pub reason: Reason,
+    /// When the caller may try again, if that is known.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// Creates a refusal without a time to try again.
+    pub fn new(reason: Reason) -> Self {
+        Refusal {
+            reason,
+            retry_after: None,
+        }
+    }
+
+    /// Creates a refusal that may be retried after `delay`.
+    pub fn after(reason: Reason, delay: Duration) -> Self {
+        Refusal {
+            reason,
+            retry_after: Some(delay),
+        }
+    }
+}
+
+macro_rules! reasons {
+    ($($variant:ident, $code:literal, $status:ident, $ran:expr, $meaning:literal, $action:literal;)*) => {
+        /// Why a request was not answered by a target.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(rename_all = "kebab-case")]
+        pub enum Reason {
+            $(#[doc = $meaning] $variant,)*
+        }
+
+        impl Reason {
+            /// Every reason, in the order of the operators' page.
+            pub const ALL: &[Reason] = &[$(Reason::$variant,)*];
+
+            /// Returns the code used in headers, logs and counters.
+            pub const fn code(self) -> &'static str {
+                match self { $(Reason::$variant => $code,)* }
+            }
+
+            /// Returns the HTTP status sent to the caller.
+            pub const fn status(self) -> StatusCode {
+                match self { $(Reason::$variant => StatusCode::$status,)* }
+            }
+
+            /// Returns true if the request may have run.
+            pub const fn may_have_run(self) -> bool {
+                match self { $(Reason::$variant => $ran,)* }
+            }
+
+            /// Returns what the reason means.
+            pub const fn meaning(self) -> &'static str {
+                match self { $(Reason::$variant => $meaning,)* }
+            }
+
+            /// Returns what an operator or caller can do.
+            pub const fn action(self) -> &'static str {
+                match self { $(Reason::$variant => $action,)* }
+            }
+        }
+    };
+}
+
+reasons! {
+    BadRequest, "bad-request", BAD_REQUEST, false,
+        "The request is malformed or ambiguous.",
+        "Correct the request line, the headers or the body framing.";
+    HeadersTooLarge, "headers-too-large", REQUEST_HEADER_FIELDS_TOO_LARGE, false,
+        "The headers exceed the node's limit.",
+        "Send fewer or shorter headers.";
+    BodyTooLarge, "body-too-large", PAYLOAD_TOO_LARGE, false,
+        "The declared body exceeds the limit of the route.",
+        "Send a smaller body or raise the limit of the route in a release note.";
+    NoRoute, "no-route", NOT_FOUND, false,
+        "No route matches the path.",
+        "Check the path, or add a route in a release note.";
+    MethodNotAllowed, "method-not-allowed", METHOD_NOT_ALLOWED, false,
+        "The route does not accept the method.",
+        "Use a method that the route lists.";
+    NoKey, "no-key", UNAUTHORIZED, false,
+        "The route needs a key and the request has none.",
+        "Send the key as a bearer token in the authorization header.";
+    UnknownKey, "unknown-key", UNAUTHORIZED, false,
+        "The key was never issued or has been withdrawn.",
+        "Use a current key, or issue one in a release note.";
+    StaleConfig, "stale-config", SERVICE_UNAVAILABLE, false,
+        "The node can't prove that its configuration is current.",
+        "Try another node; check the links of this one to control processes and nodes.";
+    Starting, "starting", SERVICE_UNAVAILABLE, false,
+        "The node has just started and holds no current configuration yet.",
+        "Try another node or come back after the stated time.";
+    Draining, "draining", SERVICE_UNAVAILABLE, false,
+        "The node is shutting down.",
+        "Try another node.";
+    Rate, "rate", TOO_MANY_REQUESTS, false,
+        "The client account has used its rate and burst.",
+        "Come back after the stated time, or raise the rate in a release note.";
+    OpenLimit, "open-limit", TOO_MANY_REQUESTS, false,
+        "Open routes have reached their own limit.",
+        "Come back after the stated time.";
+    QueueFull, "queue-full", SERVICE_UNAVAILABLE, false,
+        "Every slot is in use and the queue is full.",
+        "Come back after the stated time, or add targets.";
+    AccountShare, "account-share", SERVICE_UNAVAILABLE, false,
+        "The client account holds its share of the queue already.",
+        "Come back after the stated time.";
+    Deadline, "deadline", GATEWAY_TIMEOUT, false,
+        "The request could not have been answered within its deadline.",
+        "Allow a longer deadline, or add targets.";
+    NoTarget, "no-target", SERVICE_UNAVAILABLE, false,
+        "The service has no target that can be reached.",
+        "Check that targets announce themselves and are healthy.";
+    Shed, "shed", SERVICE_UNAVAILABLE, false,
+        "The target shed the request before running it.",
+        "Come back after the stated time.";
+    Connect, "connect", BAD_GATEWAY, false,
+        "No connection to the target could be made, so nothing was sent.",
+        "Check the target and the links between the nodes.";
+    LostLink, "lost-link", BAD_GATEWAY, true,
+        "The connection was lost after the request was sent.",
+        "Check by reading whether the request ran before it is sent again.";
+    Timeout, "timeout", GATEWAY_TIMEOUT, true,
+        "No answer came within the deadline, and the request may still run.",
+        "Check by reading whether the request ran before it is sent again.";
+    AnswerCut, "answer-cut", BAD_GATEWAY, true,
+        "The answer ended before it was complete.",
+        "Check by reading whether the request ran before it is sent again.";
+    TargetError, "target-error", BAD_GATEWAY, true,
+        "The target broke the HTTP protocol.",
+        "Check the target; check by reading whether the request ran.";
+    Crossed, "crossed", BAD_GATEWAY, true,
+        "The answer belonged to another request and was dropped.",
+        "Check the target; check by reading whether the request ran.";
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.code())
+    }
+}
+
+impl FromStr for Reason {
+    type Err = Error;
+
+    fn from_str(s: &str) -> Result<Self> {
+        Reason::ALL
+            .iter()
+            .copied()
+            .find(|r| r.code() == s)
+            .ok_or_else(|| Error::invalid(format!("unknown reason {s:?}")))
+    }
+}
--- /dev/null
+++ b/src/replica/mod.rs
@@ -0,0 +1,1 @@
+//! The replicated log of the control processes.
--- /dev/null
+++ b/src/route/mod.rs
@@ -0,0 +1,1 @@
+//! Routes, choice of targets, health, floor and retries.
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,1 @@
+//! Settings from flags and environment variables, checked as a whole.
--- /dev/null
+++ b/src/storage/mod.rs
@@ -0,0 +1,1 @@
+//! The durable log and snapshots under one data folder.
--- /dev/null
+++ b/src/time.rs
@@ -0,0 +1,96 @@
+//! Points on a monotonic clock, passed to decisions as values.
+
+use std::fmt;
+use std::ops::{Add, Sub};
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+/// A point in time in microseconds on one process's monotonic clock.
+///
+/// Times of different processes can't be compared; only durations cross links.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Time(pub u64);
+
+impl Time {
+    /// The start of the clock.
+    pub const ZERO: Time = Time(0);
+
+    /// Creates a time from milliseconds.
+    pub const fn from_millis(ms: u64) -> Time {
+        Time(ms * 1_000)
+    }
+
+    /// Returns whole milliseconds.
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1_000
+    }
+
+    /// Returns the time since `earlier`, or zero if `earlier` is later.
+    pub fn since(self, earlier: Time) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Time {
+    type Output = Time;
+
+    fn add(self, d: Duration) -> Time {
+        Time(self.0.saturating_add(d.as_micros() as u64))
+    }
+}
+
+impl Sub<Duration> for Time {
+    type Output = Time;
+
+    /// Saturates at the start of the clock.
+    fn sub(self, d: Duration) -> Time {
+        Time(self.0.saturating_sub(d.as_micros() as u64))
+    }
+}
+
+impl fmt::Display for Time {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:06}s", self.0 / 1_000_000, self.0 % 1_000_000)
+    }
+}
+
+/// A source of monotonic time; the edge uses [`Monotonic`], tests advance their own.
+pub trait Clock: Send + Sync + 'static {
+    /// Returns the present time.
+    fn now(&self) -> Time;
+}
+
+/// The clock of the process, counted from its creation.
+#[derive(Clone, Copy, Debug)]
+pub struct Monotonic {
+    start: Instant,
+}
+
+impl Monotonic {
+    /// Starts a clock.
+    ///
+    /// It starts at one hour rather than zero, so that subtracting a lifetime never saturates.
+    pub fn new() -> Self {
+        let lead = Duration::from_secs(3_600);
+        let now = Instant::now();
+        Monotonic {
+            start: now.checked_sub(lead).unwrap_or(now),
+        }
+    }
+}
+
+impl Default for Monotonic {
+    fn default() -> Self {
+        Monotonic::new()
+    }
+}
+
+impl Clock for Monotonic {
+    fn now(&self) -> Time {
+        Time(self.start.elapsed().as_micros() as u64)
+    }
+}
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,1 @@
+//! Frames, messages and authenticated links between own processes.
