Add the replicated log state machine

Elections use pre-vote, terms and a leader lease; entries commit by majority of synced voters and only of the leader's own term. A lost replica is replaced by removing the old member first and then giving the learner its vote: adding first would need all live replicas during the repair, so that a second loss then would stop the group.

Founding takes a unanimous vote of the initial members, so that two foundings can't both succeed.

--- /dev/null
+++ b/src/replica/election.rs
@@ -0,0 +1,172 @@
+use std::collections::BTreeSet;
+
+use rand::{Rng, RngExt};
+
+use crate::ids::ReplicaId;
+use crate::replica::entry::Replicas;
+use crate::replica::machine::{Replica, State};
+use crate::replica::message::{Ballot, BallotAnswer, Message};
+use crate::replica::{ELECTION_MAX, ELECTION_MIN};
+use crate::time::Time;
+use crate::units::Term;
+
+impl Replica {
+    pub(super) fn tick_election<R: Rng>(&mut self, now: Time, rng: &mut R) {
+        let draw = || rng.random_range(ELECTION_MIN..=ELECTION_MAX);
+        let timeout = *self.timeout.get_or_insert_with(draw);
+        if now < self.waiting + timeout {
+            return;
+        }
+        self.waiting = now;
+        self.timeout = None;
+        self.leader = None;
+        if !self.electors().is_voter(self.local.id) {
+            return;
+        }
+        self.state = State::PreCandidate(BTreeSet::new());
+        let ballot = self.ballot(self.local.term.next());
+        self.canvass(Message::PreVote(ballot));
+        self.count_pre_vote(now, self.local.id);
+    }
+
+    /// Returns who elects a leader: the group, or the founders while there is none.
+    fn electors(&self) -> &Replicas {
+        if self.log.replicas().is_empty() {
+            &self.founders
+        } else {
+            self.log.replicas()
+        }
+    }
+
+    /// Returns how many votes elect a leader.
+    ///
+    /// Founding takes all of them: any later founding attempt then needs the vote of a replica
+    /// that holds the first entry, and is refused.
+    fn votes_needed(&self) -> usize {
+        if self.log.replicas().is_empty() {
+            self.founders.voters().count()
+        } else {
+            self.log.replicas().majority()
+        }
+    }
+
+    fn ballot(&self, term: Term) -> Ballot {
+        Ballot {
+            term,
+            last_term: self.log.last_term(),
+            last: self.log.last(),
+        }
+    }
+
+    fn canvass(&mut self, message: Message) {
+        let me = self.local.id;
+        let others: Vec<ReplicaId> = self.electors().voters().filter(|v| *v != me).collect();
+        for to in others {
+            self.send(to, message.clone());
+        }
+    }
+
+    fn is_up_to_date(&self, ballot: &Ballot) -> bool {
+        (ballot.last_term, ballot.last) >= (self.log.last_term(), self.log.last())
+    }
+
+    /// Returns true while this replica may have helped a leader to a lease.
+    fn is_bound(&self, now: Time) -> bool {
+        now < self.heard + ELECTION_MIN || self.holds_lease(now)
+    }
+
+    pub(super) fn receive_pre_vote(&mut self, now: Time, from: ReplicaId, ballot: Ballot) {
+        let granted =
+            ballot.term > self.local.term && self.is_up_to_date(&ballot) && !self.is_bound(now);
+        let term = if granted {
+            ballot.term
+        } else {
+            self.local.term
+        };
+        self.send(from, Message::PreVoteAnswer(BallotAnswer { term, granted }));
+    }
+
+    pub(super) fn receive_pre_vote_answer(
+        &mut self,
+        now: Time,
+        from: ReplicaId,
+        answer: BallotAnswer,
+    ) {
+        if !matches!(self.state, State::PreCandidate(_)) {
+            return;
+        }
+        if answer.granted && answer.term == self.local.term.next() {
+            self.count_pre_vote(now, from);
+        } else if !answer.granted && answer.term > self.local.term {
+            self.step_down(now, answer.term);
+        }
+    }
+
+    fn count_pre_vote(&mut self, now: Time, from: ReplicaId) {
+        let valid = self.electors().is_voter(from);
+        let needed = self.votes_needed();
+        let State::PreCandidate(votes) = &mut self.state else {
+            return;
+        };
+        if valid {
+            votes.insert(from);
+        }
+        if votes.len() >= needed {
+            self.campaign(now);
+        }
+    }
+
+    fn campaign(&mut self, now: Time) {
+        self.local.term = self.local.term.next();
+        self.local.vote = Some(self.local.id);
+        self.save_local();
+        self.waiting = now;
+        self.state = State::Candidate(BTreeSet::new());
+        let ballot = self.ballot(self.local.term);
+        self.canvass(Message::Vote(ballot));
+        self.count_vote(now, self.local.id);
+    }
+
+    pub(super) fn receive_vote(&mut self, now: Time, from: ReplicaId, ballot: Ballot) {
+        if self.is_bound(now) {
+            // A higher term is not adopted either, since that would end a good leader's term.
+            return;
+        }
+        if ballot.term > self.local.term {
+            self.step_down(now, ballot.term);
+        }
+        let free = self.local.vote.is_none_or(|v| v == from);
+        let granted = ballot.term == self.local.term && free && self.is_up_to_date(&ballot);
+        if granted && self.local.vote.is_none() {
+            self.local.vote = Some(from);
+            self.save_local();
+        }
+        if granted {
+            self.waiting = now;
+        }
+        let term = self.local.term;
+        self.send(from, Message::VoteAnswer(BallotAnswer { term, granted }));
+    }
+
+    pub(super) fn receive_vote_answer(&mut self, now: Time, from: ReplicaId, answer: BallotAnswer) {
+        if answer.term > self.local.term {
+            self.step_down(now, answer.term);
+        } else if answer.granted && answer.term == self.local.term {
+            self.count_vote(now, from);
+        }
+    }
+
+    fn count_vote(&mut self, now: Time, from: ReplicaId) {
+        let valid = self.electors().is_voter(from);
+        let needed = self.votes_needed();
+        let State::Candidate(votes) = &mut self.state else {
+            return;
+        };
+        if valid {
+            votes.insert(from);
+        }
+        if votes.len() >= needed {
+            self.take_lead(now);
+        }
+    }
+}
--- /dev/null
+++ b/src/replica/follower.rs
@@ -0,0 +1,193 @@
+use bytes::{Bytes, BytesMut};
+
+use crate::ids::ReplicaId;
+use crate::replica::entry::{Logged, Snapshot};
+use crate::replica::machine::{Action, Persist, Replica, State};
+use crate::replica::message::{Append, AppendAnswer, Chunk, ChunkAnswer, Message, SnapshotHead};
+use crate::time::Time;
+use crate::units::{Position, Term};
+
+/// A snapshot that is being received.
+#[derive(Debug)]
+pub(super) struct Incoming {
+    from: ReplicaId,
+    term: Term,
+    head: SnapshotHead,
+    data: BytesMut,
+}
+
+impl Replica {
+    /// Accepts `from` as the leader of `term` unless the term is over.
+    fn follow(&mut self, now: Time, from: ReplicaId, term: Term) -> bool {
+        if term < self.local.term {
+            return false;
+        }
+        if term > self.local.term || !matches!(self.state, State::Follower) {
+            debug_assert!(term > self.local.term || self.lead().is_none());
+            self.step_down(now, term);
+        }
+        self.leader = Some(from);
+        self.heard = now;
+        self.waiting = now;
+        true
+    }
+
+    pub(super) fn receive_append(&mut self, now: Time, from: ReplicaId, append: Append) {
+        let (sent, previous) = (append.sent, append.previous);
+        let followed = self.follow(now, from, append.term);
+        let (agreed, position) = if followed {
+            self.accept(append)
+        } else {
+            (false, self.log.last())
+        };
+        let answer = AppendAnswer {
+            term: self.local.term,
+            sent,
+            previous,
+            agreed,
+            position,
+        };
+        self.send(from, Message::AppendAnswer(answer));
+    }
+
+    /// Takes the entries into the log; returns whether the logs agree, and up to where.
+    fn accept(&mut self, append: Append) -> (bool, Position) {
+        let base = self.log.base();
+        let end = Position(append.previous.0 + append.entries.len() as u64);
+        if end <= base {
+            // Everything up to the base is committed, so the leader holds the same.
+            return (true, base);
+        }
+        if append.previous >= base && !self.agrees(append.previous, append.previous_term) {
+            return (false, self.hint(append.previous));
+        }
+        self.take_in(append.entries);
+        self.commit_to(append.committed.min(end));
+        (true, end)
+    }
+
+    fn agrees(&self, position: Position, term: Term) -> bool {
+        self.log.term_at(position) == Some(term)
+    }
+
+    /// Returns a position before `previous` from which the leader may try next.
+    fn hint(&self, previous: Position) -> Position {
+        let Some(term) = self.log.term_at(previous) else {
+            return self.log.last().min(previous);
+        };
+        let mut first = previous;
+        while first > self.committed && self.log.term_at(first) == Some(term) {
+            first = Position(first.0 - 1);
+        }
+        first
+    }
+
+    fn take_in(&mut self, entries: Vec<Logged>) {
+        let base = self.log.base();
+        let known = |e: &Logged| e.position <= base || self.agrees(e.position, e.term);
+        let fresh: Vec<Logged> = entries.into_iter().skip_while(|e| known(e)).collect();
+        let Some(first) = fresh.first().map(|e| e.position) else {
+            return;
+        };
+        if first <= self.log.last() {
+            assert!(first > self.committed, "a committed entry never changes");
+            self.log.truncate_from(first);
+            self.actions.push(Action::Persist(Persist::Truncate(first)));
+        }
+        for entry in &fresh {
+            self.log.push(entry.clone());
+        }
+        self.actions.push(Action::Persist(Persist::Append(fresh)));
+    }
+
+    pub(super) fn receive_chunk(&mut self, now: Time, from: ReplicaId, chunk: Chunk) {
+        let (sent, position) = (chunk.sent, chunk.head.position);
+        if !self.follow(now, from, chunk.term) {
+            return self.answer_chunk(from, sent, position, 0);
+        }
+        if position <= self.committed {
+            return self.answer_installed(from, sent, self.committed);
+        }
+        let received = self.take_chunk(from, chunk);
+        match self.incoming.take_if(|i| i.is_complete()) {
+            Some(incoming) => {
+                self.install(incoming.into_snapshot());
+                self.answer_installed(from, sent, position);
+            }
+            None => self.answer_chunk(from, sent, position, received),
+        }
+    }
+
+    /// Adds a chunk that continues the incoming snapshot; returns how many bytes are held.
+    fn take_chunk(&mut self, from: ReplicaId, chunk: Chunk) -> u64 {
+        let same = |i: &Incoming| i.from == from && i.term == chunk.term && i.head == chunk.head;
+        if !self.incoming.as_ref().is_some_and(same) {
+            self.incoming = Some(Incoming {
+                from,
+                term: chunk.term,
+                head: chunk.head,
+                data: BytesMut::new(),
+            });
+        }
+        let incoming = self.incoming.as_mut().expect("set above");
+        if chunk.offset == incoming.data.len() as u64 {
+            incoming.data.extend_from_slice(&chunk.bytes);
+        }
+        incoming.data.len() as u64
+    }
+
+    /// Replaces the state by a snapshot.
+    ///
+    /// The snapshot is saved before the log is cut: entries that this replica acknowledged must
+    /// not disappear before the snapshot that covers them is on the disk.
+    fn install(&mut self, snapshot: Snapshot) {
+        let keeps = self.agrees(snapshot.position, snapshot.term);
+        let persist = Persist::Snapshot(snapshot.clone());
+        self.actions.push(Action::Persist(persist));
+        self.committed = snapshot.position;
+        if keeps {
+            self.log.compact(snapshot.clone(), 0);
+        } else {
+            let first = snapshot.position.next();
+            self.actions.push(Action::Persist(Persist::Truncate(first)));
+            self.log.reset(snapshot.clone());
+        }
+        self.actions.push(Action::Install(snapshot));
+    }
+
+    fn answer_chunk(&mut self, to: ReplicaId, sent: Time, position: Position, received: u64) {
+        let answer = ChunkAnswer {
+            term: self.local.term,
+            sent,
+            position,
+            received,
+        };
+        self.send(to, Message::ChunkAnswer(answer));
+    }
+
+    fn answer_installed(&mut self, to: ReplicaId, sent: Time, position: Position) {
+        let answer = AppendAnswer {
+            term: self.local.term,
+            sent,
+            previous: position,
+            agreed: true,
+            position,
+        };
+        self.send(to, Message::AppendAnswer(answer));
+    }
+}
+
+impl Incoming {
+    fn is_complete(&self) -> bool {
+        self.data.len() as u64 >= self.head.size
+    }
+
+    fn into_snapshot(self) -> Snapshot {
+        Snapshot {
+            position: self.head.position,
+            term: self.head.term,
+            replicas: self.head.replicas,
+            data: Bytes::from(self.data),
+        }
+    }
+}
--- /dev/null
+++ b/src/replica/log.rs
@@ -0,0 +1,156 @@
+use std::collections::VecDeque;
+
+use crate::error::{Error, Result};
+use crate::replica::entry::{Entry, Logged, Replicas, Snapshot};
+use crate::units::{Position, Term};
+
+/// The part of the log that is held in memory, with the snapshot that stands for the rest.
+#[derive(Debug)]
+pub(super) struct Log {
+    /// The position before the first held entry, and its term.
+    base: Position,
+    base_term: Term,
+    entries: VecDeque<Logged>,
+    snapshot: Option<Snapshot>,
+    /// The groups named by held entries, oldest first; before them the group at the base.
+    groups: Vec<(Position, Replicas)>,
+    base_group: Replicas,
+}
+
+impl Log {
+    /// Builds the log from what a store holds.
+    ///
+    /// Records up to the snapshot are dropped. Records after it count only if the record at the
+    /// snapshot's position has the snapshot's term or the first of them follows it directly; a
+    /// crash between saving a snapshot and truncating the log can leave others behind.
+    pub(super) fn restore(snapshot: Option<Snapshot>, records: Vec<Logged>) -> Result<Log> {
+        let mut log = Log {
+            base: Position(0),
+            base_term: Term(0),
+            entries: VecDeque::new(),
+            snapshot: None,
+            groups: Vec::new(),
+            base_group: Replicas::default(),
+        };
+        let mut stale = false;
+        if let Some(snapshot) = snapshot {
+            stale = records
+                .iter()
+                .any(|r| r.position == snapshot.position && r.term != snapshot.term);
+            log.reset(snapshot);
+        }
+        for record in records {
+            if record.position <= log.base || stale {
+                continue;
+            }
+            if record.position != log.last().next() {
+                let message = format!("log record {} follows {}", record.position, log.last());
+                return Err(Error::corrupt(message));
+            }
+            log.push(record);
+        }
+        Ok(log)
+    }
+
+    pub(super) fn last(&self) -> Position {
+        Position(self.base.0 + self.entries.len() as u64)
+    }
+
+    pub(super) fn last_term(&self) -> Term {
+        self.entries.back().map_or(self.base_term, |e| e.term)
+    }
+
+    pub(super) fn base(&self) -> Position {
+        self.base
+    }
+
+    pub(super) fn snapshot(&self) -> Option<&Snapshot> {
+        self.snapshot.as_ref()
+    }
+
+    pub(super) fn get(&self, position: Position) -> Option<&Logged> {
+        let i = position.0.checked_sub(self.base.0 + 1)?;
+        self.entries.get(i as usize)
+    }
+
+    pub(super) fn term_at(&self, position: Position) -> Option<Term> {
+        if position == self.base {
+            return Some(self.base_term);
+        }
+        self.get(position).map(|e| e.term)
+    }
+
+    /// Returns entries after `previous`, bounded in count and bytes but at least one if any.
+    pub(super) fn after(&self, previous: Position, count: usize, bytes: usize) -> Vec<Logged> {
+        let mut taken = Vec::new();
+        let mut size = 0;
+        let mut position = previous.next();
+        while let Some(entry) = self.get(position) {
+            size += entry.entry.size();
+            if taken.len() == count || (size > bytes && !taken.is_empty()) {
+                break;
+            }
+            taken.push(entry.clone());
+            position = position.next();
+        }
+        taken
+    }
+
+    /// Returns the group in force, which the latest entry that names one decides.
+    pub(super) fn replicas(&self) -> &Replicas {
+        self.groups.last().map_or(&self.base_group, |(_, g)| g)
+    }
+
+    /// Returns the position of the entry that names the group in force, if it is held.
+    pub(super) fn replicas_position(&self) -> Position {
+        self.groups.last().map_or(self.base, |(p, _)| *p)
+    }
+
+    /// Returns the group in force at `position`.
+    pub(super) fn replicas_at(&self, position: Position) -> &Replicas {
+        let named = self.groups.iter().rev().find(|(p, _)| *p <= position);
+        named.map_or(&self.base_group, |(_, g)| g)
+    }
+
+    pub(super) fn push(&mut self, entry: Logged) {
+        debug_assert_eq!(entry.position, self.last().next());
+        if let Entry::Replicas(group) = &entry.entry {
+            self.groups.push((entry.position, group.clone()));
+        }
+        self.entries.push_back(entry);
+    }
+
+    /// Removes the entries from `first` on.
+    pub(super) fn truncate_from(&mut self, first: Position) {
+        let kept = first.0.saturating_sub(self.base.0 + 1);
+        self.entries.truncate(kept as usize);
+        self.groups.retain(|(p, _)| *p < first);
+    }
+
+    /// Replaces the whole log by a snapshot.
+    pub(super) fn reset(&mut self, snapshot: Snapshot) {
+        self.entries.clear();
+        self.groups.clear();
+        self.base = snapshot.position;
+        self.base_term = snapshot.term;
+        self.base_group = snapshot.replicas.clone();
+        self.snapshot = Some(snapshot);
+    }
+
+    /// Keeps `snapshot` and drops entries that are more than `kept` positions before its end.
+    pub(super) fn compact(&mut self, snapshot: Snapshot, kept: u64) {
+        let base = Position(snapshot.position.0.saturating_sub(kept));
+        self.snapshot = Some(snapshot);
+        if base <= self.base {
+            return;
+        }
+        let Some(term) = self.term_at(base) else {
+            return;
+        };
+        self.base_group = self.replicas_at(base).clone();
+        self.groups.retain(|(p, _)| *p > base);
+        self.entries.drain(..(base.0 - self.base.0) as usize);
+        self.base = base;
+        self.base_term = term;
+    }
+}
--- /dev/null
+++ b/src/replica/machine.rs
@@ -0,0 +1,354 @@
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::Rng;
+
+use crate::error::{Error, Result};
+use crate::ids::ReplicaId;
+use crate::replica::KEPT_ENTRIES;
+use crate::replica::entry::{Entry, Local, Logged, Member, Replicas, Snapshot};
+use crate::replica::follower::Incoming;
+use crate::replica::leader::Lead;
+use crate::replica::log::Log;
+use crate::replica::message::Message;
+use crate::time::Time;
+use crate::units::{Position, Term};
+
+/// Something that the caller carries out, in the order given.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Write and sync before any later action.
+    Persist(Persist),
+    /// Send a message; it may be lost, repeated or overtaken.
+    Send {
+        /// The receiver.
+        to: ReplicaId,
+        /// The message.
+        message: Message,
+    },
+    /// Apply a committed entry; positions follow each other without a gap.
+    Apply(Logged),
+    /// Replace the applied state by that of a snapshot.
+    Install(Snapshot),
+}
+
+/// A change of the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Persist {
+    /// Replace the local record.
+    Local(Local),
+    /// Append entries.
+    Append(Vec<Logged>),
+    /// Remove the entries from this position on.
+    Truncate(Position),
+    /// Save a snapshot; entries that it covers may be removed afterwards.
+    Snapshot(Snapshot),
+}
+
+/// What a store holds when a replica starts.
+#[derive(Clone, Debug)]
+pub struct Stored {
+    /// The local record.
+    pub local: Local,
+    /// The latest snapshot.
+    pub snapshot: Option<Snapshot>,
+    /// The entries in their order.
+    pub entries: Vec<Logged>,
+}
+
+/// The part that a replica plays in its term.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Follows a leader or waits for one.
+    Follower,
+    /// Asks whether an election would succeed.
+    PreCandidate,
+    /// Stands for election.
+    Candidate,
+    /// Leads.
+    Leader,
+}
+
+/// What a replica can say about newer entries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Vouch {
+    /// Nothing.
+    None,
+    /// This voter holds no entry after its commit position. A majority of such voters proves that
+    /// nothing newer was committed.
+    Voter,
+    /// The leader holds its lease and has committed in its term, so it speaks for the group.
+    Group,
+}
+
+#[derive(Debug)]
+pub(super) enum State {
+    Follower,
+    PreCandidate(BTreeSet<ReplicaId>),
+    Candidate(BTreeSet<ReplicaId>),
+    Leader(Lead),
+}
+
+/// One member of the group.
+///
+/// # Example
+///
+/// ```
+/// use laburnumtide::ids::ReplicaId;
+/// use laburnumtide::replica::{Local, Replica, Role, Stored};
+/// use laburnumtide::time::Time;
+///
+/// let local = Local::new(ReplicaId(1));
+/// let stored = Stored { local, snapshot: None, entries: Vec::new() };
+/// let replica = Replica::restore(Time::from_millis(0), stored).unwrap();
+/// assert_eq!(replica.role(), Role::Follower);
+/// ```
+#[derive(Debug)]
+pub struct Replica {
+    pub(super) local: Local,
+    pub(super) log: Log,
+    pub(super) committed: Position,
+    pub(super) state: State,
+    pub(super) leader: Option<ReplicaId>,
+    /// When a leader was last heard; the start counts, since a lease given before is forgotten.
+    pub(super) heard: Time,
+    /// When the wait for the next election began.
+    pub(super) waiting: Time,
+    /// The length of that wait, drawn at the next tick if absent.
+    pub(super) timeout: Option<Duration>,
+    pub(super) founders: Replicas,
+    pub(super) incoming: Option<Incoming>,
+    pub(super) actions: Vec<Action>,
+}
+
+impl Replica {
+    /// Creates a replica from what its store holds.
+    ///
+    /// The caller's applied state starts at the snapshot; later entries are applied again.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the entries contradict each other or the snapshot.
+    pub fn restore(now: Time, stored: Stored) -> Result<Replica> {
+        let log = Log::restore(stored.snapshot, stored.entries)?;
+        Ok(Replica {
+            local: stored.local,
+            committed: log.base(),
+            log,
+            state: State::Follower,
+            leader: None,
+            heard: now,
+            waiting: now,
+            timeout: None,
+            founders: Replicas::default(),
+            incoming: None,
+            actions: Vec::new(),
+        })
+    }
+
+    /// Names the complete initial group, which founds itself by a unanimous vote.
+    ///
+    /// Has no effect once the replica knows a group.
+    pub fn found(&mut self, members: Vec<Member>) {
+        let voting = members.into_iter().map(|m| Member { voter: true, ..m });
+        self.founders = Replicas::new(voting.collect());
+    }
+
+    /// Lets time pass; to be called at least every 20 ms.
+    pub fn tick<R: Rng>(&mut self, now: Time, rng: &mut R) {
+        if self.lead().is_some() {
+            self.tick_leader(now);
+        } else {
+            self.tick_election(now, rng);
+        }
+    }
+
+    /// Takes in a message.
+    pub fn receive(&mut self, now: Time, from: ReplicaId, message: Message) {
+        match message {
+            Message::PreVote(m) => self.receive_pre_vote(now, from, m),
+            Message::PreVoteAnswer(m) => self.receive_pre_vote_answer(now, from, m),
+            Message::Vote(m) => self.receive_vote(now, from, m),
+            Message::VoteAnswer(m) => self.receive_vote_answer(now, from, m),
+            Message::Append(m) => self.receive_append(now, from, m),
+            Message::AppendAnswer(m) => self.receive_append_answer(now, from, m),
+            Message::Chunk(m) => self.receive_chunk(now, from, m),
+            Message::ChunkAnswer(m) => self.receive_chunk_answer(now, from, m),
+        }
+    }
+
+    /// Appends an entry as the leader.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Category::Unavailable`](crate::error::Category::Unavailable) if this replica
+    /// doesn't lead with a lease, and with `Conflict` for a change of the group that is not one
+    /// step from a committed group.
+    pub fn propose(&mut self, now: Time, entry: Entry) -> Result<Position> {
+        if !self.holds_lease(now) {
+            return Err(Error::unavailable("this replica doesn't lead"));
+        }
+        if let Entry::Replicas(group) = &entry {
+            self.check_group(group)?;
+        }
+        let position = self.append_own(vec![entry]);
+        self.send_appends(now);
+        self.advance_commit(now);
+        Ok(position)
+    }
+
+    /// Takes the actions that have come up since the last call.
+    pub fn actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Keeps the caller's state at `position` as a snapshot and shortens the log.
+    ///
+    /// Ignored unless the position is committed and after the last snapshot.
+    pub fn compact(&mut self, position: Position, data: Bytes) {
+        let known = self.log.snapshot().map_or(Position(0), |s| s.position);
+        if position > self.committed || position <= known {
+            return;
+        }
+        let Some(term) = self.log.term_at(position) else {
+            return;
+        };
+        let replicas = self.log.replicas_at(position).clone();
+        let snapshot = Snapshot {
+            position,
+            term,
+            replicas,
+            data,
+        };
+        let persist = Persist::Snapshot(snapshot.clone());
+        self.actions.push(Action::Persist(persist));
+        self.log.compact(snapshot, KEPT_ENTRIES);
+    }
+
+    /// Returns this replica's identity.
+    pub fn id(&self) -> ReplicaId {
+        self.local.id
+    }
+
+    /// Returns the term.
+    pub fn term(&self) -> Term {
+        self.local.term
+    }
+
+    /// Returns the part played in the term.
+    pub fn role(&self) -> Role {
+        match self.state {
+            State::Follower => Role::Follower,
+            State::PreCandidate(_) => Role::PreCandidate,
+            State::Candidate(_) => Role::Candidate,
+            State::Leader(_) => Role::Leader,
+        }
+    }
+
+    /// Returns the last position known to be committed.
+    pub fn committed(&self) -> Position {
+        self.committed
+    }
+
+    /// Returns the last position of the log, committed or not.
+    pub fn last(&self) -> Position {
+        self.log.last()
+    }
+
+    /// Returns the leader of the term, if known.
+    pub fn leader(&self) -> Option<ReplicaId> {
+        self.leader
+    }
+
+    /// Returns the group in force, empty before the group is founded.
+    pub fn replicas(&self) -> &Replicas {
+        self.log.replicas()
+    }
+
+    /// Returns committed entries after `previous`, bounded in count and bytes, or none if the log
+    /// no longer holds the first of them.
+    pub fn entries_after(
+        &self,
+        previous: Position,
+        count: usize,
+        bytes: usize,
+    ) -> Option<Vec<Logged>> {
+        if previous < self.log.base() {
+            return None;
+        }
+        let mut entries = self.log.after(previous, count, bytes);
+        entries.retain(|e| e.position <= self.committed);
+        Some(entries)
+    }
+
+    /// Returns the latest snapshot.
+    pub fn snapshot(&self) -> Option<&Snapshot> {
+        self.log.snapshot()
+    }
+
+    /// Returns what this replica can say about entries after its commit position.
+    pub fn vouch(&self, now: Time) -> Vouch {
+        if self.holds_lease(now) && self.has_committed_in_term() {
+            return Vouch::Group;
+        }
+        let settled = self.committed == self.log.last() && self.committed > Position(0);
+        if settled && self.log.replicas().is_voter(self.local.id) {
+            return Vouch::Voter;
+        }
+        Vouch::None
+    }
+
+    pub(super) fn has_committed_in_term(&self) -> bool {
+        self.log.term_at(self.committed) == Some(self.local.term)
+    }
+
+    pub(super) fn lead(&self) -> Option<&Lead> {
+        match &self.state {
+            State::Leader(lead) => Some(lead),
+            _ => None,
+        }
+    }
+
+    pub(super) fn lead_mut(&mut self) -> Option<&mut Lead> {
+        match &mut self.state {
+            State::Leader(lead) => Some(lead),
+            _ => None,
+        }
+    }
+
+    pub(super) fn send(&mut self, to: ReplicaId, message: Message) {
+        self.actions.push(Action::Send { to, message });
+    }
+
+    /// Queues the local record; two in a row become one, since only the latest counts.
+    pub(super) fn save_local(&mut self) {
+        let persist = Action::Persist(Persist::Local(self.local));
+        match self.actions.last_mut() {
+            Some(last @ Action::Persist(Persist::Local(_))) => *last = persist,
+            _ => self.actions.push(persist),
+        }
+    }
+
+    /// Becomes a follower of `term`, without a vote if the term is new.
+    pub(super) fn step_down(&mut self, now: Time, term: Term) {
+        if term > self.local.term {
+            self.local.term = term;
+            self.local.vote = None;
+            self.save_local();
+        }
+        self.state = State::Follower;
+        self.leader = None;
+        self.waiting = now;
+    }
+
+    /// Raises the commit position and queues the entries that it covers.
+    pub(super) fn commit_to(&mut self, position: Position) {
+        while self.committed < position {
+            let next = self.committed.next();
+            let entry = self.log.get(next).expect("committed entries are held");
+            self.actions.push(Action::Apply(entry.clone()));
+            self.committed = next;
+        }
+    }
+}
--- /dev/null
+++ b/src/replica/members.rs
@@ -0,0 +1,118 @@
+use crate::error::{Category, Error, Result};
+use crate::ids::ReplicaId;
+use crate::replica::REPLICAS_MAX;
+use crate::replica::entry::{Entry, Member, Replicas};
+use crate::replica::machine::Replica;
+use crate::time::Time;
+
+impl Replica {
+    /// Lets a replica into the group as a learner that replaces the member at its link address.
+    ///
+    /// A new identity on a known address means that the old one lost its disk. Does nothing if the
+    /// group has the replica already. The leader then takes the further steps in its ticks.
+    ///
+    /// # Errors
+    ///
+    /// Fails if this replica doesn't lead, if no member has the address, or while another change
+    /// is on its way.
+    pub fn join(&mut self, now: Time, joiner: Member) -> Result<()> {
+        if self.log.replicas().get(joiner.id).is_some() {
+            return Ok(());
+        }
+        let group = self.log.replicas().with_learner(&joiner)?;
+        if group.get(self.id()).is_none_or(|m| !m.voter) || joiner.link == self.own_link() {
+            return Err(Error::invalid("the leader itself can't be replaced"));
+        }
+        self.propose(now, Entry::Replicas(group)).map(|_| ())
+    }
+
+    fn own_link(&self) -> std::net::SocketAddr {
+        let own = self.log.replicas().get(self.id());
+        own.expect("a leader is a member").link
+    }
+
+    /// Takes the next step of a replacement once the learner has caught up.
+    pub(super) fn change_group(&mut self, now: Time) {
+        if !self.is_group_settled() {
+            return;
+        }
+        let group = self.log.replicas();
+        let ready = |m: &&Member| !m.voter && self.has_caught_up(now, m.id);
+        let Some(learner) = group.members().iter().find(ready) else {
+            return;
+        };
+        let next = group.promote(learner.id);
+        let entry = Entry::Replicas(next);
+        // Refused without a lease; a later tick tries again.
+        let _ = self.propose(now, entry);
+    }
+
+    /// Returns true if the group in force is committed, and an entry of this term as well.
+    ///
+    /// Without the second condition two leaders could build on groups that share no majority.
+    fn is_group_settled(&self) -> bool {
+        self.log.replicas_position() <= self.committed && self.has_committed_in_term()
+    }
+
+    pub(super) fn check_group(&self, group: &Replicas) -> Result<()> {
+        let conflict = |text: &str| Err(Error::new(Category::Conflict, text));
+        if !self.is_group_settled() {
+            return conflict("an earlier change of the group is not committed");
+        }
+        if group.members().len() > REPLICAS_MAX {
+            return conflict("the group is full");
+        }
+        if self.log.replicas().voter_changes(group) > 1 || group.voters().next().is_none() {
+            return conflict("only one voter may change at a time");
+        }
+        Ok(())
+    }
+}
+
+impl Replicas {
+    /// Returns the group with `joiner` as a learner in place of the member at its address.
+    fn with_learner(&self, joiner: &Member) -> Result<Replicas> {
+        let at_link = |m: &&Member| m.link == joiner.link;
+        let Some(old) = self.members().iter().find(at_link) else {
+            let message = format!("no member of the group has the address {}", joiner.link);
+            return Err(Error::invalid(message));
+        };
+        let earlier = self.members().iter().find(|m| at_link(m) && !m.voter);
+        let replaces = match earlier {
+            Some(learner) => learner.replaces,
+            None => Some(old.id),
+        };
+        let mut members: Vec<Member> = self.members().to_vec();
+        members.retain(|m| m.voter || m.link != joiner.link);
+        members.push(Member {
+            voter: false,
+            replaces,
+            ..joiner.clone()
+        });
+        Ok(Replicas::new(members))
+    }
+
+    /// Returns the next single step towards a vote for learner `id`: first the member that it
+    /// replaces goes, then it gets the vote.
+    fn promote(&self, id: ReplicaId) -> Replicas {
+        let replaced = self.get(id).and_then(|m| m.replaces);
+        let mut members: Vec<Member> = self.members().to_vec();
+        match replaced.filter(|old| self.get(*old).is_some()) {
+            Some(old) => members.retain(|m| m.id != old),
+            None => {
+                for m in members.iter_mut().filter(|m| m.id == id) {
+                    m.voter = true;
+                    m.replaces = None;
+                }
+            }
+        }
+        Replicas::new(members)
+    }
+
+    /// Returns how many replicas are a voter in only one of the two groups.
+    fn voter_changes(&self, other: &Replicas) -> usize {
+        let gone = self.voters().filter(|v| !other.is_voter(*v)).count();
+        let new = other.voters().filter(|v| !self.is_voter(*v)).count();
+        gone + new
+    }
+}
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -1,1 +1,67 @@
 //! The replicated log of the control processes.
+//!
+//! [`Replica`] is a state machine without sockets, files or clocks. The caller passes time,
+//! randomness and messages in, and carries out the [`Action`]s that come back *in their order*:
+//! an [`Action::Persist`] must be synced before any later action is carried out, since votes and
+//! acknowledgements promise what is on the disk. If a persist fails, the caller drops the remaining
+//! actions and builds the replica anew from its store with [`Replica::restore`], as after a crash.
+//!
+//! Elections use terms and a pre-vote. An entry commits when a majority of the voters has synced
+//! it and it belongs to the leader's own term. A leader that gets no answers from a majority within
+//! [`LEASE`] steps down by its own clock. A voter that heard from a leader, or started, less than
+//! [`ELECTION_MIN`] ago grants no vote, so a lease never overlaps a later leader's election.
+//!
+//! A group is founded once, by a unanimous vote of its initial members; a replica without a log
+//! otherwise never stands for election. A replica whose disk is lost returns under a new
+//! [`ReplicaId`](crate::ids::ReplicaId) as a learner, catches up, and takes the place of the old
+//! member in two single steps: the old member is removed, then the learner gets its vote. This
+//! order never needs more live replicas than before the repair.
+
+mod election;
+mod entry;
+mod follower;
+mod leader;
+mod log;
+mod machine;
+mod members;
+mod message;
+
+use std::time::Duration;
+
+pub use self::entry::{Entry, Local, Logged, Member, Replicas, Snapshot};
+pub use self::machine::{Action, Persist, Replica, Role, Stored, Vouch};
+pub use self::message::{
+    Append, AppendAnswer, Ballot, BallotAnswer, Chunk, ChunkAnswer, Message, SnapshotHead,
+};
+
+/// Time between heartbeats of a leader.
+pub const HEARTBEAT: Duration = Duration::from_millis(100);
+
+/// Shortest silence of the leader before a replica stands for election.
+pub const ELECTION_MIN: Duration = Duration::from_millis(600);
+
+/// Longest silence of the leader before a replica stands for election.
+pub const ELECTION_MAX: Duration = Duration::from_millis(1_200);
+
+/// How long answers of a majority let a leader lead, counted from the send time of the question.
+///
+/// It is shorter than [`ELECTION_MIN`] by far more than the assumed clock drift of 1 %.
+pub const LEASE: Duration = Duration::from_millis(500);
+
+/// Time without an answer after which entries or a snapshot chunk are sent again.
+pub const RESEND: Duration = Duration::from_millis(300);
+
+/// Most entries in one append message.
+pub const APPEND_ENTRIES: usize = 256;
+
+/// Size in bytes after which an append message takes no further entry.
+pub const APPEND_BYTES: usize = 512 * 1024;
+
+/// Size in bytes of one chunk of a snapshot.
+pub const CHUNK_BYTES: usize = 256 * 1024;
+
+/// Entries kept in memory before the latest snapshot, for followers that are slightly behind.
+pub const KEPT_ENTRIES: u64 = 512;
+
+/// Most replicas in a group.
+pub const REPLICAS_MAX: usize = 7;
--- /dev/null
+++ b/src/wire/replica.rs
@@ -0,0 +1,563 @@
+//! Messages and stored records of the replicated log, as `prost` messages.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use prost::Message as _;
+
+use crate::error::{Error, Result};
+use crate::ids::ReplicaId;
+use crate::replica::{
+    Append, AppendAnswer, Ballot, BallotAnswer, Chunk, ChunkAnswer, Entry, Local, Logged, Member,
+    Message, Replicas, Snapshot, SnapshotHead,
+};
+use crate::time::Time;
+use crate::units::{Position, Term};
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct MemberRecord {
+    #[prost(fixed64, tag = "1")]
+    id: u64,
+    #[prost(string, tag = "2")]
+    link: String,
+    #[prost(string, tag = "3")]
+    operator: String,
+    #[prost(bool, tag = "4")]
+    voter: bool,
+    #[prost(fixed64, optional, tag = "5")]
+    replaces: Option<u64>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct GroupRecord {
+    #[prost(message, repeated, tag = "1")]
+    members: Vec<MemberRecord>,
+}
+
+#[derive(Clone, PartialEq, prost::Oneof)]
+enum EntryKind {
+    #[prost(bool, tag = "3")]
+    Empty(bool),
+    #[prost(bytes = "bytes", tag = "4")]
+    Note(Bytes),
+    #[prost(bytes = "bytes", tag = "5")]
+    Nodes(Bytes),
+    #[prost(message, tag = "6")]
+    Replicas(GroupRecord),
+    #[prost(uint64, tag = "7")]
+    Accepted(u64),
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct EntryRecord {
+    #[prost(uint64, tag = "1")]
+    position: u64,
+    #[prost(uint64, tag = "2")]
+    term: u64,
+    #[prost(oneof = "EntryKind", tags = "3, 4, 5, 6, 7")]
+    kind: Option<EntryKind>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct LocalRecord {
+    #[prost(fixed64, tag = "1")]
+    id: u64,
+    #[prost(uint64, tag = "2")]
+    term: u64,
+    #[prost(fixed64, optional, tag = "3")]
+    vote: Option<u64>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct HeadRecord {
+    #[prost(uint64, tag = "1")]
+    position: u64,
+    #[prost(uint64, tag = "2")]
+    term: u64,
+    #[prost(message, optional, tag = "3")]
+    group: Option<GroupRecord>,
+    #[prost(uint64, tag = "4")]
+    size: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct SnapshotRecord {
+    #[prost(message, optional, tag = "1")]
+    head: Option<HeadRecord>,
+    #[prost(bytes = "bytes", tag = "2")]
+    data: Bytes,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct BallotRecord {
+    #[prost(uint64, tag = "1")]
+    term: u64,
+    #[prost(uint64, tag = "2")]
+    last_term: u64,
+    #[prost(uint64, tag = "3")]
+    last: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct BallotAnswerRecord {
+    #[prost(uint64, tag = "1")]
+    term: u64,
+    #[prost(bool, tag = "2")]
+    granted: bool,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct AppendRecord {
+    #[prost(uint64, tag = "1")]
+    term: u64,
+    #[prost(uint64, tag = "2")]
+    previous: u64,
+    #[prost(uint64, tag = "3")]
+    previous_term: u64,
+    #[prost(message, repeated, tag = "4")]
+    entries: Vec<EntryRecord>,
+    #[prost(uint64, tag = "5")]
+    committed: u64,
+    #[prost(uint64, tag = "6")]
+    sent: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct AppendAnswerRecord {
+    #[prost(uint64, tag = "1")]
+    term: u64,
+    #[prost(uint64, tag = "2")]
+    sent: u64,
+    #[prost(uint64, tag = "3")]
+    previous: u64,
+    #[prost(bool, tag = "4")]
+    agreed: bool,
+    #[prost(uint64, tag = "5")]
+    position: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct ChunkRecord {
+    #[prost(uint64, tag = "1")]
+    term: u64,
+    #[prost(uint64, tag = "2")]
+    sent: u64,
+    #[prost(message, optional, tag = "3")]
+    head: Option<HeadRecord>,
+    #[prost(uint64, tag = "4")]
+    offset: u64,
+    #[prost(bytes = "bytes", tag = "5")]
+    bytes: Bytes,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct ChunkAnswerRecord {
+    #[prost(uint64, tag = "1")]
+    term: u64,
+    #[prost(uint64, tag = "2")]
+    sent: u64,
+    #[prost(uint64, tag = "3")]
+    position: u64,
+    #[prost(uint64, tag = "4")]
+    received: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Oneof)]
+enum MessageKind {
+    #[prost(message, tag = "1")]
+    PreVote(BallotRecord),
+    #[prost(message, tag = "2")]
+    PreVoteAnswer(BallotAnswerRecord),
+    #[prost(message, tag = "3")]
+    Vote(BallotRecord),
+    #[prost(message, tag = "4")]
+    VoteAnswer(BallotAnswerRecord),
+    #[prost(message, tag = "5")]
+    Append(AppendRecord),
+    #[prost(message, tag = "6")]
+    AppendAnswer(AppendAnswerRecord),
+    #[prost(message, tag = "7")]
+    Chunk(ChunkRecord),
+    #[prost(message, tag = "8")]
+    ChunkAnswer(ChunkAnswerRecord),
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct MessageRecord {
+    #[prost(oneof = "MessageKind", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    kind: Option<MessageKind>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct EnvelopeRecord {
+    #[prost(message, optional, tag = "1")]
+    from: Option<MemberRecord>,
+    #[prost(bool, tag = "2")]
+    founded: bool,
+    #[prost(fixed64, tag = "3")]
+    to: u64,
+    #[prost(message, repeated, tag = "4")]
+    messages: Vec<MessageRecord>,
+}
+
+/// What one replica sends another on the replica channel; the answer has the same form.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Envelope {
+    /// The sender as it would be a member.
+    pub from: Member,
+    /// True if the sender knows a group.
+    pub founded: bool,
+    /// The replica that the messages are for; absent in a greeting.
+    pub to: Option<ReplicaId>,
+    /// The messages in the order in which they came up.
+    pub messages: Vec<Message>,
+}
+
+impl Envelope {
+    /// Encodes the envelope.
+    pub fn encode(&self) -> Bytes {
+        let record = EnvelopeRecord {
+            from: Some(MemberRecord::from(&self.from)),
+            founded: self.founded,
+            to: self.to.map_or(0, |id| id.0),
+            messages: self.messages.iter().map(MessageRecord::from).collect(),
+        };
+        record.encode_to_vec().into()
+    }
+
+    /// Decodes an envelope.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are malformed.
+    pub fn decode(bytes: Bytes) -> Result<Envelope> {
+        let record = EnvelopeRecord::decode(bytes).map_err(malformed)?;
+        let messages = record.messages.into_iter().map(Message::try_from);
+        Ok(Envelope {
+            from: record.from.ok_or_else(missing)?.try_into()?,
+            founded: record.founded,
+            to: (record.to != 0).then_some(ReplicaId(record.to)),
+            messages: messages.collect::<Result<_>>()?,
+        })
+    }
+}
+
+/// Encodes one entry as a log record.
+pub fn encode_entry(entry: &Logged) -> Vec<u8> {
+    EntryRecord::from(entry).encode_to_vec()
+}
+
+/// Decodes a log record.
+///
+/// # Errors
+///
+/// Fails if the bytes are malformed.
+pub fn decode_entry(bytes: Bytes) -> Result<Logged> {
+    EntryRecord::decode(bytes).map_err(malformed)?.try_into()
+}
+
+/// Encodes the local record.
+pub fn encode_local(local: &Local) -> Vec<u8> {
+    let record = LocalRecord {
+        id: local.id.0,
+        term: local.term.0,
+        vote: local.vote.map(|v| v.0),
+    };
+    record.encode_to_vec()
+}
+
+/// Decodes the local record.
+///
+/// # Errors
+///
+/// Fails if the bytes are malformed or hold no identity.
+pub fn decode_local(bytes: &[u8]) -> Result<Local> {
+    let record = LocalRecord::decode(bytes).map_err(malformed)?;
+    if record.id == 0 {
+        return Err(missing());
+    }
+    Ok(Local {
+        id: ReplicaId(record.id),
+        term: Term(record.term),
+        vote: record.vote.map(ReplicaId),
+    })
+}
+
+/// Encodes a snapshot.
+pub fn encode_snapshot(snapshot: &Snapshot) -> Vec<u8> {
+    let head = HeadRecord {
+        position: snapshot.position.0,
+        term: snapshot.term.0,
+        group: Some(GroupRecord::from(&snapshot.replicas)),
+        size: snapshot.data.len() as u64,
+    };
+    let record = SnapshotRecord {
+        head: Some(head),
+        data: snapshot.data.clone(),
+    };
+    record.encode_to_vec()
+}
+
+/// Decodes a snapshot.
+///
+/// # Errors
+///
+/// Fails if the bytes are malformed.
+pub fn decode_snapshot(bytes: Bytes) -> Result<Snapshot> {
+    let record = SnapshotRecord::decode(bytes).map_err(malformed)?;
+    let head: SnapshotHead = record.head.ok_or_else(missing)?.try_into()?;
+    Ok(Snapshot {
+        position: head.position,
+        term: head.term,
+        replicas: head.replicas,
+        data: record.data,
+    })
+}
+
+fn malformed(e: prost::DecodeError) -> Error {
+    Error::invalid(format!("malformed replica message: {e}"))
+}
+
+fn missing() -> Error {
+    Error::invalid("replica message lacks a field")
+}
+
+fn parse_addr(text: &str) -> Result<SocketAddr> {
+    text.parse()
+        .map_err(|_| Error::invalid("replica message has a bad address"))
+}
+
+impl From<&Member> for MemberRecord {
+    fn from(m: &Member) -> Self {
+        MemberRecord {
+            id: m.id.0,
+            link: m.link.to_string(),
+            operator: m.operator.to_string(),
+            voter: m.voter,
+            replaces: m.replaces.map(|r| r.0),
+        }
+    }
+}
+
+impl TryFrom<MemberRecord> for Member {
+    type Error = Error;
+
+    fn try_from(m: MemberRecord) -> Result<Self> {
+        Ok(Member {
+            id: ReplicaId(m.id),
+            link: parse_addr(&m.link)?,
+            operator: parse_addr(&m.operator)?,
+            voter: m.voter,
+            replaces: m.replaces.map(ReplicaId),
+        })
+    }
+}
+
+impl From<&Replicas> for GroupRecord {
+    fn from(group: &Replicas) -> Self {
+        let members = group.members().iter().map(MemberRecord::from).collect();
+        GroupRecord { members }
+    }
+}
+
+impl TryFrom<GroupRecord> for Replicas {
+    type Error = Error;
+
+    fn try_from(group: GroupRecord) -> Result<Self> {
+        let members = group.members.into_iter().map(Member::try_from);
+        Ok(Replicas::new(members.collect::<Result<_>>()?))
+    }
+}
+
+impl From<&Logged> for EntryRecord {
+    fn from(e: &Logged) -> Self {
+        let kind = match &e.entry {
+            Entry::Empty => EntryKind::Empty(true),
+            Entry::Note(bytes) => EntryKind::Note(bytes.clone()),
+            Entry::Nodes(bytes) => EntryKind::Nodes(bytes.clone()),
+            Entry::Replicas(group) => EntryKind::Replicas(group.into()),
+            Entry::Accepted(position) => EntryKind::Accepted(position.0),
+        };
+        EntryRecord {
+            position: e.position.0,
+            term: e.term.0,
+            kind: Some(kind),
+        }
+    }
+}
+
+impl TryFrom<EntryRecord> for Logged {
+    type Error = Error;
+
+    fn try_from(e: EntryRecord) -> Result<Self> {
+        let entry = match e.kind.ok_or_else(missing)? {
+            EntryKind::Empty(_) => Entry::Empty,
+            EntryKind::Note(bytes) => Entry::Note(bytes),
+            EntryKind::Nodes(bytes) => Entry::Nodes(bytes),
+            EntryKind::Replicas(group) => Entry::Replicas(group.try_into()?),
+            EntryKind::Accepted(position) => Entry::Accepted(Position(position)),
+        };
+        Ok(Logged {
+            position: Position(e.position),
+            term: Term(e.term),
+            entry,
+        })
+    }
+}
+
+impl TryFrom<HeadRecord> for SnapshotHead {
+    type Error = Error;
+
+    fn try_from(h: HeadRecord) -> Result<Self> {
+        Ok(SnapshotHead {
+            position: Position(h.position),
+            term: Term(h.term),
+            replicas: h.group.unwrap_or_default().try_into()?,
+            size: h.size,
+        })
+    }
+}
+
+impl From<&Ballot> for BallotRecord {
+    fn from(b: &Ballot) -> Self {
+        BallotRecord {
+            term: b.term.0,
+            last_term: b.last_term.0,
+            last: b.last.0,
+        }
+    }
+}
+
+impl From<BallotRecord> for Ballot {
+    fn from(b: BallotRecord) -> Self {
+        Ballot {
+            term: Term(b.term),
+            last_term: Term(b.last_term),
+            last: Position(b.last),
+        }
+    }
+}
+
+impl From<&BallotAnswer> for BallotAnswerRecord {
+    fn from(a: &BallotAnswer) -> Self {
+        BallotAnswerRecord {
+            term: a.term.0,
+            granted: a.granted,
+        }
+    }
+}
+
+impl From<BallotAnswerRecord> for BallotAnswer {
+    fn from(a: BallotAnswerRecord) -> Self {
+        BallotAnswer {
+            term: Term(a.term),
+            granted: a.granted,
+        }
+    }
+}
+
+impl From<&Message> for MessageRecord {
+    fn from(message: &Message) -> Self {
+        let kind = match message {
+            Message::PreVote(b) => MessageKind::PreVote(b.into()),
+            Message::PreVoteAnswer(a) => MessageKind::PreVoteAnswer(a.into()),
+            Message::Vote(b) => MessageKind::Vote(b.into()),
+            Message::VoteAnswer(a) => MessageKind::VoteAnswer(a.into()),
+            Message::Append(a) => MessageKind::Append(AppendRecord {
+                term: a.term.0,
+                previous: a.previous.0,
+                previous_term: a.previous_term.0,
+                entries: a.entries.iter().map(EntryRecord::from).collect(),
+                committed: a.committed.0,
+                sent: a.sent.0,
+            }),
+            Message::AppendAnswer(a) => MessageKind::AppendAnswer(AppendAnswerRecord {
+                term: a.term.0,
+                sent: a.sent.0,
+                previous: a.previous.0,
+                agreed: a.agreed,
+                position: a.position.0,
+            }),
+            Message::Chunk(c) => MessageKind::Chunk(ChunkRecord {
+                term: c.term.0,
+                sent: c.sent.0,
+                head: Some(HeadRecord {
+                    position: c.head.position.0,
+                    term: c.head.term.0,
+                    group: Some(GroupRecord::from(&c.head.replicas)),
+                    size: c.head.size,
+                }),
+                offset: c.offset,
+                bytes: c.bytes.clone(),
+            }),
+            Message::ChunkAnswer(a) => MessageKind::ChunkAnswer(ChunkAnswerRecord {
+                term: a.term.0,
+                sent: a.sent.0,
+                position: a.position.0,
+                received: a.received,
+            }),
+        };
+        MessageRecord { kind: Some(kind) }
+    }
+}
+
+impl TryFrom<MessageRecord> for Message {
+    type Error = Error;
+
+    fn try_from(record: MessageRecord) -> Result<Self> {
+        Ok(match record.kind.ok_or_else(missing)? {
+            MessageKind::PreVote(b) => Message::PreVote(b.into()),
+            MessageKind::PreVoteAnswer(a) => Message::PreVoteAnswer(a.into()),
+            MessageKind::Vote(b) => Message::Vote(b.into()),
+            MessageKind::VoteAnswer(a) => Message::VoteAnswer(a.into()),
+            MessageKind::Append(a) => Message::Append(a.try_into()?),
+            MessageKind::AppendAnswer(a) => Message::AppendAnswer(AppendAnswer {
+                term: Term(a.term),
+                sent: Time(a.sent),
+                previous: Position(a.previous),
+                agreed: a.agreed,
+                position: Position(a.position),
+            }),
+            MessageKind::Chunk(c) => Message::Chunk(Chunk {
+                term: Term(c.term),
+                sent: Time(c.sent),
+                head: c.head.ok_or_else(missing)?.try_into()?,
+                offset: c.offset,
+                bytes: c.bytes,
+            }),
+            MessageKind::ChunkAnswer(a) => Message::ChunkAnswer(ChunkAnswer {
+                term: Term(a.term),
+                sent: Time(a.sent),
+                position: Position(a.position),
+                received: a.received,
+            }),
+        })
+    }
+}
+
+impl TryFrom<AppendRecord> for Append {
+    type Error = Error;
+
+    fn try_from(a: AppendRecord) -> Result<Self> {
+        let entries: Vec<Logged> = a
+            .entries
+            .into_iter()
+            .map(Logged::try_from)
+            .collect::<Result<_>>()?;
+        let mut expected = Position(a.previous);
+        for entry in &entries {
+            expected = expected.next();
+            if entry.position != expected {
+                return Err(Error::invalid("entries of an append leave a gap"));
+            }
+        }
+        Ok(Append {
+            term: Term(a.term),
+            previous: Position(a.previous),
+            previous_term: Term(a.previous_term),
+            entries,
+            committed: Position(a.committed),
+            sent: Time(a.sent),
+        })
+    }
+}
