Test the replicated log under random faults in virtual time

Three replicas with fake disks and a fake network meet kills, freezes, lost disks with replacement, torn writes, one-way cuts, loss, repeats and reordering. After a split vote the silent-cut test found 3 s without a leader: a second full election timeout. Candidates now retry after 200 to 600 ms; they have heard no leader for an election timeout already.

--- a/src/replica/election.rs
+++ b/src/replica/election.rs
@@ -6,14 +6,17 @@
 use crate::replica::entry::Replicas;
 use crate::replica::machine::{Replica, State};
 use crate::replica::message::{Ballot, BallotAnswer, Message};
-use crate::replica::{ELECTION_MAX, ELECTION_MIN};
+use crate::replica::{ELECTION_MAX, ELECTION_MIN, RETRY_MAX, RETRY_MIN};
 use crate::time::Time;
 use crate::units::Term;
 
 impl Replica {
     pub(super) fn tick_election<R: Rng>(&mut self, now: Time, rng: &mut R) {
-        let draw = || rng.random_range(ELECTION_MIN..=ELECTION_MAX);
-        let timeout = *self.timeout.get_or_insert_with(draw);
+        let range = match self.state {
+            State::Follower | State::Leader(_) => ELECTION_MIN..=ELECTION_MAX,
+            State::PreCandidate(_) | State::Candidate(_) => RETRY_MIN..=RETRY_MAX,
+        };
+        let timeout = *self.timeout.get_or_insert_with(|| rng.random_range(range));
         if now < self.waiting + timeout {
             return;
         }
--- a/src/replica/leader.rs
+++ b/src/replica/leader.rs
@@ -2,7 +2,7 @@
 use crate::replica::entry::{Entry, Logged, Snapshot};
 use crate::replica::machine::{Action, Persist, Replica, State};
 use crate::replica::message::{Append, AppendAnswer, Chunk, ChunkAnswer, Message, SnapshotHead};
-use crate::replica::{APPEND_BYTES, APPEND_ENTRIES, CHUNK_BYTES, HEARTBEAT, LEASE, RESEND};
+use crate::replica::{HEARTBEAT, LEASE, RESEND};
 use crate::time::Time;
 use crate::units::Position;
 
@@ -169,6 +169,7 @@
         let last = self.log.last();
         let base = self.log.base();
         let snapshot = self.log.snapshot().cloned();
+        let chunk_bytes = self.limits.chunk_bytes;
         let Some(f) = self.lead_mut().and_then(|l| l.followers.get_mut(i)) else {
             return;
         };
@@ -189,7 +190,7 @@
         }
         let to = f.id;
         let message = match &f.transfer {
-            Some(transfer) => transfer.chunk(now, works),
+            Some(transfer) => transfer.chunk(now, if works { chunk_bytes } else { 0 }),
             None => Message::Append(Append {
                 previous: Position(f.next.0 - 1),
                 ..Append::heartbeat(now)
@@ -207,7 +208,9 @@
             Message::Append(append) => {
                 let previous = append.previous;
                 let entries = if works {
-                    self.log.after(previous, APPEND_ENTRIES, APPEND_BYTES)
+                    let limits = self.limits;
+                    self.log
+                        .after(previous, limits.append_entries, limits.append_bytes)
                 } else {
                     Vec::new()
                 };
@@ -352,15 +355,11 @@
 }
 
 impl Transfer {
-    /// Returns the next chunk, or one without bytes as a heartbeat.
-    fn chunk(&self, now: Time, works: bool) -> Message {
+    /// Returns the next chunk of at most `size` bytes; one without bytes is a heartbeat.
+    fn chunk(&self, now: Time, size: usize) -> Message {
         let data = &self.snapshot.data;
         let start = (self.offset as usize).min(data.len());
-        let end = if works {
-            (start + CHUNK_BYTES).min(data.len())
-        } else {
-            start
-        };
+        let end = (start + size).min(data.len());
         Message::Chunk(Chunk {
             term: Default::default(),
             sent: now,
--- a/src/replica/machine.rs
+++ b/src/replica/machine.rs
@@ -6,7 +6,6 @@
 
 use crate::error::{Error, Result};
 use crate::ids::ReplicaId;
-use crate::replica::KEPT_ENTRIES;
 use crate::replica::entry::{Entry, Local, Logged, Member, Replicas, Snapshot};
 use crate::replica::follower::Incoming;
 use crate::replica::leader::Lead;
@@ -57,6 +56,30 @@
     pub entries: Vec<Logged>,
 }
 
+/// Bounds of messages and memory.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Most entries in one append message.
+    pub append_entries: usize,
+    /// Size in bytes after which an append message takes no further entry.
+    pub append_bytes: usize,
+    /// Size in bytes of one chunk of a snapshot.
+    pub chunk_bytes: usize,
+    /// Entries kept in memory before the latest snapshot, for followers that are slightly behind.
+    pub kept_entries: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            append_entries: 256,
+            append_bytes: 512 * 1024,
+            chunk_bytes: 256 * 1024,
+            kept_entries: 512,
+        }
+    }
+}
+
 /// The part that a replica plays in its term.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
@@ -108,6 +131,7 @@
 pub struct Replica {
     pub(super) local: Local,
     pub(super) log: Log,
+    pub(super) limits: Limits,
     pub(super) committed: Position,
     pub(super) state: State,
     pub(super) leader: Option<ReplicaId>,
@@ -136,6 +160,7 @@
             local: stored.local,
             committed: log.base(),
             log,
+            limits: Limits::default(),
             state: State::Follower,
             leader: None,
             heard: now,
@@ -147,6 +172,11 @@
         })
     }
 
+    /// Replaces the default bounds.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
     /// Names the complete initial group, which founds itself by a unanimous vote.
     ///
     /// Has no effect once the replica knows a group.
@@ -223,7 +253,7 @@
         };
         let persist = Persist::Snapshot(snapshot.clone());
         self.actions.push(Action::Persist(persist));
-        self.log.compact(snapshot, KEPT_ENTRIES);
+        self.log.compact(snapshot, self.limits.kept_entries);
     }
 
     /// Returns this replica's identity.
@@ -340,6 +370,7 @@
         self.state = State::Follower;
         self.leader = None;
         self.waiting = now;
+        self.timeout = None;
     }
 
     /// Raises the commit position and queues the entries that it covers.
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -29,7 +29,7 @@
 use std::time::Duration;
 
 pub use self::entry::{Entry, Local, Logged, Member, Replicas, Snapshot};
-pub use self::machine::{Action, Persist, Replica, Role, Stored, Vouch};
+pub use self::machine::{Action, Limits, Persist, Replica, Role, Stored, Vouch};
 pub use self::message::{
     Append, AppendAnswer, Ballot, BallotAnswer, Chunk, ChunkAnswer, Message, SnapshotHead,
 };
@@ -43,6 +43,16 @@
 /// Longest silence of the leader before a replica stands for election.
 pub const ELECTION_MAX: Duration = Duration::from_millis(1_200);
 
+/// Shortest time before a candidate tries again.
+///
+/// It may be below [`ELECTION_MIN`], since a candidate has heard no leader for that long already.
+pub const RETRY_MIN: Duration = Duration::from_millis(200);
+
+/// Longest time before a candidate tries again.
+///
+/// With a second full election timeout, a silent cut followed by one split vote takes up to 3 s.
+pub const RETRY_MAX: Duration = Duration::from_millis(600);
+
 /// How long answers of a majority let a leader lead, counted from the send time of the question.
 ///
 /// It is shorter than [`ELECTION_MIN`] by far more than the assumed clock drift of 1 %.
@@ -51,17 +61,5 @@
 /// Time without an answer after which entries or a snapshot chunk are sent again.
 pub const RESEND: Duration = Duration::from_millis(300);
 
-/// Most entries in one append message.
-pub const APPEND_ENTRIES: usize = 256;
-
-/// Size in bytes after which an append message takes no further entry.
-pub const APPEND_BYTES: usize = 512 * 1024;
-
-/// Size in bytes of one chunk of a snapshot.
-pub const CHUNK_BYTES: usize = 256 * 1024;
-
-/// Entries kept in memory before the latest snapshot, for followers that are slightly behind.
-pub const KEPT_ENTRIES: u64 = 512;
-
 /// Most replicas in a group.
 pub const REPLICAS_MAX: usize = 7;
--- /dev/null
+++ b/tests/replica_faults.rs
@@ -0,0 +1,105 @@
+//! The replicated log under random kills, freezes, lost disks, torn writes and cuts.
+
+mod replica_sim;
+
+use std::time::Duration;
+
+use replica_sim::{Sim, VMS};
+
+/// Seeds in a usual run; `REPLICA_SEEDS=first..end` chooses others.
+const SEEDS: std::ops::Range<u64> = 0..300;
+
+fn seeds() -> std::ops::Range<u64> {
+    let Ok(text) = std::env::var("REPLICA_SEEDS") else {
+        return SEEDS;
+    };
+    let (first, end) = text.split_once("..").expect("first..end");
+    first.parse().unwrap()..end.parse().unwrap()
+}
+
+/// Guards against two leaders in a term, lost or changed committed entries, leases that outlive
+/// their leader, and groups that don't recover.
+#[test]
+fn random_faults() {
+    let mut committed = 0;
+    let mut failed = Vec::new();
+    for seed in seeds() {
+        let run = std::panic::catch_unwind(|| {
+            let mut sim = Sim::new(seed);
+            sim.run(Duration::from_secs(20));
+            sim.heal();
+            sim.run(Duration::from_secs(10));
+            sim.check_calm();
+            sim.ledger.len()
+        });
+        match run {
+            Ok(entries) => committed += entries,
+            Err(_) => failed.push(seed),
+        }
+    }
+    println!("seeds={:?} committed={committed}", seeds());
+    assert!(failed.is_empty(), "failing seeds: {failed:?}");
+    assert!(committed > 0, "the runs commit something");
+}
+
+fn calm(seed: u64) -> (Sim, usize) {
+    let mut sim = Sim::new(seed);
+    sim.heal();
+    sim.run(Duration::from_secs(5));
+    let leader = sim.leader().expect("a calm group has a leader");
+    (sim, leader)
+}
+
+/// Guards against a replica that can send but not hear deposing a good leader.
+#[test]
+fn deaf_follower() {
+    for seed in 0..20 {
+        let (mut sim, leader) = calm(seed);
+        let term = sim.vms[leader].replica.as_ref().unwrap().term();
+        let deaf = (leader + 1) % VMS;
+        let end = sim.now + Duration::from_secs(5);
+        for other in 0..VMS {
+            sim.cuts.insert((other, deaf), end);
+        }
+        sim.run(Duration::from_secs(10));
+        assert_eq!(sim.leader(), Some(leader), "seed {seed}");
+        let replica = sim.vms[leader].replica.as_ref().unwrap();
+        assert_eq!(replica.term(), term, "seed {seed}");
+    }
+}
+
+/// Guards against a leader that leads on although it hears nobody.
+#[test]
+fn silent_cut() {
+    for seed in 0..20 {
+        let (mut sim, leader) = calm(seed);
+        let end = sim.now + Duration::from_secs(60);
+        for other in (0..VMS).filter(|o| *o != leader) {
+            sim.cuts.insert((other, leader), end);
+        }
+        sim.run(Duration::from_secs(3));
+        let new = sim
+            .leader()
+            .expect("the majority elects a leader within 3 s");
+        assert_ne!(new, leader, "seed {seed}");
+    }
+}
+
+/// Guards against losing entries when a second disk is lost right after a repair.
+#[test]
+fn repeated_loss() {
+    for seed in 0..20 {
+        let (mut sim, _) = calm(seed);
+        for round in 0..9 {
+            let before = sim.ledger.len();
+            sim.wipe(round % VMS);
+            while !(0..VMS).all(|i| sim.group.is_voter(sim.id(i))) {
+                assert!(sim.now.as_millis() < 3_700_000, "seed {seed}: no repair");
+                sim.run(Duration::from_millis(5));
+            }
+            assert!(sim.ledger.len() > before);
+        }
+        sim.run(Duration::from_secs(3));
+        sim.check_calm();
+    }
+}
--- /dev/null
+++ b/tests/replica_sim/mod.rs
@@ -0,0 +1,478 @@
+//! Replicas in virtual time with a fake network and fake disks that fail at random.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use laburnumtide::prelude::*;
+use laburnumtide::replica::{
+    Action, Entry, Limits, Local, Logged, Member, Message, Persist, Replica, Replicas, Role,
+    Snapshot, Stored,
+};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+/// Number of VMs.
+pub const VMS: usize = 3;
+const STEP: Duration = Duration::from_millis(5);
+const SNAPSHOT_ENTRIES: u64 = 20;
+
+/// A disk that keeps what is synced and tears what is not.
+#[derive(Clone)]
+struct Disk {
+    local: Local,
+    snapshot: Option<Snapshot>,
+    entries: Vec<Logged>,
+}
+
+impl Disk {
+    fn new(id: ReplicaId) -> Disk {
+        let (snapshot, entries) = (None, Vec::new());
+        let local = Local::new(id);
+        Disk {
+            local,
+            snapshot,
+            entries,
+        }
+    }
+
+    /// Writes and syncs; with `torn` the process dies before the sync.
+    fn write(&mut self, persist: Persist, torn: Option<&mut StdRng>) {
+        let done = match torn {
+            None => 1.0,
+            Some(rng) => rng.random::<f64>(),
+        };
+        match persist {
+            Persist::Append(entries) => {
+                let kept = (entries.len() as f64 * done) as usize;
+                self.entries.extend(entries.into_iter().take(kept));
+            }
+            _ if done < 0.5 => {}
+            Persist::Local(local) => self.local = local,
+            Persist::Truncate(first) => self.entries.retain(|e| e.position < first),
+            Persist::Snapshot(snapshot) => {
+                self.entries.retain(|e| e.position > snapshot.position);
+                self.snapshot = Some(snapshot);
+            }
+        }
+    }
+}
+
+/// One VM with its process.
+pub struct Vm {
+    disk: Disk,
+    pub replica: Option<Replica>,
+    pending: VecDeque<Action>,
+    frozen_until: Time,
+    down_until: Time,
+    next_tick: Time,
+    rate: f64,
+    applied: Position,
+    hash: u64,
+    /// What greetings have told: identity by VM, and whether it knew a group.
+    known: [Option<(ReplicaId, bool)>; VMS],
+}
+
+/// The whole group.
+pub struct Sim {
+    pub rng: StdRng,
+    pub now: Time,
+    pub vms: Vec<Vm>,
+    net: BTreeMap<(Time, u64), (usize, ReplicaId, ReplicaId, Message)>,
+    sent: u64,
+    /// One-way cuts from a VM to another, with their end.
+    pub cuts: BTreeMap<(usize, usize), Time>,
+    /// Committed entries; the entry at position `n` is at index `n - 1`.
+    pub ledger: Vec<Logged>,
+    hashes: Vec<u64>,
+    leaders: BTreeMap<Term, ReplicaId>,
+    pub group: Replicas,
+    wipes: usize,
+    /// Probability that a process dies between two actions.
+    crash: f64,
+    loss: f64,
+    pub trouble: f64,
+}
+
+fn address(vm: usize, port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, vm as u8 + 1], port))
+}
+
+fn mix(hash: u64, entry: &Logged) -> u64 {
+    let text = format!("{hash} {entry:?}");
+    xxhash_rust::xxh3::xxh3_64(text.as_bytes())
+}
+
+impl Sim {
+    pub fn new(seed: u64) -> Sim {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let now = Time::from_millis(3_600_000);
+        let vms = (0..VMS).map(|i| Vm {
+            disk: Disk::new(ReplicaId(i as u64 + 1)),
+            replica: None,
+            pending: VecDeque::new(),
+            frozen_until: now,
+            down_until: now,
+            next_tick: now,
+            rate: rng.random_range(0.99..1.01),
+            applied: Position(0),
+            hash: 0,
+            known: [None; VMS],
+        });
+        let vms = vms.collect();
+        let (crash, loss) = (rng.random_range(0.0..0.002), rng.random_range(0.0..0.05));
+        Sim {
+            rng,
+            now,
+            vms,
+            net: BTreeMap::new(),
+            sent: 0,
+            cuts: BTreeMap::new(),
+            ledger: Vec::new(),
+            hashes: vec![0],
+            leaders: BTreeMap::new(),
+            group: Replicas::default(),
+            wipes: 0,
+            crash,
+            loss,
+            trouble: 0.005,
+        }
+    }
+
+    /// Ends all faults.
+    pub fn heal(&mut self) {
+        (self.crash, self.loss, self.trouble) = (0.0, 0.0, 0.0);
+        self.cuts.clear();
+        for vm in &mut self.vms {
+            vm.down_until = self.now;
+            vm.frozen_until = self.now;
+        }
+    }
+
+    fn clock(&self, i: usize) -> Time {
+        Time((self.now.0 as f64 * self.vms[i].rate) as u64)
+    }
+
+    pub fn id(&self, i: usize) -> ReplicaId {
+        self.vms[i].disk.local.id
+    }
+
+    fn is_running(&self, i: usize) -> bool {
+        self.vms[i].replica.is_some() && self.vms[i].frozen_until <= self.now
+    }
+
+    pub fn run(&mut self, length: Duration) {
+        let end = self.now + length;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + STEP;
+        let now = self.now;
+        self.cuts.retain(|_, end| *end > now);
+        if self.rng.random_bool(self.trouble) {
+            self.disturb();
+        }
+        for i in 0..VMS {
+            self.revive(i);
+            self.carry_out(i);
+        }
+        while let Some(entry) = self.net.first_entry().filter(|e| e.key().0 <= now) {
+            let (vm, from, to, message) = entry.remove();
+            self.deliver(vm, from, to, message);
+        }
+        for i in 0..VMS {
+            self.tick(i);
+            self.work(i);
+            self.check(i);
+        }
+    }
+
+    fn revive(&mut self, i: usize) {
+        let clock = self.clock(i);
+        let vm = &mut self.vms[i];
+        if vm.replica.is_some() || vm.down_until > self.now {
+            return;
+        }
+        let stored = Stored {
+            local: vm.disk.local,
+            snapshot: vm.disk.snapshot.clone(),
+            entries: vm.disk.entries.clone(),
+        };
+        let mut replica = Replica::restore(clock, stored).expect("the disk is sound");
+        replica.set_limits(Limits {
+            append_entries: 5,
+            append_bytes: 400,
+            chunk_bytes: 7,
+            kept_entries: 10,
+        });
+        (vm.applied, vm.hash) = (Position(0), 0);
+        vm.replica = Some(replica);
+        if let Some(snapshot) = vm.disk.snapshot.clone() {
+            self.install(i, &snapshot);
+        }
+    }
+
+    fn kill(&mut self, i: usize) {
+        let away = self.rng.random_range(50..2_000);
+        let vm = &mut self.vms[i];
+        vm.replica = None;
+        vm.pending.clear();
+        vm.frozen_until = self.now;
+        vm.down_until = self.now + Duration::from_millis(away);
+    }
+
+    fn disturb(&mut self) {
+        let i = self.rng.random_range(0..VMS);
+        let length = Duration::from_millis(self.rng.random_range(20..3_000));
+        match self.rng.random_range(0..10) {
+            0 | 1 => self.kill(i),
+            2 | 3 => self.vms[i].frozen_until = self.now + length,
+            4..=6 => {
+                let j = self.rng.random_range(0..VMS);
+                self.cuts.insert((i, j), self.now + length);
+            }
+            7 => {
+                for j in 0..VMS {
+                    self.cuts.insert((i, j), self.now + length);
+                    self.cuts.insert((j, i), self.now + length);
+                }
+            }
+            _ => self.wipe(i),
+        }
+    }
+
+    /// Loses a disk, unless an earlier loss is not repaired yet.
+    pub fn wipe(&mut self, i: usize) {
+        let whole = |v: ReplicaId| self.vms.iter().any(|vm| vm.disk.local.id == v);
+        let repaired = self.group.voters().count() == VMS && self.group.voters().all(whole);
+        let first = self.ledger.is_empty() && self.wipes == 0;
+        if !repaired && !first {
+            return;
+        }
+        self.wipes += 1;
+        self.kill(i);
+        let id = ReplicaId(self.rng.random_range(100..u64::MAX));
+        self.vms[i].disk = Disk::new(id);
+        self.vms[i].known = [None; VMS];
+    }
+
+    fn deliver(&mut self, i: usize, from: ReplicaId, to: ReplicaId, message: Message) {
+        let clock = self.clock(i);
+        if self.id(i) != to || self.vms[i].replica.is_none() {
+            return;
+        }
+        if !self.is_running(i) {
+            let later = self.vms[i].frozen_until;
+            self.sent += 1;
+            self.net.insert((later, self.sent), (i, from, to, message));
+            return;
+        }
+        let replica = self.vms[i].replica.as_mut().expect("checked above");
+        replica.receive(clock, from, message);
+        self.carry_out(i);
+    }
+
+    fn tick(&mut self, i: usize) {
+        let clock = self.clock(i);
+        if !self.is_running(i) || self.vms[i].next_tick > self.now {
+            return;
+        }
+        self.vms[i].next_tick = self.now + Duration::from_millis(20);
+        let vm = &mut self.vms[i];
+        let replica = vm.replica.as_mut().expect("it runs");
+        replica.tick(clock, &mut self.rng);
+        self.carry_out(i);
+    }
+
+    /// Greets others, founds, proposes, lets others join and takes snapshots.
+    fn work(&mut self, i: usize) {
+        if !self.is_running(i) {
+            return;
+        }
+        self.greet(i);
+        let clock = self.clock(i);
+        let proposes = self.rng.random_bool(0.1);
+        let size = self.rng.random_range(0..100);
+        let joining = self.rng.random_range(0..VMS);
+        let joiner = self.member(joining);
+        let note = Bytes::from(vec![b'x'; size]);
+        let vm = &mut self.vms[i];
+        let replica = vm.replica.as_mut().expect("it runs");
+        if proposes {
+            // Refused by all but the leader.
+            let _ = replica.propose(clock, Entry::Note(note));
+            if replica.role() == Role::Leader {
+                let _ = replica.join(clock, joiner);
+            }
+        }
+        let saved = replica.snapshot().map_or(0, |s| s.position.0);
+        if vm.applied.0 >= saved + SNAPSHOT_ENTRIES && vm.pending.is_empty() {
+            replica.compact(vm.applied, Bytes::from(format!("{:020}", vm.hash)));
+        }
+        self.carry_out(i);
+    }
+
+    fn member(&self, i: usize) -> Member {
+        Member {
+            id: self.id(i),
+            link: address(i, 1),
+            operator: address(i, 2),
+            voter: true,
+            replaces: None,
+        }
+    }
+
+    fn greet(&mut self, i: usize) {
+        let j = self.rng.random_range(0..VMS);
+        if self.is_running(j) && !self.cuts.contains_key(&(i, j)) {
+            let replica = self.vms[j].replica.as_ref().expect("it runs");
+            self.vms[i].known[j] = Some((self.id(j), !replica.replicas().is_empty()));
+        }
+        let known: Vec<(ReplicaId, bool)> = self.vms[i].known.iter().flatten().copied().collect();
+        if known.len() < VMS || known.iter().any(|(_, founded)| *founded) {
+            return;
+        }
+        let member = |j: usize| Member {
+            id: known[j].0,
+            ..self.member(j)
+        };
+        let members = (0..VMS).map(member).collect();
+        let replica = self.vms[i].replica.as_mut().expect("it runs");
+        replica.found(members);
+    }
+
+    /// Carries out actions in order; the process may die or freeze between two of them.
+    fn carry_out(&mut self, i: usize) {
+        if let Some(replica) = &mut self.vms[i].replica {
+            let fresh = replica.actions();
+            self.vms[i].pending.extend(fresh);
+        }
+        while self.is_running(i) {
+            let Some(action) = self.vms[i].pending.pop_front() else {
+                return;
+            };
+            let dies = self.rng.random_bool(self.crash);
+            if dies {
+                if let Action::Persist(persist) = action {
+                    self.vms[i].disk.write(persist, Some(&mut self.rng));
+                }
+                return self.kill(i);
+            }
+            if self.rng.random_bool(self.crash) {
+                let length = Duration::from_millis(self.rng.random_range(5..2_000));
+                self.vms[i].frozen_until = self.now + length;
+            }
+            match action {
+                Action::Persist(persist) => self.vms[i].disk.write(persist, None),
+                Action::Send { to, message } => self.send(i, to, message),
+                Action::Apply(entry) => self.apply(i, entry),
+                Action::Install(snapshot) => self.install(i, &snapshot),
+            }
+        }
+    }
+
+    fn send(&mut self, i: usize, to: ReplicaId, message: Message) {
+        let Some(j) = (0..VMS).find(|j| self.id(*j) == to) else {
+            return;
+        };
+        if self.cuts.contains_key(&(i, j)) || self.rng.random_bool(self.loss) {
+            return;
+        }
+        let copies = if self.rng.random_bool(0.02) { 2 } else { 1 };
+        for _ in 0..copies {
+            let slow = self.rng.random_bool(0.02);
+            let most = if slow { 1_000_000 } else { 3_000 };
+            let delay = Duration::from_micros(self.rng.random_range(500..most));
+            self.sent += 1;
+            let key = (self.now + delay, self.sent);
+            self.net.insert(key, (j, self.id(i), to, message.clone()));
+        }
+    }
+
+    fn apply(&mut self, i: usize, entry: Logged) {
+        let vm = &mut self.vms[i];
+        assert_eq!(entry.position, vm.applied.next(), "positions have no gap");
+        let index = entry.position.0 as usize - 1;
+        match self.ledger.get(index) {
+            Some(known) => assert_eq!(known, &entry, "a committed entry changed"),
+            None => {
+                assert_eq!(index, self.ledger.len(), "committed entries have no gap");
+                if let Entry::Replicas(group) = &entry.entry {
+                    self.group = group.clone();
+                }
+                self.hashes.push(mix(self.hashes[index], &entry));
+                self.ledger.push(entry.clone());
+            }
+        }
+        vm.hash = mix(vm.hash, &entry);
+        vm.applied = entry.position;
+    }
+
+    fn install(&mut self, i: usize, snapshot: &Snapshot) {
+        let vm = &mut self.vms[i];
+        assert!(snapshot.position >= vm.applied, "positions only grow");
+        let hash: u64 = std::str::from_utf8(&snapshot.data)
+            .unwrap()
+            .parse()
+            .unwrap();
+        let index = snapshot.position.0 as usize;
+        assert_eq!(
+            Some(&hash),
+            self.hashes.get(index),
+            "a snapshot differs from the log"
+        );
+        (vm.hash, vm.applied) = (hash, snapshot.position);
+    }
+
+    fn check(&mut self, i: usize) {
+        if !self.is_running(i) {
+            return;
+        }
+        let clock = self.clock(i);
+        let replica = self.vms[i].replica.as_ref().expect("it runs");
+        if replica.role() == Role::Leader {
+            let id = replica.id();
+            let elected = *self.leaders.entry(replica.term()).or_insert(id);
+            assert_eq!(elected, id, "two leaders in {}", replica.term());
+            let newest = *self.leaders.keys().next_back().expect("just added");
+            if replica.term() == newest {
+                assert!(
+                    replica.last().0 >= self.ledger.len() as u64,
+                    "a leader lacks entries"
+                );
+            }
+            if replica.holds_lease(clock) {
+                assert_eq!(replica.term(), newest, "a lease outlived its leader");
+            }
+        }
+        assert!(
+            replica.committed() >= self.vms[i].applied,
+            "applied before committed"
+        );
+    }
+
+    /// Returns the VM whose replica leads with a lease.
+    pub fn leader(&self) -> Option<usize> {
+        (0..VMS).find(|i| {
+            let replica = self.vms[*i].replica.as_ref();
+            self.is_running(*i) && replica.is_some_and(|r| r.holds_lease(self.clock(*i)))
+        })
+    }
+
+    /// Asserts that the healed group leads, commits and is whole.
+    pub fn check_calm(&mut self) {
+        let leader = self.leader().expect("a healed group has a leader");
+        let clock = self.clock(leader);
+        let replica = self.vms[leader].replica.as_mut().unwrap();
+        let position = replica.propose(clock, Entry::Empty).expect("it leads");
+        self.run(Duration::from_secs(2));
+        for i in 0..VMS {
+            assert!(self.vms[i].applied >= position, "replica {i} lags");
+            assert!(self.group.is_voter(self.id(i)), "replica {i} has no vote");
+        }
+    }
+}
