Add authenticated links and calls between own processes

Both sides prove the fleet secret over fresh nonces before a frame or an HTTP/2 preface is read. Calls carry a number, so replies that arrive in another order reach their own callers; three time-outs in a row open the link anew, since a silent cut gives no error for seconds. Not encrypted.

--- /dev/null
+++ b/src/wire/frame.rs
@@ -0,0 +1,90 @@
+//! Frames: length-delimited `prost` messages.
+
+use bytes::{Bytes, BytesMut};
+use prost::Message;
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+use crate::error::{Error, Result};
+
+/// Longest frame in bytes; larger states travel in chunks.
+pub const FRAME_MAX_BYTES: usize = 4 * 1024 * 1024;
+
+/// The matter that a frame belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum Channel {
+    /// Replication among control processes.
+    Replica = 0,
+    /// Configuration from control processes to nodes.
+    Sync = 1,
+    /// Gossip among nodes.
+    Gossip = 2,
+    /// Leases and grants for rates.
+    Limit = 3,
+}
+
+/// One message on a link.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Frame {
+    /// Number of the call on this link; the reply carries the same.
+    #[prost(uint64, tag = "1")]
+    pub call: u64,
+    /// The matter it belongs to.
+    #[prost(enumeration = "Channel", tag = "2")]
+    pub channel: i32,
+    /// True for the reply to a call.
+    #[prost(bool, tag = "3")]
+    pub reply: bool,
+    /// The encoded message of the channel.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub payload: Bytes,
+    /// Why the call failed; empty if it did not.
+    #[prost(string, tag = "5")]
+    pub error: String,
+}
+
+/// Encodes and decodes frames on a byte stream.
+#[derive(Debug)]
+pub struct FrameCodec {
+    lengths: LengthDelimitedCodec,
+}
+
+impl FrameCodec {
+    /// Creates a codec with the limit [`FRAME_MAX_BYTES`].
+    pub fn new() -> Self {
+        let lengths = LengthDelimitedCodec::builder()
+            .max_frame_length(FRAME_MAX_BYTES)
+            .new_codec();
+        FrameCodec { lengths }
+    }
+}
+
+impl Default for FrameCodec {
+    fn default() -> Self {
+        FrameCodec::new()
+    }
+}
+
+impl Decoder for FrameCodec {
+    type Item = Frame;
+    type Error = Error;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Frame>> {
+        let Some(bytes) = self.lengths.decode(src)? else {
+            return Ok(None);
+        };
+        Frame::decode(bytes.freeze())
+            .map(Some)
+            .map_err(|e| Error::invalid(format!("frame: {e}")))
+    }
+}
+
+impl Encoder<Frame> for FrameCodec {
+    type Error = Error;
+
+    fn encode(&mut self, frame: Frame, dst: &mut BytesMut) -> Result<()> {
+        let bytes = Bytes::from(frame.encode_to_vec());
+        self.lengths.encode(bytes, dst)?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/wire/link.rs
@@ -0,0 +1,308 @@
+//! Authenticated TCP links.
+//!
+//! Both sides prove by HMAC-SHA256 over fresh nonces that they hold the fleet secret. The link is
+//! not encrypted.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use hmac::{Hmac, KeyInit, Mac};
+use prost::Message;
+use sha2::Sha256;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::error::{Category, Error, Result};
+
+/// Version of the link handshake and of the frames after it.
+pub const LINK_VERSION: u32 = 1;
+
+/// Longest handshake message in bytes; a stranger can't make a process allocate more.
+const HANDSHAKE_MAX_BYTES: usize = 1_024;
+
+/// Time for the whole handshake, so that a silent stranger doesn't hold a socket.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Unacknowledged data closes a link after this time, so that a silent cut is noticed.
+const UNACKED_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Time between keepalive probes on an idle link.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Shortest accepted fleet secret in bytes.
+pub const SECRET_MIN_BYTES: usize = 16;
+
+/// A shared secret of the fleet or of its operators; never shown.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret(Vec<u8>);
+
+impl Secret {
+    /// Creates a secret from its bytes, without white space at the ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails if fewer than [`SECRET_MIN_BYTES`] are left.
+    pub fn new(bytes: &[u8]) -> Result<Secret> {
+        let bytes = bytes.trim_ascii();
+        if bytes.len() < SECRET_MIN_BYTES {
+            return Err(Error::invalid(format!(
+                "secret must have at least {SECRET_MIN_BYTES} bytes"
+            )));
+        }
+        Ok(Secret(bytes.to_vec()))
+    }
+
+    /// Reads a secret from a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file can't be read or is too short.
+    pub fn read(path: &Path) -> Result<Secret> {
+        let bytes = std::fs::read(path)
+            .map_err(|e| Error::io(format!("secret file {}", path.display()), e))?;
+        Secret::new(&bytes)
+    }
+
+    /// Returns true if `given` is the secret; takes the same time for every wrong value.
+    pub fn matches(&self, given: &[u8]) -> bool {
+        // Equal-length digests keep the comparison from showing the secret's length.
+        self.mac(&[b"match", &self.0]) == self.mac(&[b"match", given])
+    }
+
+    /// Returns the secret for a header of the operator's client.
+    pub fn expose(&self) -> &[u8] {
+        &self.0
+    }
+
+    fn mac(&self, parts: &[&[u8]]) -> Proof {
+        let mut mac =
+            Hmac::<Sha256>::new_from_slice(&self.0).expect("HMAC takes keys of any length");
+        for part in parts {
+            mac.update(&(part.len() as u64).to_be_bytes());
+            mac.update(part);
+        }
+        Proof(mac.finalize().into_bytes().to_vec())
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
+
+struct Proof(Vec<u8>);
+
+impl PartialEq for Proof {
+    fn eq(&self, other: &Proof) -> bool {
+        use subtle::ConstantTimeEq;
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+/// The kind of process at one end of a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum Role {
+    /// A node.
+    Node = 0,
+    /// A control process.
+    Control = 1,
+}
+
+/// What a link carries after its handshake.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum Protocol {
+    /// Length-delimited frames with `prost` messages.
+    Frames = 0,
+    /// HTTP/2 requests from an ingress to an egress.
+    Http2 = 1,
+}
+
+/// What one side of a link says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Hello {
+    /// Kind of process.
+    pub role: Role,
+    /// Value of its `NodeId` or `ReplicaId`.
+    pub id: u64,
+    /// What the connecting side wants to send.
+    pub protocol: Protocol,
+}
+
+/// An authenticated connection.
+#[derive(Debug)]
+pub struct Link {
+    /// The connection, past the handshake.
+    pub stream: TcpStream,
+    /// What the other side said of itself.
+    pub peer: Hello,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct HelloMessage {
+    #[prost(uint32, tag = "1")]
+    version: u32,
+    #[prost(enumeration = "Role", tag = "2")]
+    role: i32,
+    #[prost(uint64, tag = "3")]
+    id: u64,
+    #[prost(enumeration = "Protocol", tag = "4")]
+    protocol: i32,
+    #[prost(bytes = "vec", tag = "5")]
+    nonce: Vec<u8>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct ProofMessage {
+    #[prost(bytes = "vec", tag = "1")]
+    proof: Vec<u8>,
+}
+
+impl HelloMessage {
+    fn new(hello: Hello) -> Self {
+        HelloMessage {
+            version: LINK_VERSION,
+            role: hello.role as i32,
+            id: hello.id,
+            protocol: hello.protocol as i32,
+            nonce: rand::random::<[u8; 32]>().to_vec(),
+        }
+    }
+
+    fn check(&self) -> Result<Hello> {
+        if self.version != LINK_VERSION {
+            return Err(Error::invalid(format!(
+                "link version {} is not {LINK_VERSION}",
+                self.version
+            )));
+        }
+        let role = Role::try_from(self.role).map_err(|_| Error::invalid("unknown link role"))?;
+        let protocol = Protocol::try_from(self.protocol)
+            .map_err(|_| Error::invalid("unknown link protocol"))?;
+        Ok(Hello {
+            role,
+            id: self.id,
+            protocol,
+        })
+    }
+}
+
+/// Connects to `addr` and proves the fleet secret.
+///
+/// # Errors
+///
+/// Fails with [`Category::Denied`] if the other side holds another secret, and with
+/// [`Category::Io`] or [`Category::Unavailable`] if it can't be reached in time.
+pub async fn connect(addr: SocketAddr, secret: &Secret, hello: Hello) -> Result<Link> {
+    let work = async {
+        let stream = TcpStream::connect(addr)
+            .await
+            .map_err(|e| Error::io(format!("connect to {addr}"), e))?;
+        greet(stream, secret, hello).await
+    };
+    timeout(HANDSHAKE_TIMEOUT, work)
+        .await
+        .map_err(|_| Error::unavailable(format!("no link to {addr} in time")))?
+}
+
+/// Accepts a link on a new connection.
+///
+/// # Errors
+///
+/// Fails with [`Category::Denied`] if the other side holds another secret, with
+/// [`Category::Invalid`] for malformed messages, and when the handshake takes too long.
+pub async fn accept(stream: TcpStream, secret: &Secret, hello: Hello) -> Result<Link> {
+    timeout(HANDSHAKE_TIMEOUT, answer(stream, secret, hello))
+        .await
+        .map_err(|_| Error::unavailable("link handshake took too long"))?
+}
+
+async fn greet(mut stream: TcpStream, secret: &Secret, hello: Hello) -> Result<Link> {
+    tune(&stream)?;
+    let own = HelloMessage::new(hello);
+    write_message(&mut stream, &own).await?;
+    let other: HelloMessage = read_message(&mut stream).await?;
+    let proof: ProofMessage = read_message(&mut stream).await?;
+    let peer = other.check()?;
+    verify(secret, b"server", &own, &other, proof)?;
+    let proof = prove(secret, b"client", &own, &other);
+    write_message(&mut stream, &proof).await?;
+    Ok(Link { stream, peer })
+}
+
+async fn answer(mut stream: TcpStream, secret: &Secret, hello: Hello) -> Result<Link> {
+    tune(&stream)?;
+    let other: HelloMessage = read_message(&mut stream).await?;
+    let peer = other.check()?;
+    let own = HelloMessage::new(hello);
+    write_message(&mut stream, &own).await?;
+    let proof = prove(secret, b"server", &other, &own);
+    write_message(&mut stream, &proof).await?;
+    let proof: ProofMessage = read_message(&mut stream).await?;
+    verify(secret, b"client", &other, &own, proof)?;
+    Ok(Link { stream, peer })
+}
+
+fn prove(
+    secret: &Secret,
+    side: &[u8],
+    first: &HelloMessage,
+    second: &HelloMessage,
+) -> ProofMessage {
+    let mac = secret.mac(&[side, &first.encode_to_vec(), &second.encode_to_vec()]);
+    ProofMessage { proof: mac.0 }
+}
+
+fn verify(
+    secret: &Secret,
+    side: &[u8],
+    first: &HelloMessage,
+    second: &HelloMessage,
+    given: ProofMessage,
+) -> Result<()> {
+    let expected = secret.mac(&[side, &first.encode_to_vec(), &second.encode_to_vec()]);
+    if expected != Proof(given.proof) {
+        return Err(Error::new(
+            Category::Denied,
+            "the other side of the link holds another fleet secret",
+        ));
+    }
+    Ok(())
+}
+
+fn tune(stream: &TcpStream) -> Result<()> {
+    stream.set_nodelay(true)?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_INTERVAL)
+        .with_interval(KEEPALIVE_INTERVAL);
+    let socket = SockRef::from(stream);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT))?;
+    Ok(())
+}
+
+// Messages are read with exact lengths, so that no byte of the protocol after the handshake is
+// taken from the stream.
+async fn read_message<M: Message + Default>(stream: &mut TcpStream) -> Result<M> {
+    let length = stream.read_u16().await? as usize;
+    if length > HANDSHAKE_MAX_BYTES {
+        return Err(Error::invalid("link handshake message is too long"));
+    }
+    let mut bytes = vec![0; length];
+    stream.read_exact(&mut bytes).await?;
+    M::decode(bytes.as_slice()).map_err(|e| Error::invalid(format!("link handshake: {e}")))
+}
+
+async fn write_message<M: Message>(stream: &mut TcpStream, message: &M) -> Result<()> {
+    let body = message.encode_to_vec();
+    let mut bytes = (body.len() as u16).to_be_bytes().to_vec();
+    bytes.extend_from_slice(&body);
+    stream.write_all(&bytes).await?;
+    Ok(())
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,1 +1,12 @@
 //! Frames, messages and authenticated links between own processes.
+//!
+//! A link is a TCP connection on which both sides have proved that they hold the fleet secret. It
+//! then carries either frames ([`Peer`], [`serve_frames`]) or HTTP/2 requests.
+
+pub mod frame;
+pub mod link;
+pub mod rpc;
+
+pub use frame::{Channel, Frame, FrameCodec};
+pub use link::{Hello, Link, Protocol, Role, Secret, accept, connect};
+pub use rpc::{Handler, Peer, serve_frames};
--- /dev/null
+++ b/src/wire/rpc.rs
@@ -0,0 +1,339 @@
+//! Calls over framed links.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use tokio::net::TcpStream;
+use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+
+use crate::error::{Error, Result};
+use crate::wire::frame::{Channel, Frame, FrameCodec};
+use crate::wire::link::{Hello, Link, Secret, connect};
+
+/// Frames that wait for the socket before callers wait too.
+const SEND_QUEUE_FRAMES: usize = 256;
+
+/// Calls of one link that are handled at the same time.
+const CONCURRENT_CALLS: usize = 256;
+
+/// After a failed connect, calls fail at once for this time instead of connecting again.
+const RECONNECT_DELAY: Duration = Duration::from_millis(100);
+
+/// Timed-out calls in a row after which the link is taken for dead and opened anew.
+const TIMEOUTS_TO_RECONNECT: u64 = 3;
+
+/// Answers calls on a link.
+pub trait Handler: Send + Sync + 'static {
+    /// Handles one call of `peer` and returns the payload of its reply.
+    ///
+    /// # Errors
+    ///
+    /// The error's text is sent to the caller.
+    fn handle(
+        &self,
+        peer: Hello,
+        channel: Channel,
+        payload: Bytes,
+    ) -> impl Future<Output = Result<Bytes>> + Send;
+}
+
+/// Serves calls on a link until the other side closes it.
+///
+/// # Errors
+///
+/// Fails if the link breaks or carries a malformed frame.
+pub async fn serve_frames<H: Handler>(link: Link, handler: Arc<H>) -> Result<()> {
+    let peer = link.peer;
+    let (mut sink, mut stream) = Framed::new(link.stream, FrameCodec::new()).split();
+    let (replies, mut queue) = mpsc::channel::<Frame>(SEND_QUEUE_FRAMES);
+    let writer = async move {
+        while let Some(frame) = queue.recv().await {
+            sink.send(frame).await?;
+        }
+        Ok::<(), Error>(())
+    };
+    let permits = Arc::new(Semaphore::new(CONCURRENT_CALLS));
+    let reader = async move {
+        while let Some(frame) = stream.next().await {
+            let frame = frame?;
+            let permit = permits
+                .clone()
+                .acquire_owned()
+                .await
+                .expect("the semaphore is never closed");
+            let (handler, replies) = (handler.clone(), replies.clone());
+            tokio::spawn(async move {
+                let reply = reply_to(&*handler, peer, frame).await;
+                // The link may have closed meanwhile; the caller then sees a lost link.
+                let _ = replies.send(reply).await;
+                drop(permit);
+            });
+        }
+        Ok::<(), Error>(())
+    };
+    tokio::select! {
+        result = reader => result,
+        result = writer => result,
+    }
+}
+
+async fn reply_to<H: Handler>(handler: &H, peer: Hello, frame: Frame) -> Frame {
+    let result = match Channel::try_from(frame.channel) {
+        Ok(channel) => handler.handle(peer, channel, frame.payload).await,
+        Err(_) => Err(Error::invalid("unknown channel")),
+    };
+    let (payload, error) = match result {
+        Ok(payload) => (payload, String::new()),
+        Err(e) => (Bytes::new(), e.to_string()),
+    };
+    Frame {
+        call: frame.call,
+        channel: frame.channel,
+        reply: true,
+        payload,
+        error,
+    }
+}
+
+/// A client for calls to one address; connects when needed and after a loss.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    addr: SocketAddr,
+    secret: Secret,
+    hello: Hello,
+    state: tokio::sync::Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    open: Option<Arc<Connection>>,
+    failed: Option<Instant>,
+}
+
+/// Replies awaited on one connection, sorted by call number.
+type Pending = Vec<(u64, oneshot::Sender<Frame>)>;
+
+#[derive(Debug)]
+struct Connection {
+    frames: mpsc::Sender<Frame>,
+    pending: Mutex<Pending>,
+    calls: AtomicU64,
+    timeouts: AtomicU64,
+    closed: AtomicBool,
+    peer: Hello,
+}
+
+impl Peer {
+    /// Creates a client; nothing is sent before the first call.
+    pub fn new(addr: SocketAddr, secret: Secret, hello: Hello) -> Peer {
+        Peer {
+            shared: Arc::new(Shared {
+                addr,
+                secret,
+                hello,
+                state: tokio::sync::Mutex::default(),
+            }),
+        }
+    }
+
+    /// Returns the address that calls go to.
+    pub fn addr(&self) -> SocketAddr {
+        self.shared.addr
+    }
+
+    /// Calls the other side and returns the payload of its reply.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no link, the link is lost, the other side reports an error, or no reply
+    /// comes within `limit`. After a failure the call may or may not have been handled.
+    pub async fn call(&self, channel: Channel, payload: Bytes, limit: Duration) -> Result<Bytes> {
+        let (_, payload) = self.call_from(channel, payload, limit).await?;
+        Ok(payload)
+    }
+
+    /// Like [`Peer::call`], and also tells who answered.
+    ///
+    /// # Errors
+    ///
+    /// As [`Peer::call`].
+    pub async fn call_from(
+        &self,
+        channel: Channel,
+        payload: Bytes,
+        limit: Duration,
+    ) -> Result<(Hello, Bytes)> {
+        let late = || Error::unavailable(format!("no reply from {} in time", self.shared.addr));
+        let start = Instant::now();
+        let connection = timeout(limit, self.connection())
+            .await
+            .map_err(|_| late())??;
+        let rest = limit.saturating_sub(start.elapsed());
+        match timeout(rest, connection.call(channel, payload)).await {
+            Ok(reply) => reply.map(|payload| (connection.peer, payload)),
+            Err(_) => {
+                connection.count_timeout();
+                Err(late())
+            }
+        }
+    }
+
+    async fn connection(&self) -> Result<Arc<Connection>> {
+        let mut state = self.shared.state.lock().await;
+        if let Some(open) = &state.open
+            && !open.closed.load(Ordering::Relaxed)
+        {
+            return Ok(open.clone());
+        }
+        state.open = None;
+        if state.failed.is_some_and(|t| t.elapsed() < RECONNECT_DELAY) {
+            return Err(Error::unavailable(format!(
+                "no link to {}",
+                self.shared.addr
+            )));
+        }
+        let shared = &self.shared;
+        match connect(shared.addr, &shared.secret, shared.hello).await {
+            Ok(link) => {
+                let open = Connection::spawn(link);
+                state.failed = None;
+                state.open = Some(open.clone());
+                Ok(open)
+            }
+            Err(e) => {
+                state.failed = Some(Instant::now());
+                Err(e)
+            }
+        }
+    }
+}
+
+impl Connection {
+    fn spawn(link: Link) -> Arc<Connection> {
+        let (frames, queue) = mpsc::channel(SEND_QUEUE_FRAMES);
+        let connection = Arc::new(Connection {
+            frames,
+            pending: Mutex::default(),
+            calls: AtomicU64::new(0),
+            timeouts: AtomicU64::new(0),
+            closed: AtomicBool::new(false),
+            peer: link.peer,
+        });
+        tokio::spawn(drive(link.stream, queue, Arc::downgrade(&connection)));
+        connection
+    }
+
+    fn pending(&self) -> MutexGuard<'_, Pending> {
+        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn call(&self, channel: Channel, payload: Bytes) -> Result<Bytes> {
+        let lost = || Error::unavailable("the link was lost");
+        let (sender, receiver) = oneshot::channel();
+        let call = {
+            let mut pending = self.pending();
+            let call = self.calls.fetch_add(1, Ordering::Relaxed);
+            pending.push((call, sender));
+            call
+        };
+        // The guard removes the entry also when the caller gives up and drops this future.
+        let _guard = PendingGuard {
+            connection: self,
+            call,
+        };
+        let frame = Frame {
+            call,
+            channel: channel as i32,
+            reply: false,
+            payload,
+            error: String::new(),
+        };
+        self.frames.send(frame).await.map_err(|_| lost())?;
+        let reply = receiver.await.map_err(|_| lost())?;
+        if reply.error.is_empty() {
+            Ok(reply.payload)
+        } else {
+            Err(Error::unavailable(reply.error))
+        }
+    }
+
+    fn take(&self, call: u64) -> Option<oneshot::Sender<Frame>> {
+        let mut pending = self.pending();
+        let index = pending.binary_search_by_key(&call, |p| p.0).ok()?;
+        Some(pending.remove(index).1)
+    }
+
+    fn deliver(&self, frame: Frame) {
+        self.timeouts.store(0, Ordering::Relaxed);
+        if let Some(sender) = self.take(frame.call) {
+            // A caller that has given up meanwhile doesn't need the reply.
+            let _ = sender.send(frame);
+        }
+    }
+
+    fn count_timeout(&self) {
+        let count = self.timeouts.fetch_add(1, Ordering::Relaxed) + 1;
+        if count >= TIMEOUTS_TO_RECONNECT {
+            self.close();
+        }
+    }
+
+    fn close(&self) {
+        self.closed.store(true, Ordering::Relaxed);
+        self.pending().clear();
+    }
+}
+
+struct PendingGuard<'a> {
+    connection: &'a Connection,
+    call: u64,
+}
+
+impl Drop for PendingGuard<'_> {
+    fn drop(&mut self) {
+        self.connection.take(self.call);
+    }
+}
+
+// Holds only a weak reference, so that the socket closes when the last caller drops the connection.
+async fn drive(
+    stream: TcpStream,
+    mut queue: mpsc::Receiver<Frame>,
+    connection: std::sync::Weak<Connection>,
+) {
+    let (mut sink, mut stream) = Framed::new(stream, FrameCodec::new()).split();
+    let writer = async {
+        while let Some(frame) = queue.recv().await {
+            if sink.send(frame).await.is_err() {
+                break;
+            }
+        }
+    };
+    let reader = async {
+        while let Some(Ok(frame)) = stream.next().await {
+            match connection.upgrade() {
+                Some(connection) => connection.deliver(frame),
+                None => break,
+            }
+        }
+    };
+    tokio::select! {
+        () = writer => {}
+        () = reader => {}
+    }
+    if let Some(connection) = connection.upgrade() {
+        connection.close();
+    }
+}
