Read and apply release notes

Notes are TOML tables walked by hand over spanned values, since a derived reader stops at the first error and loses the places of the others. Sections are shared sorted vectors; an apply merges the edits of one section and leaves the others shared. Keys are found by a hash bucket and a comparison in constant time.

A change states only new values; defaults are filled in when the text is read, so that the encoding of an accepted note never depends on the defaults of a later version.

--- /dev/null
+++ b/src/config/aggregate.rs
@@ -0,0 +1,257 @@
+//! The configuration that accepted notes build.
+
+use std::sync::Arc;
+
+use super::codec;
+use super::edit::{Edits, Item, Place};
+use super::keys::DigestIndex;
+use super::model::{Account, Key, Route, RouteMatch, Service};
+use super::note::{Note, NoteError};
+use super::routes::{PathIndex, check_route};
+use super::table::Table;
+use crate::error::{Error, Result};
+use crate::ids::{AccountName, KeyDigest, KeyName, RouteName, ServiceName};
+use crate::units::NoteNumber;
+
+/// Accounts, keys, services and routes after some accepted note.
+///
+/// A clone shares every section, so that a node can apply a note to a clone and swap it in while
+/// requests still read the old value.
+#[derive(Clone, Debug, Default)]
+pub struct Config {
+    number: NoteNumber,
+    accounts: Table<Account>,
+    keys: Table<Key>,
+    services: Table<Service>,
+    routes: Table<Route>,
+    digests: Arc<DigestIndex>,
+    paths: Arc<PathIndex>,
+}
+
+impl Config {
+    /// Creates the empty configuration before the first note.
+    pub fn new() -> Self {
+        Config::default()
+    }
+
+    /// Returns the number of the last note; zero before the first.
+    pub fn number(&self) -> NoteNumber {
+        self.number
+    }
+
+    /// Applies a note as a whole.
+    ///
+    /// # Errors
+    ///
+    /// Every rule that the note breaks, in the order of their places; the configuration stays as it
+    /// was.
+    pub fn apply(&mut self, note: &Note) -> std::result::Result<(), Vec<NoteError>> {
+        let mut errors = Vec::new();
+        if note.number != self.number.next() {
+            let message = format!("number must be {}, not {}", self.number.next(), note.number);
+            errors.push(note.place.error(message));
+        }
+        let next = self.changed(note, &mut errors);
+        if !errors.is_empty() {
+            errors.sort();
+            errors.dedup();
+            return Err(errors);
+        }
+        *self = next;
+        Ok(())
+    }
+
+    /// Returns the configuration after `note`; only meaningful if no error is reported.
+    fn changed(&self, note: &Note, errors: &mut Vec<NoteError>) -> Config {
+        let accounts = self.accounts.apply(&note.accounts, errors);
+        let keys = self.keys.apply(&note.keys, errors);
+        let services = self.services.apply(&note.services, errors);
+        let routes = self.routes.apply(&note.routes, errors);
+        let digests = match keys.is_same(&self.keys) {
+            true => Arc::clone(&self.digests),
+            false => Arc::new(DigestIndex::build(keys.items())),
+        };
+        let paths = match routes.is_same(&self.routes) {
+            true => Arc::clone(&self.paths),
+            false => Arc::new(PathIndex::build(routes.items())),
+        };
+        let next = Config {
+            number: note.number,
+            accounts,
+            keys,
+            services,
+            routes,
+            digests,
+            paths,
+        };
+        next.check_counts(note, errors);
+        next.check_keys(note, errors);
+        next.check_routes(note, errors);
+        next
+    }
+
+    fn check_counts(&self, note: &Note, errors: &mut Vec<NoteError>) {
+        check_count(&self.accounts, note.place, errors);
+        check_count(&self.keys, note.place, errors);
+        check_count(&self.services, note.place, errors);
+        check_count(&self.routes, note.place, errors);
+    }
+
+    /// Checks the keys and accounts that the note touches; the others were checked before.
+    fn check_keys(&self, note: &Note, errors: &mut Vec<NoteError>) {
+        for edit in note.keys.added.iter().chain(&note.keys.changed) {
+            let Some(key) = self.keys.get(&edit.name.value) else {
+                continue;
+            };
+            if let Some(account) = &edit.account
+                && self.accounts.get(&account.value).is_none()
+            {
+                let message = missing::<Account>(&account.value, &note.accounts);
+                errors.push(account.place.error(message));
+            }
+            if let Some(digest) = &edit.digest
+                && let Some(twin) = self.digests.twin(self.keys.items(), key)
+            {
+                let message = format!("key \"{}\" has the same digest", twin.name);
+                errors.push(digest.place.error(message));
+            }
+        }
+        let gone = &note.accounts.withdrawn;
+        for key in self.keys.items().iter().filter(|_| !gone.is_empty()) {
+            if let Ok(i) = gone.binary_search_by(|name| name.value.cmp(&key.account)) {
+                let message = format!("key \"{}\" still belongs to this account", key.name);
+                errors.push(gone[i].place.error(message));
+            }
+        }
+    }
+
+    /// Checks the routes and services that the note touches.
+    fn check_routes(&self, note: &Note, errors: &mut Vec<NoteError>) {
+        for edit in note.routes.added.iter().chain(&note.routes.changed) {
+            let Some(route) = self.routes.get(&edit.name.value) else {
+                continue;
+            };
+            if let Some(service) = &edit.service
+                && self.services.get(&service.value).is_none()
+            {
+                let message = missing::<Service>(&service.value, &note.services);
+                errors.push(service.place.error(message));
+            }
+            if let Err(message) = check_route(route) {
+                errors.push(edit.name.place.error(message));
+            }
+            if let Some(twin) = self.paths.twin(self.routes.items(), route) {
+                let place = edit.path.as_ref().map_or(edit.name.place, |p| p.place);
+                let message = format!("route \"{}\" has the same path and method", twin.name);
+                errors.push(place.error(message));
+            }
+        }
+        let gone = &note.services.withdrawn;
+        for route in self.routes.items().iter().filter(|_| !gone.is_empty()) {
+            if let Ok(i) = gone.binary_search_by(|name| name.value.cmp(&route.service)) {
+                let message = format!("route \"{}\" still leads to this service", route.name);
+                errors.push(gone[i].place.error(message));
+            }
+        }
+    }
+
+    /// Returns the account whose key has `digest`.
+    ///
+    /// The search compares digests in constant time.
+    pub fn account_of(&self, digest: &KeyDigest) -> Option<&Account> {
+        let key = self.digests.find(self.keys.items(), digest)?;
+        self.accounts.get(&key.account)
+    }
+
+    /// Returns the account with `name`.
+    pub fn account(&self, name: &AccountName) -> Option<&Account> {
+        self.accounts.get(name)
+    }
+
+    /// Returns the key with `name`.
+    pub fn key(&self, name: &KeyName) -> Option<&Key> {
+        self.keys.get(name)
+    }
+
+    /// Returns the service with `name`.
+    pub fn service(&self, name: &ServiceName) -> Option<&Service> {
+        self.services.get(name)
+    }
+
+    /// Returns the route with `name`.
+    pub fn route(&self, name: &RouteName) -> Option<&Route> {
+        self.routes.get(name)
+    }
+
+    /// Finds the route with the longest path prefix, at segment boundaries, that covers `path`.
+    ///
+    /// A query is ignored. A path with a `.` or `..` segment matches nothing.
+    pub fn route_for(&self, method: &str, path: &str) -> RouteMatch<'_> {
+        self.paths.find(self.routes.items(), method, path)
+    }
+
+    /// Lists the accounts, sorted by name.
+    pub fn accounts(&self) -> impl ExactSizeIterator<Item = &Account> {
+        self.accounts.items().iter().map(|a| &**a)
+    }
+
+    /// Lists the keys, sorted by name.
+    pub fn keys(&self) -> impl ExactSizeIterator<Item = &Key> {
+        self.keys.items().iter().map(|k| &**k)
+    }
+
+    /// Lists the services, sorted by name.
+    pub fn services(&self) -> impl ExactSizeIterator<Item = &Service> {
+        self.services.items().iter().map(|s| &**s)
+    }
+
+    /// Lists the routes, sorted by name.
+    pub fn routes(&self) -> impl ExactSizeIterator<Item = &Route> {
+        self.routes.items().iter().map(|r| &**r)
+    }
+
+    /// Returns the canonical encoding: one note that adds everything.
+    pub fn encode(&self) -> Vec<u8> {
+        codec::encode_note(&Note {
+            number: self.number,
+            accounts: codec::restate(self.accounts()),
+            keys: codec::restate(self.keys()),
+            services: codec::restate(self.services()),
+            routes: codec::restate(self.routes()),
+            ..Note::default()
+        })
+    }
+
+    /// Reads a configuration from its canonical encoding and checks every rule.
+    ///
+    /// # Errors
+    ///
+    /// [`Category::Corrupt`](crate::error::Category::Corrupt) for any other bytes.
+    pub fn decode(bytes: &[u8]) -> Result<Config> {
+        let note = codec::decode_note(bytes)?;
+        let mut errors = Vec::new();
+        let config = Config::new().changed(&note, &mut errors);
+        match errors.first() {
+            None => Ok(config),
+            Some(e) => Err(Error::corrupt(format!("configuration: {}", e.message))),
+        }
+    }
+}
+
+fn check_count<T: Item>(table: &Table<T>, place: Place, errors: &mut Vec<NoteError>) {
+    let count = table.items().len();
+    if count > T::MAX {
+        let message = format!("{count} {}s would be more than {}", T::KIND, T::MAX);
+        errors.push(place.error(message));
+    }
+}
+
+fn missing<T: Item>(name: &T::Name, edits: &Edits<T>) -> String {
+    let gone = edits.withdrawn.iter().any(|n| n.value == *name);
+    let state = if gone {
+        "is withdrawn"
+    } else {
+        "does not exist"
+    };
+    format!("{} \"{name}\" {state}", T::KIND)
+}
--- /dev/null
+++ b/src/config/note.rs
@@ -0,0 +1,114 @@
+//! Release notes.
+
+use std::fmt;
+
+use sha2::{Digest, Sha256};
+
+use super::edit::{Edits, Item, Place};
+use super::model::{Account, Key, Route, Service};
+use super::{codec, reader};
+use crate::error::Result;
+use crate::units::NoteNumber;
+
+/// An error in a release note and its place in the text.
+///
+/// Line and column start at 1; both are 0 for a note that was decoded and has no text.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct NoteError {
+    /// The line.
+    pub line: usize,
+    /// The column in characters.
+    pub column: usize,
+    /// What is wrong.
+    pub message: String,
+}
+
+impl fmt::Display for NoteError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "line {}, column {}: {}",
+            self.line, self.column, self.message
+        )
+    }
+}
+
+impl std::error::Error for NoteError {}
+
+/// A release note: what one accepted change adds, changes and withdraws.
+///
+/// Defaults are filled in when the text is read, so that the meaning of an accepted note does not
+/// depend on the program version that applies it.
+#[derive(Debug, Default)]
+pub struct Note {
+    pub(super) number: NoteNumber,
+    /// Where the text states the number.
+    pub(super) place: Place,
+    pub(super) title: Option<String>,
+    pub(super) accounts: Edits<Account>,
+    pub(super) keys: Edits<Key>,
+    pub(super) services: Edits<Service>,
+    pub(super) routes: Edits<Route>,
+}
+
+impl Note {
+    /// Reads a note from TOML.
+    ///
+    /// # Errors
+    ///
+    /// Every error in the text, in the order of their places. References to other items are checked
+    /// by [`Config::apply`](super::Config::apply), since they depend on the configuration.
+    pub fn parse(text: &str) -> std::result::Result<Note, Vec<NoteError>> {
+        let (mut note, mut errors) = reader::read(text);
+        note.finish(&mut errors);
+        match errors.is_empty() {
+            true => Ok(note),
+            false => {
+                errors.sort();
+                Err(errors)
+            }
+        }
+    }
+
+    /// Returns the number.
+    pub fn number(&self) -> NoteNumber {
+        self.number
+    }
+
+    /// Returns the title.
+    pub fn title(&self) -> Option<&str> {
+        self.title.as_deref()
+    }
+
+    /// Returns the SHA-256 digest of the encoding; notes of the same content have the same digest.
+    pub fn digest(&self) -> [u8; 32] {
+        Sha256::digest(self.encode()).into()
+    }
+
+    /// Returns the canonical encoding; order, spacing and comments of the text don't matter.
+    pub fn encode(&self) -> Vec<u8> {
+        codec::encode_note(self)
+    }
+
+    /// Reads a note from its canonical encoding.
+    ///
+    /// # Errors
+    ///
+    /// [`Category::Corrupt`](crate::error::Category::Corrupt) for any other bytes.
+    pub fn decode(bytes: &[u8]) -> Result<Note> {
+        codec::decode_note(bytes)
+    }
+
+    /// Sorts the items and checks what holds within the note.
+    pub(super) fn finish(&mut self, errors: &mut Vec<NoteError>) {
+        finish(&mut self.accounts, errors);
+        finish(&mut self.keys, errors);
+        finish(&mut self.services, errors);
+        finish(&mut self.routes, errors);
+    }
+}
+
+fn finish<T: Item>(edits: &mut Edits<T>, errors: &mut Vec<NoteError>) {
+    edits.sort();
+    edits.check_names(errors);
+}
--- /dev/null
+++ b/src/config/reader.rs
@@ -0,0 +1,455 @@
+//! Reads the text of a release note and collects every error in it.
+
+use std::fmt::Display;
+use std::ops::Range;
+use std::str::FromStr;
+use std::time::Duration;
+
+use toml::Spanned;
+use toml::de::{DeTable, DeValue};
+
+use super::edit::{AccountEdit, Edits, Item, KeyEdit, Place, Placed, RouteEdit, ServiceEdit};
+use super::model::{Account, Key, Route, Service};
+use super::note::{Note, NoteError};
+use super::routes::{SAFE_METHODS, check_methods, check_path};
+use super::{
+    BODY_MAX_BYTES, BURST_MAX, DEADLINE_MAX_SECS, NOTE_MAX_BYTES, PATH_MAX_BYTES, TITLE_MAX_BYTES,
+};
+use crate::error::Error;
+use crate::units::{Burst, ByteSize, NoteNumber, Rate};
+
+/// The floor of a service that states none, in percent.
+const DEFAULT_FLOOR: u8 = 50;
+
+/// The rate of open requests of a service that states none.
+const DEFAULT_OPEN_RATE: Rate = Rate::per_sec(100);
+
+/// The burst of open requests of a service that states none.
+const DEFAULT_OPEN_BURST: Burst = Burst(100);
+
+/// The methods of a route that states none.
+const DEFAULT_METHODS: [&str; 6] = ["DELETE", "GET", "HEAD", "PATCH", "POST", "PUT"];
+
+/// The deadline of a route that states none.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
+
+/// The largest request body of a route that states none.
+const DEFAULT_BODY_MAX: ByteSize = ByteSize(1 << 20);
+
+type Value<'i> = Spanned<DeValue<'i>>;
+
+/// Reads `text` and returns what is legible of it, and all errors.
+pub(super) fn read(text: &str) -> (Note, Vec<NoteError>) {
+    let mut reader = Reader {
+        text,
+        lines: line_starts(text),
+        errors: Vec::new(),
+    };
+    let mut note = Note::default();
+    if text.len() > NOTE_MAX_BYTES {
+        let message = format!("the note is longer than {NOTE_MAX_BYTES} bytes");
+        reader.report(0..0, message);
+        return (note, reader.errors);
+    }
+    let (table, syntax) = DeTable::parse_recoverable(text);
+    for error in syntax {
+        reader.report(error.span().unwrap_or(0..0), error.message());
+    }
+    reader.note(table.get_ref(), &mut note);
+    (note, reader.errors)
+}
+
+fn line_starts(text: &str) -> Vec<usize> {
+    let ends = text.match_indices('\n').map(|(i, _)| i + 1);
+    std::iter::once(0).chain(ends).collect()
+}
+
+/// Which list of a note an item stands in.
+#[derive(Clone, Copy, PartialEq)]
+enum List {
+    Added,
+    Changed,
+}
+
+/// Reads one item of a list from its table, which stands at the given span.
+type ReadItem<'t, E> = fn(&mut Reader<'t>, List, &DeTable<'_>, Range<usize>) -> Option<E>;
+
+struct Reader<'t> {
+    text: &'t str,
+    lines: Vec<usize>,
+    errors: Vec<NoteError>,
+}
+
+impl<'t> Reader<'t> {
+    fn place(&self, span: Range<usize>) -> Place {
+        let mut at = span.start.min(self.text.len());
+        while !self.text.is_char_boundary(at) {
+            at -= 1;
+        }
+        let line = self.lines.partition_point(|start| *start <= at);
+        let start = self.lines[line - 1];
+        Place {
+            line,
+            column: self.text[start..at].chars().count() + 1,
+        }
+    }
+
+    fn report(&mut self, span: Range<usize>, message: impl Into<String>) {
+        let error = self.place(span).error(message);
+        self.errors.push(error);
+    }
+
+    fn note(&mut self, table: &DeTable<'_>, note: &mut Note) {
+        for (key, value) in table {
+            match key.get_ref().as_ref() {
+                "number" => {
+                    let number = self.whole("number", value, 1..=u64::MAX >> 1);
+                    note.number = NoteNumber(number.unwrap_or_default());
+                    note.place = self.place(value.span());
+                }
+                "title" => note.title = self.title(value),
+                "added" => self.edits("added", List::Added, value, note),
+                "changed" => self.edits("changed", List::Changed, value, note),
+                "withdrawn" => self.withdrawn(value, note),
+                other => self.report(key.span(), unknown(other, "a note")),
+            }
+        }
+        if !has(table, "number") {
+            self.report(0..0, "the note has no number");
+        }
+    }
+
+    fn title(&mut self, value: &Value<'_>) -> Option<String> {
+        let title = self.str("title", value)?;
+        if title.len() > TITLE_MAX_BYTES || title.chars().any(char::is_control) {
+            let message = format!("title must be one line of at most {TITLE_MAX_BYTES} bytes");
+            self.report(value.span(), message);
+            return None;
+        }
+        Some(title.to_owned())
+    }
+
+    fn edits(&mut self, name: &str, list: List, value: &Value<'_>, note: &mut Note) {
+        let Some(table) = self.table(name, value) else {
+            return;
+        };
+        for (key, value) in table {
+            let kind = key.get_ref().as_ref();
+            match kind {
+                "accounts" => self.items(list, value, &mut note.accounts, Self::account),
+                "keys" => self.items(list, value, &mut note.keys, Self::key),
+                "services" => self.items(list, value, &mut note.services, Self::service),
+                "routes" => self.items(list, value, &mut note.routes, Self::route),
+                other => self.report(key.span(), unknown(other, name)),
+            }
+        }
+    }
+
+    fn items<T: Item>(
+        &mut self,
+        list: List,
+        value: &Value<'_>,
+        edits: &mut Edits<T>,
+        read: ReadItem<'t, T::Edit>,
+    ) {
+        let Some(array) = value.get_ref().as_array() else {
+            let message = format!("expected a list of {}s, such as [[..]] tables", T::KIND);
+            return self.report(value.span(), message);
+        };
+        for item in array.iter() {
+            let Some(table) = self.table(T::KIND, item) else {
+                continue;
+            };
+            let Some(edit) = read(self, list, table, item.span()) else {
+                continue;
+            };
+            match list {
+                List::Added => edits.added.push(edit),
+                List::Changed => edits.changed.push(edit),
+            }
+        }
+    }
+
+    fn withdrawn(&mut self, value: &Value<'_>, note: &mut Note) {
+        let Some(table) = self.table("withdrawn", value) else {
+            return;
+        };
+        for (key, value) in table {
+            match key.get_ref().as_ref() {
+                "accounts" => note.accounts.withdrawn = self.names("account name", value),
+                "keys" => note.keys.withdrawn = self.names("key name", value),
+                "services" => note.services.withdrawn = self.names("service name", value),
+                "routes" => note.routes.withdrawn = self.names("route name", value),
+                other => self.report(key.span(), unknown(other, "withdrawn")),
+            }
+        }
+    }
+
+    fn account(
+        &mut self,
+        list: List,
+        table: &DeTable<'_>,
+        span: Range<usize>,
+    ) -> Option<AccountEdit> {
+        let (mut name, mut rate, mut burst) = (None, None, None);
+        for (key, value) in table {
+            match key.get_ref().as_ref() {
+                "name" => name = self.parsed("name", value),
+                "rate" => rate = self.parsed("rate", value).map(|p| p.value),
+                "burst" => burst = self.burst("burst", value),
+                other => self.report(key.span(), unknown(other, Account::KIND)),
+            }
+        }
+        self.require(list, table, span, &["rate", "burst"]);
+        Some(AccountEdit {
+            name: name?,
+            rate,
+            burst,
+        })
+    }
+
+    fn key(&mut self, list: List, table: &DeTable<'_>, span: Range<usize>) -> Option<KeyEdit> {
+        let (mut name, mut account, mut digest) = (None, None, None);
+        for (key, value) in table {
+            match key.get_ref().as_ref() {
+                "name" => name = self.parsed("name", value),
+                "account" => account = self.parsed("account", value),
+                "digest" => digest = self.parsed("digest", value),
+                other => self.report(key.span(), unknown(other, Key::KIND)),
+            }
+        }
+        self.require(list, table, span, &["account", "digest"]);
+        Some(KeyEdit {
+            name: name?,
+            account,
+            digest,
+        })
+    }
+
+    fn service(
+        &mut self,
+        list: List,
+        table: &DeTable<'_>,
+        span: Range<usize>,
+    ) -> Option<ServiceEdit> {
+        let (mut name, mut floor, mut open_rate, mut open_burst) = (None, None, None, None);
+        for (key, value) in table {
+            match key.get_ref().as_ref() {
+                "name" => name = self.parsed("name", value),
+                "floor" => floor = self.whole("floor", value, 0..=100).map(|n| n as u8),
+                "open_rate" => open_rate = self.parsed("open_rate", value).map(|p| p.value),
+                "open_burst" => open_burst = self.burst("open_burst", value),
+                other => self.report(key.span(), unknown(other, Service::KIND)),
+            }
+        }
+        self.require(list, table, span, &[]);
+        if list == List::Added {
+            floor = floor.or(Some(DEFAULT_FLOOR));
+            open_rate = open_rate.or(Some(DEFAULT_OPEN_RATE));
+            open_burst = open_burst.or(Some(DEFAULT_OPEN_BURST));
+        }
+        Some(ServiceEdit {
+            name: name?,
+            floor,
+            open_rate,
+            open_burst,
+        })
+    }
+
+    fn route(&mut self, list: List, table: &DeTable<'_>, span: Range<usize>) -> Option<RouteEdit> {
+        let (mut name, mut path, mut methods, mut service) = (None, None, None, None);
+        let (mut open, mut deadline, mut body_max, mut idempotent) = (None, None, None, None);
+        for (key, value) in table {
+            match key.get_ref().as_ref() {
+                "name" => name = self.parsed("name", value),
+                "path" => path = self.path(value),
+                "methods" => methods = self.methods("methods", value),
+                "service" => service = self.parsed("service", value),
+                "open" => open = self.flag("open", value),
+                "deadline" => deadline = self.deadline(value),
+                "body_max" => {
+                    let size = self.whole("body_max", value, 0..=BODY_MAX_BYTES);
+                    body_max = size.map(ByteSize);
+                }
+                "idempotent" => idempotent = self.methods("idempotent", value),
+                other => self.report(key.span(), unknown(other, Route::KIND)),
+            }
+        }
+        self.require(list, table, span, &["path", "service"]);
+        if list == List::Added {
+            methods = methods.or_else(|| Some(DEFAULT_METHODS.map(str::to_owned).to_vec()));
+            let safe = |all: &Vec<String>| {
+                let is_safe = |m: &&String| SAFE_METHODS.contains(&m.as_str());
+                all.iter().filter(is_safe).cloned().collect()
+            };
+            idempotent = idempotent.or_else(|| methods.as_ref().map(safe));
+            open = open.or(Some(false));
+            deadline = deadline.or(Some(DEFAULT_DEADLINE));
+            body_max = body_max.or(Some(DEFAULT_BODY_MAX));
+        }
+        Some(RouteEdit {
+            name: name?,
+            path,
+            methods,
+            service,
+            open,
+            deadline,
+            body_max,
+            idempotent,
+        })
+    }
+
+    /// Reports a missing name, missing `fields` of an added item, and a change of nothing.
+    fn require(&mut self, list: List, table: &DeTable<'_>, span: Range<usize>, fields: &[&str]) {
+        if !has(table, "name") {
+            self.report(span.clone(), "field \"name\" is missing");
+        }
+        match list {
+            List::Added => {
+                for field in fields.iter().filter(|f| !has(table, f)) {
+                    self.report(span.clone(), format!("field {field:?} is missing"));
+                }
+            }
+            List::Changed if has(table, "name") && table.len() == 1 => {
+                self.report(span, "the change states no new value");
+            }
+            List::Changed => {}
+        }
+    }
+
+    fn table<'v, 'i>(&mut self, name: &str, value: &'v Value<'i>) -> Option<&'v DeTable<'i>> {
+        let table = value.get_ref().as_table();
+        self.expect(name, "a table", value, table)
+    }
+
+    fn str<'v>(&mut self, name: &str, value: &'v Value<'_>) -> Option<&'v str> {
+        let text = value.get_ref().as_str();
+        self.expect(name, "a string", value, text)
+    }
+
+    fn flag(&mut self, name: &str, value: &Value<'_>) -> Option<bool> {
+        let flag = value.get_ref().as_bool();
+        self.expect(name, "true or false", value, flag)
+    }
+
+    fn expect<T>(
+        &mut self,
+        name: &str,
+        expected: &str,
+        value: &Value<'_>,
+        found: Option<T>,
+    ) -> Option<T> {
+        if found.is_none() {
+            let kind = value.get_ref().type_str();
+            self.report(
+                value.span(),
+                format!("{name} must be {expected}, not {kind}"),
+            );
+        }
+        found
+    }
+
+    fn whole(
+        &mut self,
+        name: &str,
+        value: &Value<'_>,
+        range: std::ops::RangeInclusive<u64>,
+    ) -> Option<u64> {
+        let integer = value.get_ref().as_integer();
+        let integer = self.expect(name, "a whole number", value, integer)?;
+        let number = u64::from_str_radix(integer.as_str(), integer.radix()).ok();
+        let number = number.filter(|n| range.contains(n));
+        if number.is_none() {
+            let message = format!("{name} must be {} to {}", range.start(), range.end());
+            self.report(value.span(), message);
+        }
+        number
+    }
+
+    fn burst(&mut self, name: &str, value: &Value<'_>) -> Option<Burst> {
+        let burst = self.whole(name, value, 1..=u64::from(BURST_MAX))?;
+        Some(Burst(burst as u32))
+    }
+
+    fn parsed<T: FromStr<Err = Error>>(
+        &mut self,
+        name: &str,
+        value: &Value<'_>,
+    ) -> Option<Placed<T>> {
+        let text = self.str(name, value)?;
+        let parsed = text.parse().map_err(|e: Error| e.to_string());
+        self.placed(value, parsed)
+    }
+
+    fn placed<T>(
+        &mut self,
+        value: &Value<'_>,
+        result: Result<T, impl Display>,
+    ) -> Option<Placed<T>> {
+        match result {
+            Ok(parsed) => Some(Placed {
+                value: parsed,
+                place: self.place(value.span()),
+            }),
+            Err(e) => {
+                self.report(value.span(), e.to_string());
+                None
+            }
+        }
+    }
+
+    fn names<T: FromStr<Err = Error>>(&mut self, name: &str, value: &Value<'_>) -> Vec<Placed<T>> {
+        let array = value.get_ref().as_array();
+        let Some(array) = self.expect(name, "a list of strings", value, array) else {
+            return Vec::new();
+        };
+        let names = array.iter().map(|item| self.parsed(name, item));
+        names.collect::<Vec<_>>().into_iter().flatten().collect()
+    }
+
+    fn path(&mut self, value: &Value<'_>) -> Option<Placed<String>> {
+        let path = self.str("path", value)?;
+        let checked = match path.len() > PATH_MAX_BYTES {
+            true => Err(format!("path is longer than {PATH_MAX_BYTES} bytes")),
+            false => check_path(path).map(|()| path.to_owned()),
+        };
+        self.placed(value, checked)
+    }
+
+    /// Reads a list of methods and sorts it; a method that stands twice is an error.
+    fn methods(&mut self, name: &str, value: &Value<'_>) -> Option<Vec<String>> {
+        let array = value.get_ref().as_array();
+        let array = self.expect(name, "a list of strings", value, array)?;
+        let mut methods = Vec::with_capacity(array.len());
+        for item in array.iter() {
+            let method = self.str(name, item)?.to_owned();
+            if methods.contains(&method) {
+                self.report(item.span(), format!("method {method:?} stands twice"));
+                return None;
+            }
+            methods.push(method);
+        }
+        methods.sort();
+        let checked = check_methods(&methods).map(|()| methods);
+        self.placed(value, checked).map(|p| p.value)
+    }
+
+    fn deadline(&mut self, value: &Value<'_>) -> Option<Duration> {
+        let text = self.str("deadline", value)?;
+        let range = Duration::from_millis(1)..=Duration::from_secs(DEADLINE_MAX_SECS);
+        let deadline = humantime::parse_duration(text).ok();
+        let legal = |d: &Duration| range.contains(d) && d.subsec_nanos().is_multiple_of(1_000_000);
+        let checked = deadline.filter(legal).ok_or(format!(
+            "deadline must be whole milliseconds from 1ms to {DEADLINE_MAX_SECS}s, such as \"5s\""
+        ));
+        self.placed(value, checked).map(|p| p.value)
+    }
+}
+
+fn has(table: &DeTable<'_>, field: &str) -> bool {
+    table.keys().any(|key| key.get_ref() == field)
+}
+
+fn unknown(field: &str, of: &str) -> String {
+    format!("{of} has no field {field:?}")
+}
--- /dev/null
+++ b/src/config/routes.rs
@@ -0,0 +1,144 @@
+//! Rules of routes and the search by path.
+
+use std::sync::Arc;
+
+use super::model::{Route, RouteMatch};
+use super::{METHOD_MAX_BYTES, METHODS_MAX, PATH_MAX_BYTES, PATH_MAX_SEGMENTS};
+
+/// Methods that RFC 9110 defines as safe; they are idempotent unless a note says otherwise.
+pub(super) const SAFE_METHODS: [&str; 3] = ["GET", "HEAD", "OPTIONS"];
+
+/// Places of routes in the vector sorted by name, ordered by path.
+#[derive(Clone, Debug, Default)]
+pub(super) struct PathIndex {
+    places: Vec<u32>,
+}
+
+impl PathIndex {
+    pub(super) fn build(routes: &[Arc<Route>]) -> Self {
+        let mut places: Vec<u32> = (0..routes.len() as u32).collect();
+        places.sort_by(|a, b| routes[*a as usize].path.cmp(&routes[*b as usize].path));
+        PathIndex { places }
+    }
+
+    /// Matches a request; `routes` must be the vector that the index was built from.
+    pub(super) fn find<'a>(
+        &self,
+        routes: &'a [Arc<Route>],
+        method: &str,
+        path: &str,
+    ) -> RouteMatch<'a> {
+        let path = path.split(['?', '#']).next().unwrap_or(path);
+        if !path.starts_with('/') || path.split('/').any(is_dot_segment) {
+            return RouteMatch::NoRoute;
+        }
+        for prefix in prefixes(path) {
+            let mut same = self.with_path(routes, prefix).peekable();
+            if same.peek().is_some() {
+                return same
+                    .find(|r| r.allows(method))
+                    .map_or(RouteMatch::MethodNotAllowed, RouteMatch::Found);
+            }
+        }
+        RouteMatch::NoRoute
+    }
+
+    /// Returns another route than `route` with the same path and a method in common.
+    pub(super) fn twin<'a>(&self, routes: &'a [Arc<Route>], route: &Route) -> Option<&'a Route> {
+        self.with_path(routes, &route.path)
+            .filter(|other| other.name != route.name)
+            .find(|other| other.methods.iter().any(|m| route.allows(m)))
+    }
+
+    fn with_path<'a>(
+        &self,
+        routes: &'a [Arc<Route>],
+        path: &str,
+    ) -> impl Iterator<Item = &'a Route> {
+        let at = |i: &u32| &*routes[*i as usize];
+        let start = self.places.partition_point(|i| at(i).path.as_str() < path);
+        self.places[start..]
+            .iter()
+            .map(at)
+            .take_while(move |r| r.path == path)
+    }
+}
+
+/// Returns the prefixes of `path` that a route can have, longest first.
+fn prefixes(path: &str) -> impl Iterator<Item = &str> {
+    let bounds = path.match_indices('/').skip(1).map(|(i, _)| i);
+    let mut ends: Vec<usize> = bounds.take(PATH_MAX_SEGMENTS).collect();
+    if ends.len() < PATH_MAX_SEGMENTS {
+        ends.push(path.len());
+    }
+    ends.into_iter()
+        .rev()
+        .filter(|end| *end <= PATH_MAX_BYTES)
+        .map(move |end| &path[..end])
+        .filter(|prefix| *prefix != "/")
+        .chain(std::iter::once("/"))
+}
+
+/// Returns true for `.` and `..`, also percent-encoded.
+///
+/// A target that resolves such a segment would serve a path that belongs to another route.
+fn is_dot_segment(segment: &str) -> bool {
+    let plain = segment.to_ascii_lowercase().replace("%2e", ".");
+    plain == "." || plain == ".."
+}
+
+/// Checks a path prefix and returns what is wrong with it.
+pub(super) fn check_path(path: &str) -> Result<(), String> {
+    if path.len() > PATH_MAX_BYTES {
+        return Err(format!("path is longer than {PATH_MAX_BYTES} bytes"));
+    }
+    let Some(rest) = path.strip_prefix('/') else {
+        return Err("path must begin with '/'".to_owned());
+    };
+    if rest.is_empty() {
+        return Ok(());
+    }
+    if path.ends_with('/') {
+        return Err("path must not end with '/'; a prefix covers everything below it".to_owned());
+    }
+    if rest.split('/').count() > PATH_MAX_SEGMENTS {
+        return Err(format!("path has more than {PATH_MAX_SEGMENTS} segments"));
+    }
+    if rest.split('/').any(|s| s.is_empty() || is_dot_segment(s)) {
+        return Err("path must not hold empty, '.' or '..' segments".to_owned());
+    }
+    let legal = |b: u8| b.is_ascii_graphic() && !b"?#\\\"<>".contains(&b);
+    if !path.bytes().all(legal) {
+        return Err("path may hold only visible ASCII without ? # \\ \" < >".to_owned());
+    }
+    Ok(())
+}
+
+/// Checks a list of methods and returns what is wrong with it.
+pub(super) fn check_methods(methods: &[String]) -> Result<(), String> {
+    if methods.len() > METHODS_MAX {
+        return Err(format!("more than {METHODS_MAX} methods"));
+    }
+    for method in methods {
+        let legal = |b: u8| b.is_ascii_uppercase() || b == b'-';
+        let sized = (1..=METHOD_MAX_BYTES).contains(&method.len());
+        if !sized || !method.bytes().all(legal) {
+            return Err(format!("method {method:?} must be 1 to 16 of A-Z and '-'"));
+        }
+        if method == "CONNECT" {
+            return Err("method CONNECT is not supported".to_owned());
+        }
+    }
+    Ok(())
+}
+
+/// Checks what holds between the fields of a route.
+pub(super) fn check_route(route: &Route) -> Result<(), String> {
+    if route.methods.is_empty() {
+        return Err("methods must not be empty".to_owned());
+    }
+    match route.idempotent.iter().find(|m| !route.allows(m)) {
+        Some(method) => Err(format!("idempotent method {method:?} is not in methods")),
+        None => Ok(()),
+    }
+}
