--- a/src/bin/laburnumctl.rs
+++ b/src/bin/laburnumctl.rs
@@ -1,3 +1,13 @@
 //! The operator's client.
 
-fn main() {}
+use laburnumtide::ctl::{self, Args};
+use laburnumtide::settings;
+
+fn main() {
+    let args: Args = settings::parse_args("laburnumctl");
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime can be built at the start");
+    std::process::exit(runtime.block_on(ctl::run(args)) as i32);
+}
