--- /dev/null
+++ b/src/http/body.rs
@@ -0,0 +1,264 @@
+//! Bodies that pass through with a limit on size and on silence.
+
+use std::fmt;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
+use tokio::time::{Instant, Sleep};
+
+use crate::outcome::Reason;
+
+/// Why a body ended before its end.
+#[derive(Debug)]
+pub enum BodyError {
+    /// It exceeded the limit of the route.
+    TooLarge,
+    /// Nothing arrived for too long.
+    Silent,
+    /// The fleet stopped it for this reason.
+    Stopped(Reason),
+    /// The connection failed.
+    Connection(hyper::Error),
+}
+
+impl fmt::Display for BodyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            BodyError::TooLarge => f.write_str("body exceeds the limit of the route"),
+            BodyError::Silent => f.write_str("no part of the body arrived in time"),
+            BodyError::Stopped(reason) => write!(f, "stopped: {reason}"),
+            BodyError::Connection(e) => write!(f, "connection failed: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for BodyError {}
+
+/// An incoming body that fails after a time of silence.
+///
+/// Only time in which the reader waits for the sender counts, so that a slow reader does not make
+/// the sender look silent.
+#[derive(Debug)]
+pub struct Paced {
+    inner: Incoming,
+    patience: Duration,
+    timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl Paced {
+    /// Wraps `inner`; each wait for a part may last `patience`.
+    pub fn new(inner: Incoming, patience: Duration) -> Paced {
+        Paced {
+            inner,
+            patience,
+            timer: None,
+        }
+    }
+
+    /// Returns true if no part will follow.
+    pub fn is_done(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    /// Returns what is known of the remaining size.
+    pub fn size(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+
+    /// Polls for the next part that holds data; trailers are dropped.
+    pub fn poll_data(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<std::result::Result<Bytes, BodyError>>> {
+        loop {
+            match Pin::new(&mut self.inner).poll_frame(cx) {
+                Poll::Pending => return self.poll_silence(cx),
+                Poll::Ready(frame) => {
+                    self.timer = None;
+                    match frame {
+                        None => return Poll::Ready(None),
+                        Some(Err(e)) => return Poll::Ready(Some(Err(BodyError::Connection(e)))),
+                        Some(Ok(frame)) => {
+                            if let Ok(data) = frame.into_data() {
+                                return Poll::Ready(Some(Ok(data)));
+                            }
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn poll_silence(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<std::result::Result<Bytes, BodyError>>> {
+        let end = Instant::now() + self.patience;
+        let timer = self
+            .timer
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep_until(end)));
+        match timer.as_mut().poll(cx) {
+            Poll::Ready(()) => Poll::Ready(Some(Err(BodyError::Silent))),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+}
+
+impl Body for Paced {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<std::result::Result<Frame<Bytes>, BodyError>>> {
+        self.poll_data(cx).map_ok(Frame::data)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.is_done()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.size()
+    }
+}
+
+/// Where a request body waits between attempts, and why it failed.
+///
+/// A body of which nothing was read returns here when its attempt ends, so that another attempt
+/// can send it whole.
+#[derive(Debug, Default)]
+pub struct UploadSlot {
+    empty: bool,
+    state: Mutex<SlotState>,
+}
+
+#[derive(Debug, Default)]
+struct SlotState {
+    body: Option<Paced>,
+    failure: Option<Reason>,
+}
+
+impl UploadSlot {
+    /// Creates a slot that holds `body`; a body without any part can be taken many times.
+    pub fn new(body: Paced) -> Arc<UploadSlot> {
+        let empty = body.is_done();
+        let state = SlotState {
+            body: Some(body).filter(|_| !empty),
+            failure: None,
+        };
+        Arc::new(UploadSlot {
+            empty,
+            state: Mutex::new(state),
+        })
+    }
+
+    /// Takes the body for an attempt; none if an earlier attempt has read from it.
+    pub fn take(self: &Arc<Self>, limit: u64) -> Option<Upload> {
+        let body = self.lock().body.take();
+        if body.is_none() && !self.empty {
+            return None;
+        }
+        Some(Upload {
+            body,
+            left: limit,
+            touched: false,
+            slot: self.clone(),
+        })
+    }
+
+    /// Returns true if the body can still be sent whole.
+    pub fn is_whole(&self) -> bool {
+        self.empty || self.lock().body.is_some()
+    }
+
+    /// Takes the untouched body, to be read to its end after a refusal.
+    pub fn take_rest(&self) -> Option<Paced> {
+        self.lock().body.take()
+    }
+
+    /// Returns why reading the body failed on the caller's side.
+    pub fn failure(&self) -> Option<Reason> {
+        self.lock().failure
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, SlotState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A caller's body on its way to a target, cut off when it exceeds its limit.
+#[derive(Debug)]
+pub struct Upload {
+    body: Option<Paced>,
+    left: u64,
+    touched: bool,
+    slot: Arc<UploadSlot>,
+}
+
+impl Upload {
+    fn fail(&mut self, error: BodyError) -> BodyError {
+        let reason = match &error {
+            BodyError::TooLarge => Reason::BodyTooLarge,
+            BodyError::Silent => Reason::Timeout,
+            BodyError::Stopped(reason) => *reason,
+            BodyError::Connection(_) => Reason::BadRequest,
+        };
+        self.slot.lock().failure = Some(reason);
+        error
+    }
+}
+
+impl Body for Upload {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<std::result::Result<Frame<Bytes>, BodyError>>> {
+        let this = &mut *self;
+        let Some(body) = this.body.as_mut() else {
+            return Poll::Ready(None);
+        };
+        let part = match body.poll_data(cx) {
+            Poll::Pending => return Poll::Pending,
+            Poll::Ready(part) => part,
+        };
+        this.touched = true;
+        Poll::Ready(match part {
+            None => None,
+            Some(Err(e)) => Some(Err(this.fail(e))),
+            Some(Ok(data)) if data.len() as u64 > this.left => {
+                Some(Err(this.fail(BodyError::TooLarge)))
+            }
+            Some(Ok(data)) => {
+                this.left -= data.len() as u64;
+                Some(Ok(Frame::data(data)))
+            }
+        })
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.as_ref().is_none_or(Paced::is_done)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.as_ref().map(Paced::size).unwrap_or_default()
+    }
+}
+
+impl Drop for Upload {
+    fn drop(&mut self) {
+        if !self.touched && self.body.is_some() {
+            self.slot.lock().body = self.body.take();
+        }
+    }
+}
--- /dev/null
+++ b/src/http/headers.rs
@@ -0,0 +1,101 @@
+//! Which headers may pass between callers, nodes and targets.
+
+use http::header::{
+    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
+    TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
+use http::{HeaderMap, HeaderName};
+
+/// Headers with this prefix belong to the fleet; nobody outside may set them.
+pub const OWN_PREFIX: &str = "laburnum-";
+
+/// Identity of the request, the same over both hops.
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("laburnum-request-id");
+/// Identity of the attempt.
+pub const ATTEMPT: HeaderName = HeaderName::from_static("laburnum-attempt");
+/// How the request ended: `answer`, `not-run` or `unknown`.
+pub const OUTCOME: HeaderName = HeaderName::from_static("laburnum-outcome");
+/// Why the request was not answered.
+pub const REASON: HeaderName = HeaderName::from_static("laburnum-reason");
+/// Client account, between nodes only; absent on open routes.
+pub const ACCOUNT: HeaderName = HeaderName::from_static("laburnum-account");
+/// Weight of the account in the queue of a target, between nodes only.
+pub const WEIGHT: HeaderName = HeaderName::from_static("laburnum-weight");
+/// Remaining time until the answer must start, in milliseconds.
+pub const DEADLINE_MS: HeaderName = HeaderName::from_static("laburnum-deadline-ms");
+/// Name of the target, between nodes only.
+pub const TARGET: HeaderName = HeaderName::from_static("laburnum-target");
+/// Load of the target's gate, between nodes only.
+pub const LOAD: HeaderName = HeaderName::from_static("laburnum-load");
+/// Time until a refused request may be sent again, in milliseconds, between nodes only.
+pub const RETRY_MS: HeaderName = HeaderName::from_static("laburnum-retry-ms");
+
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 8] = [
+    CONNECTION,
+    KEEP_ALIVE,
+    PROXY_CONNECTION,
+    PROXY_AUTHENTICATE,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// Headers that hold credentials for the fleet and never reach a target.
+const CREDENTIALS: [HeaderName; 2] = [AUTHORIZATION, PROXY_AUTHORIZATION];
+
+/// Removes from a caller's request everything that must not reach a target.
+///
+/// `expect` goes too, since the node answers it itself.
+pub fn strip_request(headers: &mut HeaderMap) {
+    strip_hop(headers);
+    CREDENTIALS.iter().for_each(|name| remove(headers, name));
+    remove(headers, &EXPECT);
+    strip_own(headers);
+}
+
+/// Removes from a target's answer everything that must not reach the caller.
+pub fn strip_answer(headers: &mut HeaderMap) {
+    strip_hop(headers);
+    strip_own(headers);
+}
+
+/// Removes every header with the fleet's prefix.
+pub fn strip_own(headers: &mut HeaderMap) {
+    remove_where(headers, |name| name.as_str().starts_with(OWN_PREFIX));
+}
+
+fn strip_hop(headers: &mut HeaderMap) {
+    for name in connection_names(headers) {
+        remove(headers, &name);
+    }
+    HOP_BY_HOP.iter().for_each(|name| remove(headers, name));
+}
+
+/// Returns the headers that `connection` names.
+///
+/// The framing header stays: a sender that names `content-length` there would otherwise change
+/// where the body ends.
+fn connection_names(headers: &HeaderMap) -> Vec<HeaderName> {
+    headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| HeaderName::try_from(name.trim()).ok())
+        .filter(|name| name != CONTENT_LENGTH)
+        .collect()
+}
+
+fn remove(headers: &mut HeaderMap, name: &HeaderName) {
+    while headers.remove(name).is_some() {}
+}
+
+fn remove_where(headers: &mut HeaderMap, unwanted: impl Fn(&HeaderName) -> bool) {
+    let names: Vec<HeaderName> = headers.keys().filter(|n| unwanted(n)).cloned().collect();
+    names.iter().for_each(|name| remove(headers, name));
+}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,1 +1,10 @@
 //! Rules for headers and bodies, and refusals as HTTP answers.
+
+pub mod body;
+pub mod headers;
+pub mod path;
+pub mod refusal;
+
+pub use body::{BodyError, Upload, UploadSlot};
+pub use headers::{strip_answer, strip_request};
+pub use refusal::refusal_response;
--- /dev/null
+++ b/src/node/admin.rs
@@ -0,0 +1,118 @@
+//! The admin listener: announcements of targets, health of the node, metrics.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+
+use crate::metrics::Metrics;
+use crate::node::local::{Announcement, Local};
+use crate::node::plug::{Freshness, Policy};
+
+/// Most bytes of an announcement.
+const ANNOUNCEMENT_MAX_BYTES: usize = 16 * 1024;
+
+/// The admin listener of a node.
+#[derive(Debug)]
+pub struct Admin<F> {
+    local: Arc<Local>,
+    policy: Arc<Policy>,
+    freshness: Arc<F>,
+    metrics: Metrics,
+    leaving: AtomicBool,
+}
+
+impl<F: Freshness> Admin<F> {
+    /// Creates the admin interface of a node.
+    pub fn new(
+        local: Arc<Local>,
+        policy: Arc<Policy>,
+        freshness: Arc<F>,
+        metrics: Metrics,
+    ) -> Admin<F> {
+        Admin {
+            local,
+            policy,
+            freshness,
+            metrics,
+            leaving: AtomicBool::new(false),
+        }
+    }
+
+    /// Turns readiness off for good.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Serves one request.
+    ///
+    /// # Errors
+    ///
+    /// Never fails; each outcome is a response.
+    pub async fn serve(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, Infallible> {
+        let method = request.method().clone();
+        let path = request.uri().path().to_owned();
+        Ok(match (method, path.as_str()) {
+            (Method::POST, "/announce") => self.announce(request.into_body()).await,
+            (Method::GET, "/live") => text(StatusCode::OK, "live\n"),
+            (Method::GET, "/ready") => self.ready(),
+            (Method::GET, "/metrics") => text(StatusCode::OK, self.metrics.render()),
+            (_, "/announce" | "/live" | "/ready" | "/metrics") => {
+                text(StatusCode::METHOD_NOT_ALLOWED, "method not allowed\n")
+            }
+            _ => text(StatusCode::NOT_FOUND, "not found\n"),
+        })
+    }
+
+    fn ready(&self) -> Response<Full<Bytes>> {
+        let unready = StatusCode::SERVICE_UNAVAILABLE;
+        if self.leaving.load(Ordering::SeqCst) {
+            text(unready, "draining\n")
+        } else if self.policy.load().is_none() {
+            text(unready, "starting\n")
+        } else if !self.freshness.is_fresh() {
+            text(unready, "stale-config\n")
+        } else {
+            text(StatusCode::OK, "ready\n")
+        }
+    }
+
+    async fn announce(&self, body: Incoming) -> Response<Full<Bytes>> {
+        let body = Limited::new(body, ANNOUNCEMENT_MAX_BYTES).collect().await;
+        let Ok(body) = body else {
+            return text(StatusCode::PAYLOAD_TOO_LARGE, "announcement is too large\n");
+        };
+        match parse(&body.to_bytes()) {
+            Ok(announcement) => {
+                self.local.announce(&announcement);
+                text(StatusCode::OK, "announced\n")
+            }
+            Err(message) => text(StatusCode::BAD_REQUEST, message),
+        }
+    }
+}
+
+fn parse(body: &[u8]) -> Result<Announcement, String> {
+    let said: Announcement =
+        serde_json::from_slice(body).map_err(|e| format!("announcement: {e}\n"))?;
+    if said.slots.0 == 0 || said.connections == 0 {
+        return Err("announcement: slots and connections must not be zero\n".to_owned());
+    }
+    Ok(said)
+}
+
+fn text(status: StatusCode, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body.into()));
+    *response.status_mut() = status;
+    let plain = HeaderValue::from_static("text/plain; charset=utf-8");
+    response.headers_mut().insert(CONTENT_TYPE, plain);
+    response
+}
--- /dev/null
+++ b/src/node/call.rs
@@ -0,0 +1,111 @@
+//! One request of a caller while the ingress works on it.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use http::request::Parts;
+use tokio::time::Instant;
+
+use crate::config::{Account, Config, Route};
+use crate::http::UploadSlot;
+use crate::ids::{KeyDigest, RequestId};
+use crate::outcome::{Outcome, Reason, Refusal};
+
+/// The key that came with a request and the account that it stands for.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Digest of the key.
+    pub digest: KeyDigest,
+    /// The client account.
+    pub account: Account,
+}
+
+impl Identity {
+    /// Returns true if the key still stands for the same account.
+    pub fn is_valid(&self, config: &Config) -> bool {
+        config
+            .account_of(&self.digest)
+            .is_some_and(|account| account.name == self.account.name)
+    }
+}
+
+/// One request of a caller.
+#[derive(Debug)]
+pub struct Call<'a> {
+    /// Identity of the request.
+    pub id: RequestId,
+    /// Head without anything that must not reach a target.
+    pub head: Parts,
+    /// Route that the request matched.
+    pub route: &'a Route,
+    /// Who sent it; none on open routes.
+    pub identity: Option<Identity>,
+    /// Time by which the answer must have started.
+    pub deadline: Instant,
+    /// Body, as far as it is unread.
+    pub body: Arc<UploadSlot>,
+    /// True once an attempt may have reached a target.
+    exposed: AtomicBool,
+}
+
+impl<'a> Call<'a> {
+    /// Creates a call that nothing was sent of.
+    pub fn new(
+        id: RequestId,
+        head: Parts,
+        route: &'a Route,
+        identity: Option<Identity>,
+        body: Arc<UploadSlot>,
+    ) -> Call<'a> {
+        Call {
+            id,
+            head,
+            route,
+            identity,
+            deadline: Instant::now() + route.deadline,
+            body,
+            exposed: AtomicBool::new(false),
+        }
+    }
+
+    /// Returns the time left until the answer must have started.
+    pub fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Returns true if the route permits the method to be sent twice.
+    pub fn is_idempotent(&self) -> bool {
+        self.route.is_idempotent(self.head.method.as_str())
+    }
+
+    /// Notes that an attempt is about to be sent; returns what to restore if it did not run.
+    pub fn expose(&self) -> bool {
+        self.exposed.swap(true, Ordering::SeqCst)
+    }
+
+    /// Takes back a note after proof that the attempt did not run.
+    pub fn restore(&self, earlier: bool) {
+        self.exposed.store(earlier, Ordering::SeqCst);
+    }
+
+    /// Returns the outcome of giving up for `refusal`.
+    ///
+    /// After an attempt of unknown outcome, a later refusal doesn't prove that nothing ran.
+    pub fn give_up(&self, refusal: Refusal) -> Outcome {
+        if self.exposed.load(Ordering::SeqCst) {
+            Outcome::Unknown(refusal.reason)
+        } else {
+            Outcome::NotRun(refusal)
+        }
+    }
+}
+
+/// Returns the reason of an outcome; none for an answer.
+pub fn reason_of(outcome: &Outcome) -> Option<Reason> {
+    match outcome {
+        Outcome::Answer => None,
+        Outcome::NotRun(refusal) => Some(refusal.reason),
+        Outcome::Unknown(reason) => Some(*reason),
+    }
+}
--- /dev/null
+++ b/src/node/egress.rs
@@ -0,0 +1,392 @@
+//! The side of a node that guards the targets on its VM.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::str::FromStr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
+use http::{HeaderMap, HeaderName, Request, Response, StatusCode};
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::{Either, Empty};
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout_at};
+
+use crate::error::{Error, Result};
+use crate::gate::{Load, Offer};
+use crate::http::body::{BodyError, Paced};
+use crate::http::headers;
+use crate::http::refusal::{ANSWER, NOT_RUN, UNKNOWN, id_value};
+use crate::ids::{AccountName, AttemptId, RequestId, TargetName};
+use crate::node::flight::{Flight, Ticket};
+use crate::node::local::{Local, LocalTarget};
+use crate::node::pool::Sender;
+use crate::node::settings::Limits;
+use crate::node::slots::Lease;
+use crate::outcome::{Outcome, Reason, Refusal};
+use crate::time::{Clock, Monotonic};
+use crate::units::Rate;
+
+/// Time after which a request that met a draining or shedding target may be sent again.
+const RETRY_LATER: Duration = Duration::from_secs(1);
+
+/// The answer body from an egress to an ingress.
+pub type EgressBody = Either<TargetBody, Empty<Bytes>>;
+
+/// The egress of a node.
+#[derive(Debug)]
+pub struct Egress {
+    local: Arc<Local>,
+    clock: Monotonic,
+    flight: Flight,
+    draining: AtomicBool,
+    body_time: Duration,
+    answer_time: Duration,
+}
+
+/// What the ingress says of a request in internal headers.
+#[derive(Debug)]
+struct Job {
+    attempt: AttemptId,
+    request: RequestId,
+    account: Option<AccountName>,
+    weight: Rate,
+    deadline: Instant,
+    target: TargetName,
+}
+
+impl Egress {
+    /// Creates an egress for the targets in `local`.
+    pub fn new(local: Arc<Local>, clock: Monotonic, flight: Flight, limits: &Limits) -> Self {
+        Egress {
+            local,
+            clock,
+            flight,
+            draining: AtomicBool::new(false),
+            body_time: limits.body_time,
+            answer_time: limits.answer_time,
+        }
+    }
+
+    /// Refuses every request from now on; what runs goes on.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+    }
+
+    /// Serves one request of an ingress.
+    ///
+    /// # Errors
+    ///
+    /// Never fails; each outcome is a response.
+    pub async fn serve(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> std::result::Result<Response<EgressBody>, Infallible> {
+        let ticket = self.flight.enter();
+        let Ok(job) = Job::read(request.headers()) else {
+            let outcome = not_run(Refusal::new(Reason::BadRequest));
+            return Ok(outcome_response(&outcome));
+        };
+        let target = match self.target(&job) {
+            Ok(target) => target,
+            Err(refusal) => return Ok(self.refuse(&job, &not_run(refusal), None)),
+        };
+        let gate = target.gate.clone();
+        Ok(match self.run(&job, target, request, ticket).await {
+            Ok(response) => response,
+            Err(outcome) => self.refuse(&job, &outcome, Some(gate.load())),
+        })
+    }
+
+    async fn run(
+        &self,
+        job: &Job,
+        target: Arc<LocalTarget>,
+        request: Request<Incoming>,
+        ticket: Ticket,
+    ) -> std::result::Result<Response<EgressBody>, Outcome> {
+        let left = job.deadline.saturating_duration_since(Instant::now());
+        let offer = Offer {
+            attempt: job.attempt,
+            account: job.account.clone(),
+            weight: job.weight,
+            deadline: self.clock.now() + left,
+        };
+        let lease = target.gate.enter(offer).await.map_err(not_run)?;
+        let request = self.prepare(job, request);
+        let reply = timeout_at(job.deadline, target.pool.send(request))
+            .await
+            .unwrap_or(Err(Outcome::Unknown(Reason::Timeout)))?;
+        check(job, &reply.response)?;
+        let hold = Hold {
+            target,
+            sender: Some(reply.sender),
+            _lease: lease,
+            _ticket: ticket,
+        };
+        Ok(self.answer(job, reply.response, hold))
+    }
+
+    fn refuse(&self, job: &Job, outcome: &Outcome, load: Option<Load>) -> Response<EgressBody> {
+        log::debug!(
+            event = "egress-refused", request:% = job.request, target:% = job.target,
+            outcome:? = outcome; "request ended without an answer"
+        );
+        let mut response = outcome_response(outcome);
+        mark(response.headers_mut(), job.attempt, load);
+        response
+    }
+
+    fn target(&self, job: &Job) -> std::result::Result<Arc<LocalTarget>, Refusal> {
+        if self.draining.load(Ordering::SeqCst) {
+            return Err(Refusal::after(Reason::Draining, RETRY_LATER));
+        }
+        let target = self.local.get(&job.target);
+        let target = target.ok_or(Refusal::after(Reason::Connect, RETRY_LATER))?;
+        if !target.takes_work() {
+            return Err(Refusal::after(Reason::Draining, RETRY_LATER));
+        }
+        Ok(target)
+    }
+
+    fn prepare(&self, job: &Job, request: Request<Incoming>) -> Request<Paced> {
+        let (mut head, body) = request.into_parts();
+        head.version = http::Version::HTTP_11;
+        head.extensions.clear();
+        headers::strip_request(&mut head.headers);
+        if let Some(path) = head.uri.path_and_query() {
+            head.uri = path.clone().into();
+        }
+        let left = job.deadline.saturating_duration_since(Instant::now());
+        let left = HeaderValue::from(left.as_millis() as u64);
+        head.headers.insert(headers::DEADLINE_MS, left);
+        let id = id_value(job.request);
+        head.headers.insert(headers::REQUEST_ID, id);
+        let attempt = attempt_value(job.attempt);
+        head.headers.insert(headers::ATTEMPT, attempt);
+        Request::from_parts(head, Paced::new(body, self.body_time))
+    }
+
+    fn answer(&self, job: &Job, response: Response<Incoming>, hold: Hold) -> Response<EgressBody> {
+        let (mut head, body) = response.into_parts();
+        head.version = http::Version::HTTP_2;
+        head.extensions.clear();
+        headers::strip_answer(&mut head.headers);
+        head.headers.insert(headers::OUTCOME, ANSWER);
+        let load = hold.target.gate.load();
+        mark(&mut head.headers, job.attempt, Some(load));
+        let body = TargetBody::new(Paced::new(body, self.answer_time), hold, job.request);
+        Response::from_parts(head, Either::Left(body))
+    }
+}
+
+impl Job {
+    fn read(from: &HeaderMap) -> Result<Job> {
+        let left: u64 = field(from, &headers::DEADLINE_MS)?;
+        Ok(Job {
+            attempt: field(from, &headers::ATTEMPT)?,
+            request: field(from, &headers::REQUEST_ID)?,
+            account: match from.contains_key(headers::ACCOUNT) {
+                true => Some(field(from, &headers::ACCOUNT)?),
+                false => None,
+            },
+            weight: Rate::from_millis(field(from, &headers::WEIGHT)?),
+            deadline: Instant::now() + Duration::from_millis(left),
+            target: field(from, &headers::TARGET)?,
+        })
+    }
+}
+
+/// Reads an internal header.
+pub(crate) fn field<T: FromStr>(from: &HeaderMap, name: &HeaderName) -> Result<T> {
+    from.get(name)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse().ok())
+        .ok_or_else(|| Error::invalid(format!("internal header {name} is missing or malformed")))
+}
+
+/// Returns an attempt id as a header value.
+pub(crate) fn attempt_value(attempt: AttemptId) -> HeaderValue {
+    HeaderValue::try_from(attempt.to_string()).expect("hexadecimal digits are legal in a header")
+}
+
+/// Names the attempt and the load of its target on an answer.
+fn mark(out: &mut HeaderMap, attempt: AttemptId, load: Option<Load>) {
+    out.insert(headers::ATTEMPT, attempt_value(attempt));
+    if let Some(load) = load {
+        out.insert(headers::LOAD, load_value(load));
+    }
+}
+
+fn load_value(load: Load) -> HeaderValue {
+    let service = load.service.as_micros();
+    let text = format!("{},{},{},{service}", load.running, load.queued, load.slots);
+    HeaderValue::try_from(text).expect("digits and commas are legal in a header")
+}
+
+/// Reads the load of a target from the headers of an answer.
+pub(crate) fn read_load(from: &HeaderMap) -> Option<Load> {
+    let text = from.get(headers::LOAD)?.to_str().ok()?;
+    let mut parts = text.split(',');
+    Some(Load {
+        running: parts.next()?.parse().ok()?,
+        queued: parts.next()?.parse().ok()?,
+        slots: parts.next()?.parse().ok()?,
+        service: Duration::from_micros(parts.next()?.parse().ok()?),
+    })
+}
+
+fn not_run(refusal: Refusal) -> Outcome {
+    Outcome::NotRun(refusal)
+}
+
+/// Checks that an answer belongs to its request and that its end can be seen.
+fn check(job: &Job, response: &Response<Incoming>) -> std::result::Result<(), Outcome> {
+    let echoes = [
+        (headers::REQUEST_ID, job.request.0),
+        (headers::ATTEMPT, job.attempt.0),
+    ];
+    for (name, own) in echoes {
+        let strange = response.headers().get_all(&name).iter().any(|value| {
+            let echoed = value.to_str().ok();
+            echoed.and_then(|v| u64::from_str_radix(v, 16).ok()) != Some(own)
+        });
+        if strange {
+            return Err(Outcome::Unknown(Reason::Crossed));
+        }
+    }
+    if response.status() == StatusCode::SWITCHING_PROTOCOLS || !is_delimited(response) {
+        return Err(Outcome::Unknown(Reason::TargetError));
+    }
+    if is_shed(response) {
+        return Err(not_run(Refusal::after(Reason::Shed, retry_after(response))));
+    }
+    Ok(())
+}
+
+/// An answer that ends when its connection closes can't be told from one that was cut.
+fn is_delimited(response: &Response<Incoming>) -> bool {
+    let headers = response.headers();
+    headers.contains_key(CONTENT_LENGTH)
+        || headers.contains_key(TRANSFER_ENCODING)
+        || response.body().is_end_stream()
+}
+
+/// Only a target that says so itself proves that a refused request did not run.
+fn is_shed(response: &Response<Incoming>) -> bool {
+    response.status() == StatusCode::SERVICE_UNAVAILABLE
+        && response.headers().get(headers::OUTCOME) == Some(&NOT_RUN)
+}
+
+fn retry_after(response: &Response<Incoming>) -> Duration {
+    field(response.headers(), &http::header::RETRY_AFTER)
+        .map(Duration::from_secs)
+        .unwrap_or(RETRY_LATER)
+}
+
+fn outcome_response(outcome: &Outcome) -> Response<EgressBody> {
+    let mut response = Response::new(Either::Right(Empty::new()));
+    let out = response.headers_mut();
+    let (name, refusal) = match outcome {
+        Outcome::Answer => (ANSWER, None),
+        Outcome::NotRun(refusal) => (NOT_RUN, Some(*refusal)),
+        Outcome::Unknown(reason) => (UNKNOWN, Some(Refusal::new(*reason))),
+    };
+    out.insert(headers::OUTCOME, name);
+    if let Some(refusal) = refusal {
+        let reason = HeaderValue::from_static(refusal.reason.code());
+        out.insert(headers::REASON, reason);
+        if let Some(delay) = refusal.retry_after {
+            let delay = HeaderValue::from(delay.as_millis() as u64);
+            out.insert(headers::RETRY_MS, delay);
+        }
+    }
+    response
+}
+
+/// What an answer holds until it has been read.
+#[derive(Debug)]
+struct Hold {
+    target: Arc<LocalTarget>,
+    sender: Option<Sender>,
+    _lease: Lease,
+    _ticket: Ticket,
+}
+
+/// A target's answer; its slot and connection are free again once it has been read whole.
+#[derive(Debug)]
+pub struct TargetBody {
+    body: Paced,
+    request: RequestId,
+    hold: Option<Hold>,
+}
+
+impl TargetBody {
+    fn new(body: Paced, hold: Hold, request: RequestId) -> TargetBody {
+        let mut this = TargetBody {
+            body,
+            request,
+            hold: Some(hold),
+        };
+        this.release_if_done();
+        this
+    }
+
+    fn release_if_done(&mut self) {
+        if self.body.is_done() {
+            self.release();
+        }
+    }
+
+    fn release(&mut self) {
+        let Some(mut hold) = self.hold.take() else {
+            return;
+        };
+        if let Some(sender) = hold.sender.take() {
+            hold.target.pool.keep(sender);
+        }
+    }
+}
+
+impl Body for TargetBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<std::result::Result<Frame<Bytes>, BodyError>>> {
+        let this = &mut *self;
+        let part = match this.body.poll_data(cx) {
+            Poll::Pending => return Poll::Pending,
+            Poll::Ready(part) => part,
+        };
+        Poll::Ready(match part {
+            None => {
+                this.release();
+                None
+            }
+            Some(Ok(data)) => {
+                this.release_if_done();
+                Some(Ok(Frame::data(data)))
+            }
+            Some(Err(e)) => {
+                let request = this.request;
+                log::warn!(event = "answer-cut", request:% = request, error:% = e; "answer cut");
+                Some(Err(e))
+            }
+        })
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_done()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size()
+    }
+}
--- /dev/null
+++ b/src/node/forward.rs
@@ -0,0 +1,276 @@
+//! Attempts to serve a request, and the decision to try again.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderValue, Request, Response, Uri};
+use hyper::body::Incoming;
+use tokio::time::timeout_at;
+
+use crate::http::Upload;
+use crate::http::headers;
+use crate::http::refusal::{ANSWER, NOT_RUN, id_value};
+use crate::ids::{AttemptId, TargetId};
+use crate::metrics::Metrics;
+use crate::node::call::{Call, reason_of};
+use crate::node::egress::{attempt_value, field, read_load};
+use crate::node::links::Links;
+use crate::node::targets::{Pick, Targets};
+use crate::outcome::{Outcome, Reason, Refusal};
+use crate::route::{self, RetryBudget, RetryQuestion, Sample};
+use crate::time::{Clock, Monotonic};
+
+/// Most attempts for one request.
+const ATTEMPTS_MAX: usize = 3;
+
+/// The egress gives up this much earlier, so that its exact outcome arrives in time.
+const EGRESS_MARGIN: Duration = Duration::from_millis(10);
+
+/// When a caller may come back after a refusal whose end is not known.
+const RETRY_LATER: Duration = Duration::from_secs(1);
+
+/// Authority of requests on links; the target is named by internal headers.
+const EGRESS_AUTHORITY: &str = "egress";
+
+/// Sends requests to the nodes of targets.
+#[derive(Debug)]
+pub struct Forwarder {
+    targets: Arc<Targets>,
+    links: Arc<Links>,
+    clock: Monotonic,
+    budget: Mutex<RetryBudget>,
+    metrics: Metrics,
+}
+
+impl Forwarder {
+    /// Creates a forwarder to `targets` by `links`.
+    pub fn new(
+        targets: Arc<Targets>,
+        links: Arc<Links>,
+        clock: Monotonic,
+        metrics: Metrics,
+    ) -> Forwarder {
+        Forwarder {
+            targets,
+            links,
+            clock,
+            budget: Mutex::new(RetryBudget::default()),
+            metrics,
+        }
+    }
+
+    /// Sends `call` to a target and tries others where that is safe.
+    ///
+    /// `authorize` is asked just before each attempt, since a process may have been paused.
+    pub async fn send(
+        &self,
+        call: &Call<'_>,
+        authorize: impl Fn() -> Result<(), Refusal>,
+    ) -> Result<Response<Incoming>, Outcome> {
+        self.budget().deposit();
+        let mut tried = Vec::new();
+        let mut last = Refusal::after(Reason::NoTarget, RETRY_LATER);
+        loop {
+            let Some(pick) = self.pick(call, &tried) else {
+                return Err(call.give_up(last));
+            };
+            let Some(upload) = call.body.take(call.route.body_max.0) else {
+                return Err(call.give_up(last));
+            };
+            let outcome = match self.attempt(call, &pick, upload, &authorize).await {
+                Ok(response) => return Ok(response),
+                Err(outcome) => outcome,
+            };
+            if let Some(reason) = call.body.failure() {
+                return Err(call.give_up(Refusal::new(reason)));
+            }
+            tried.push(pick.id);
+            let Some(refusal) = self.retry(call, &outcome, tried.len()) else {
+                return Err(outcome);
+            };
+            last = refusal;
+        }
+    }
+
+    fn pick(&self, call: &Call<'_>, tried: &[TargetId]) -> Option<Pick> {
+        self.targets.pick(&route::Request {
+            service: &call.route.service,
+            kind: call.route.name.as_str(),
+            idempotent: call.is_idempotent(),
+            tried,
+        })
+    }
+
+    /// Returns the refusal to repeat if no other target is left; none if the outcome is final.
+    fn retry(&self, call: &Call<'_>, outcome: &Outcome, attempts: usize) -> Option<Refusal> {
+        let reason = reason_of(outcome)?;
+        let now = self.clock.now();
+        let question = RetryQuestion {
+            outcome,
+            idempotent: call.is_idempotent(),
+            replayable: call.body.is_whole(),
+            deadline: now + call.left(),
+        };
+        let again =
+            attempts < ATTEMPTS_MAX && route::may_retry(now, &question) && self.budget().withdraw();
+        if !again {
+            return None;
+        }
+        self.metrics.retried(reason);
+        log::info!(
+            event = "retry", request:% = call.id, reason:% = reason, attempt = attempts;
+            "request is sent again"
+        );
+        Some(match outcome {
+            Outcome::NotRun(refusal) => *refusal,
+            _ => Refusal::new(reason),
+        })
+    }
+
+    async fn attempt(
+        &self,
+        call: &Call<'_>,
+        pick: &Pick,
+        upload: Upload,
+        authorize: impl Fn() -> Result<(), Refusal>,
+    ) -> Result<Response<Incoming>, Outcome> {
+        let opened = self.links.sender(pick.id.node, pick.addr);
+        let mut sender = match timeout_at(call.deadline, opened).await {
+            Ok(Ok(sender)) => sender,
+            Ok(Err(e)) => {
+                log::info!(event = "link-failed", target:% = pick.id, error:% = e; "link failed");
+                self.targets.report(&pick.id, Sample::ConnectFailed);
+                return Err(call.give_up(Refusal::new(Reason::Connect)));
+            }
+            Err(_) => {
+                self.targets.report(&pick.id, Sample::ConnectFailed);
+                return Err(call.give_up(Refusal::new(Reason::Deadline)));
+            }
+        };
+        let attempt = AttemptId::random();
+        let request = build(call, pick, attempt, upload);
+        authorize().map_err(|refusal| call.give_up(refusal))?;
+        let exposed = call.expose();
+        let mut trial = Trial::start(&self.targets, &pick.id);
+        let sent = timeout_at(call.deadline, sender.try_send_request(request)).await;
+        let result = match sent {
+            Err(_) => {
+                trial.sample = Sample::NoAnswer;
+                Err(Outcome::Unknown(Reason::Timeout))
+            }
+            Ok(Ok(response)) => {
+                trial.sample = Sample::Answered;
+                trial.observe(response.headers());
+                read(response, attempt)
+            }
+            Ok(Err(mut e)) => {
+                trial.sample = Sample::LostLink;
+                Err(match e.take_message() {
+                    Some(_) => Outcome::NotRun(Refusal::new(Reason::Connect)),
+                    None => Outcome::Unknown(Reason::LostLink),
+                })
+            }
+        };
+        result.map_err(|outcome| match outcome {
+            Outcome::NotRun(refusal) => {
+                call.restore(exposed);
+                call.give_up(refusal)
+            }
+            other => other,
+        })
+    }
+
+    fn budget(&self) -> std::sync::MutexGuard<'_, RetryBudget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Reports what became of an attempt, also if the caller gave up in the meantime.
+struct Trial<'a> {
+    targets: &'a Targets,
+    id: &'a TargetId,
+    sample: Sample,
+}
+
+impl<'a> Trial<'a> {
+    fn start(targets: &'a Targets, id: &'a TargetId) -> Trial<'a> {
+        targets.report(id, Sample::Sent);
+        Trial {
+            targets,
+            id,
+            sample: Sample::Cancelled,
+        }
+    }
+
+    fn observe(&self, headers: &HeaderMap) {
+        if let Some(load) = read_load(headers) {
+            self.targets.observe(self.id, load);
+        }
+    }
+}
+
+impl Drop for Trial<'_> {
+    fn drop(&mut self) {
+        self.targets.report(self.id, self.sample);
+    }
+}
+
+fn build(call: &Call<'_>, pick: &Pick, attempt: AttemptId, upload: Upload) -> Request<Upload> {
+    let mut request = Request::new(upload);
+    *request.method_mut() = call.head.method.clone();
+    *request.uri_mut() = uri(&call.head.uri);
+    *request.version_mut() = http::Version::HTTP_2;
+    let mut fields = call.head.headers.clone();
+    let left = call.left().saturating_sub(EGRESS_MARGIN);
+    let left = HeaderValue::from(left.as_millis() as u64);
+    fields.insert(headers::DEADLINE_MS, left);
+    fields.insert(headers::REQUEST_ID, id_value(call.id));
+    fields.insert(headers::ATTEMPT, attempt_value(attempt));
+    fields.insert(headers::TARGET, name_value(pick.id.name.as_str()));
+    let weight = match &call.identity {
+        Some(identity) => {
+            let account = name_value(identity.account.name.as_str());
+            fields.insert(headers::ACCOUNT, account);
+            identity.account.rate.as_millis()
+        }
+        None => 0,
+    };
+    fields.insert(headers::WEIGHT, HeaderValue::from(weight));
+    *request.headers_mut() = fields;
+    request
+}
+
+fn uri(from: &Uri) -> Uri {
+    let path = from.path_and_query().map_or("/", |path| path.as_str());
+    Uri::builder()
+        .scheme("http")
+        .authority(EGRESS_AUTHORITY)
+        .path_and_query(path)
+        .build()
+        .expect("the path comes from a valid URI")
+}
+
+fn name_value(name: &str) -> HeaderValue {
+    HeaderValue::from_str(name).expect("names hold header characters only")
+}
+
+/// Reads the outcome of an attempt from the internal headers of its answer.
+fn read(response: Response<Incoming>, attempt: AttemptId) -> Result<Response<Incoming>, Outcome> {
+    let fields = response.headers();
+    if field::<AttemptId>(fields, &headers::ATTEMPT).ok() != Some(attempt) {
+        return Err(Outcome::Unknown(Reason::Crossed));
+    }
+    let outcome = fields.get(headers::OUTCOME);
+    if outcome == Some(&ANSWER) {
+        return Ok(response);
+    }
+    let reason = field(fields, &headers::REASON).unwrap_or(Reason::TargetError);
+    if outcome != Some(&NOT_RUN) {
+        return Err(Outcome::Unknown(reason));
+    }
+    let delay = field(fields, &headers::RETRY_MS).ok();
+    Err(Outcome::NotRun(Refusal {
+        reason,
+        retry_after: delay.map(Duration::from_millis),
+    }))
+}
--- /dev/null
+++ b/src/node/ingress.rs
@@ -0,0 +1,346 @@
+//! The side of a node that callers connect to.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HeaderValue};
+use http::{HeaderMap, Request, Response};
+use http_body_util::{Either, Full};
+use hyper::body::Incoming;
+
+use crate::config::{Account, Config, Route, RouteMatch};
+use crate::http::body::{Paced, UploadSlot};
+use crate::http::headers;
+use crate::http::path::{is_safe, resolve};
+use crate::http::refusal::{ANSWER, id_value, refusal_response};
+use crate::ids::{KeyDigest, RequestId};
+use crate::metrics::Metrics;
+use crate::node::answer::Download;
+use crate::node::call::{Call, Identity, reason_of};
+use crate::node::flight::Flight;
+use crate::node::forward::Forwarder;
+use crate::node::open::OpenLimit;
+use crate::node::plug::{Admission, Freshness, Parts};
+use crate::node::sessions::{Session, Sessions};
+use crate::node::settings::Limits;
+use crate::outcome::{Outcome, Reason, Refusal};
+use crate::time::{Clock, Monotonic};
+
+/// When a caller may come back after a refusal whose end is not known.
+const RETRY_LATER: Duration = Duration::from_secs(1);
+
+/// Most bytes of a refused request that are read so that the refusal arrives.
+const LEFTOVER_MAX_BYTES: u64 = 256 * 1024;
+
+/// Longest time for reading the rest of a refused request.
+const LEFTOVER_TIME: Duration = Duration::from_secs(1);
+
+/// The body of an answer to a caller.
+pub type CallerBody = Either<Download, Full<Bytes>>;
+
+/// The ingress of a node.
+pub struct Ingress<F, A> {
+    parts: Parts<F, A>,
+    forwarder: Forwarder,
+    sessions: Arc<Sessions>,
+    open: OpenLimit,
+    clock: Monotonic,
+    flight: Flight,
+    metrics: Metrics,
+    body_time: Duration,
+    closing: AtomicBool,
+    draining: AtomicBool,
+}
+
+impl<F: Freshness, A: Admission> Ingress<F, A> {
+    /// Creates an ingress that sends requests by `forwarder`.
+    pub fn new(
+        parts: Parts<F, A>,
+        forwarder: Forwarder,
+        clock: Monotonic,
+        flight: Flight,
+        metrics: Metrics,
+        limits: &Limits,
+    ) -> Self {
+        Ingress {
+            parts,
+            forwarder,
+            sessions: Sessions::new(),
+            open: OpenLimit::default(),
+            clock,
+            flight,
+            metrics,
+            body_time: limits.body_time,
+            closing: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
+        }
+    }
+
+    /// Announces the end of each connection with its next answer.
+    pub fn close_connections(&self) {
+        self.closing.store(true, Ordering::SeqCst);
+    }
+
+    /// Refuses every request from now on; what runs goes on.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+    }
+
+    /// Ends open requests whose key has been withdrawn, or all if the configuration is stale.
+    pub fn sweep(&self) {
+        let fresh = self.parts.freshness.is_fresh();
+        let Some(config) = self.parts.policy.load() else {
+            return;
+        };
+        self.sessions.sweep(|digest, account| {
+            fresh
+                && config
+                    .account_of(digest)
+                    .is_some_and(|a| a.name == *account)
+        });
+    }
+
+    /// Serves one request of a caller.
+    ///
+    /// # Errors
+    ///
+    /// Never fails; each outcome is a response.
+    pub async fn serve(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<CallerBody>, Infallible> {
+        let id = RequestId::random();
+        let (head, body) = request.into_parts();
+        let slot = UploadSlot::new(Paced::new(body, self.body_time));
+        let mut response = match self.handle(id, head, &slot).await {
+            Ok(response) => response.map(Either::Left),
+            Err(outcome) => self.refuse(id, &outcome, &slot),
+        };
+        if self.closing.load(Ordering::Relaxed) {
+            close(&mut response);
+        }
+        Ok(response)
+    }
+
+    async fn handle(
+        &self,
+        id: RequestId,
+        mut head: http::request::Parts,
+        slot: &Arc<UploadSlot>,
+    ) -> Result<Response<Download>, Outcome> {
+        let ticket = self.flight.enter();
+        if self.draining.load(Ordering::SeqCst) {
+            return Err(later(Reason::Draining));
+        }
+        check_form(&head).map_err(refused)?;
+        let config = self.parts.policy.load().ok_or(later(Reason::Starting))?;
+        let route = find_route(&config, &head).map_err(refused)?;
+        check_length(&head.headers, route).map_err(refused)?;
+        let identity = match route.open {
+            true => None,
+            false => Some(identify(&config, &head.headers).map_err(refused)?),
+        };
+        let session = identity.as_ref().map(|i| self.enter(i));
+        headers::strip_request(&mut head.headers);
+        let call = Call::new(id, head, route, identity, slot.clone());
+        let response = self.run(&call, &config, session.as_ref()).await?;
+        Ok(self.answer(&call, response, session, ticket))
+    }
+
+    fn enter(&self, identity: &Identity) -> Session {
+        self.sessions.enter(identity.digest, &identity.account.name)
+    }
+
+    async fn run(
+        &self,
+        call: &Call<'_>,
+        config: &Config,
+        session: Option<&Session>,
+    ) -> Result<Response<Incoming>, Outcome> {
+        let Some(session) = session else {
+            return self.admit_and_send(call, config).await;
+        };
+        tokio::select! {
+            biased;
+            () = session.token().cancelled() => {
+                let cause = self.authorize(call).err();
+                Err(call.give_up(cause.unwrap_or(Refusal::new(Reason::UnknownKey))))
+            }
+            result = self.admit_and_send(call, config) => result,
+        }
+    }
+
+    async fn admit_and_send(
+        &self,
+        call: &Call<'_>,
+        config: &Config,
+    ) -> Result<Response<Incoming>, Outcome> {
+        self.authorize(call).map_err(refused)?;
+        match &call.identity {
+            Some(identity) => self.admit_account(call, &identity.account).await,
+            None => self.admit_open(call, config),
+        }
+        .map_err(refused)?;
+        self.forwarder.send(call, || self.authorize(call)).await
+    }
+
+    /// Checks evidence and key against the configuration in force now.
+    fn authorize(&self, call: &Call<'_>) -> Result<(), Refusal> {
+        let Some(identity) = &call.identity else {
+            return Ok(());
+        };
+        if !self.parts.freshness.is_fresh() {
+            return Err(Refusal::after(Reason::StaleConfig, RETRY_LATER));
+        }
+        match self.parts.policy.load() {
+            Some(config) if identity.is_valid(&config) => Ok(()),
+            _ => Err(Refusal::new(Reason::UnknownKey)),
+        }
+    }
+
+    async fn admit_account(&self, call: &Call<'_>, account: &Account) -> Result<(), Refusal> {
+        self.parts.admission.admit(account, call.left()).await
+    }
+
+    fn admit_open(&self, call: &Call<'_>, config: &Config) -> Result<(), Refusal> {
+        let service = config.service(&call.route.service);
+        let service = service.ok_or(Refusal::after(Reason::NoTarget, RETRY_LATER))?;
+        self.open.admit(service, self.clock.now())
+    }
+
+    fn answer(
+        &self,
+        call: &Call<'_>,
+        response: Response<Incoming>,
+        session: Option<Session>,
+        ticket: crate::node::flight::Ticket,
+    ) -> Response<Download> {
+        self.metrics.count("answered");
+        log::debug!(
+            event = "answered", request:% = call.id, route:% = call.route.name,
+            status = response.status().as_u16(); "request answered"
+        );
+        let (mut head, body) = response.into_parts();
+        head.version = http::Version::HTTP_11;
+        head.extensions.clear();
+        headers::strip_answer(&mut head.headers);
+        head.headers.insert(headers::OUTCOME, ANSWER);
+        head.headers.insert(headers::REQUEST_ID, id_value(call.id));
+        let body = Download::new(body, call.id, session, ticket);
+        Response::from_parts(head, body)
+    }
+
+    fn refuse(
+        &self,
+        id: RequestId,
+        outcome: &Outcome,
+        slot: &Arc<UploadSlot>,
+    ) -> Response<CallerBody> {
+        if let Some(reason) = reason_of(outcome) {
+            self.metrics.refused(reason);
+            let ran = matches!(outcome, Outcome::Unknown(_));
+            log::info!(
+                event = "refused", request:% = id, reason:% = reason, unknown = ran;
+                "request refused"
+            );
+        }
+        let response = refusal_response(outcome, id).expect("an answer is not refused");
+        let mut response = response.map(Either::Right);
+        if let Some(rest) = slot.take_rest() {
+            close(&mut response);
+            tokio::spawn(read_rest(rest));
+        }
+        response
+    }
+}
+
+/// Reads a refused body to its end within limits.
+///
+/// Closing a socket with unread data resets it, and the caller could lose the refusal.
+async fn read_rest(mut rest: Paced) {
+    let read = async {
+        let mut left = LEFTOVER_MAX_BYTES;
+        while let Some(Ok(data)) = std::future::poll_fn(|cx| rest.poll_data(cx)).await {
+            left = match left.checked_sub(data.len() as u64) {
+                Some(left) => left,
+                None => return,
+            };
+        }
+    };
+    // A caller that is still sending after the limit is cut off.
+    let _ = tokio::time::timeout(LEFTOVER_TIME, read).await;
+}
+
+fn close<B>(response: &mut Response<B>) {
+    let value = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, value);
+}
+
+fn refused(refusal: Refusal) -> Outcome {
+    Outcome::NotRun(refusal)
+}
+
+fn later(reason: Reason) -> Outcome {
+    Outcome::NotRun(Refusal::after(reason, RETRY_LATER))
+}
+
+fn check_form(head: &http::request::Parts) -> Result<(), Refusal> {
+    if head.method == http::Method::CONNECT {
+        return Err(Refusal::new(Reason::MethodNotAllowed));
+    }
+    if !is_safe(head.uri.path()) {
+        return Err(Refusal::new(Reason::BadRequest));
+    }
+    Ok(())
+}
+
+fn find_route<'a>(config: &'a Config, head: &http::request::Parts) -> Result<&'a Route, Refusal> {
+    let (method, path) = (head.method.as_str(), head.uri.path());
+    let found = config.route_for(method, path);
+    if let Some(resolved) = resolve(path)
+        && config.route_for(method, &resolved) != found
+    {
+        return Err(Refusal::new(Reason::BadRequest));
+    }
+    match found {
+        RouteMatch::Found(route) => Ok(route),
+        RouteMatch::NoRoute => Err(Refusal::new(Reason::NoRoute)),
+        RouteMatch::MethodNotAllowed => Err(Refusal::new(Reason::MethodNotAllowed)),
+    }
+}
+
+fn check_length(headers: &HeaderMap, route: &Route) -> Result<(), Refusal> {
+    let Some(length) = headers.get(CONTENT_LENGTH) else {
+        return Ok(());
+    };
+    let length: Option<u64> = length.to_str().ok().and_then(|text| text.parse().ok());
+    match length {
+        None => Err(Refusal::new(Reason::BadRequest)),
+        Some(length) if length > route.body_max.0 => Err(Refusal::new(Reason::BodyTooLarge)),
+        Some(_) => Ok(()),
+    }
+}
+
+/// Finds the account of the bearer token.
+fn identify(config: &Config, headers: &HeaderMap) -> Result<Identity, Refusal> {
+    let mut values = headers.get_all(AUTHORIZATION).iter();
+    let value = values.next().ok_or(Refusal::new(Reason::NoKey))?;
+    if values.next().is_some() {
+        return Err(Refusal::new(Reason::BadRequest));
+    }
+    let key = bearer(value).ok_or(Refusal::new(Reason::NoKey))?;
+    let digest = KeyDigest::of(key);
+    let account = config.account_of(&digest);
+    let account = account.ok_or(Refusal::new(Reason::UnknownKey))?.clone();
+    Ok(Identity { digest, account })
+}
+
+/// Returns the token of `Bearer token`; the scheme's case doesn't matter.
+fn bearer(value: &HeaderValue) -> Option<&[u8]> {
+    let (scheme, token) = value.as_bytes().split_at_checked(b"bearer ".len())?;
+    let token = token.trim_ascii();
+    (scheme.eq_ignore_ascii_case(b"bearer ") && !token.is_empty()).then_some(token)
+}
--- /dev/null
+++ b/src/node/links.rs
@@ -0,0 +1,136 @@
+//! HTTP/2 links to the egress of other nodes, one for each node.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use hyper::client::conn::http2::{Builder, SendRequest};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use tokio::time::timeout;
+
+use crate::error::{Error, Result};
+use crate::http::Upload;
+use crate::ids::NodeId;
+use crate::wire::{Hello, Protocol, Role, Secret};
+
+/// Bytes that one stream may have in flight without being read.
+pub const STREAM_WINDOW_BYTES: u32 = 256 * 1024;
+
+/// Bytes that one link may have in flight without being read; large enough that a few streams
+/// with slow readers don't stop the others.
+pub const LINK_WINDOW_BYTES: u32 = 64 * 1024 * 1024;
+
+/// Bytes that one stream buffers before it waits for the link.
+pub const SEND_BUFFER_BYTES: usize = 64 * 1024;
+
+/// Time between probes on a link; a silent cut is found after this and the timeout.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time for the answer to a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Sends requests to one egress.
+pub type Sender = SendRequest<Upload>;
+
+/// The links of an ingress.
+#[derive(Debug)]
+pub struct Links {
+    me: NodeId,
+    secret: Secret,
+    patience: Duration,
+    links: Mutex<HashMap<NodeId, Arc<Entry>>>,
+}
+
+/// The link to one node; `open` is held while it is being opened, so that one is opened only.
+#[derive(Debug, Default)]
+struct Entry {
+    sender: Mutex<Option<Sender>>,
+    open: tokio::sync::Mutex<()>,
+}
+
+impl Entry {
+    fn usable(&self) -> Option<Sender> {
+        let sender = self.sender.lock().unwrap_or_else(PoisonError::into_inner);
+        sender.as_ref().filter(|s| !s.is_closed()).cloned()
+    }
+
+    fn keep(&self, sender: Sender) {
+        *self.sender.lock().unwrap_or_else(PoisonError::into_inner) = Some(sender);
+    }
+}
+
+impl Links {
+    /// Creates links that open when needed, within `patience` each.
+    pub fn new(me: NodeId, secret: Secret, patience: Duration) -> Links {
+        Links {
+            me,
+            secret,
+            patience,
+            links: Mutex::default(),
+        }
+    }
+
+    /// Returns a sender to `node`, which listens on `addr`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the link can't be opened; nothing has been sent then.
+    pub async fn sender(&self, node: NodeId, addr: SocketAddr) -> Result<Sender> {
+        let entry = self.entry(node);
+        if let Some(sender) = entry.usable() {
+            return Ok(sender);
+        }
+        let _opening = entry.open.lock().await;
+        if let Some(sender) = entry.usable() {
+            return Ok(sender);
+        }
+        let sender = timeout(self.patience, self.open(node, addr))
+            .await
+            .map_err(|_| Error::unavailable(format!("link to {addr} timed out")))??;
+        entry.keep(sender.clone());
+        Ok(sender)
+    }
+
+    /// Closes the link to a node that is gone.
+    pub fn forget(&self, node: NodeId) {
+        self.lock().remove(&node);
+    }
+
+    fn entry(&self, node: NodeId) -> Arc<Entry> {
+        self.lock().entry(node).or_default().clone()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<NodeId, Arc<Entry>>> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn open(&self, node: NodeId, addr: SocketAddr) -> Result<Sender> {
+        let hello = Hello {
+            role: Role::Node,
+            id: self.me.0,
+            protocol: Protocol::Http2,
+        };
+        let link = crate::wire::connect(addr, &self.secret, hello).await?;
+        if link.peer.id != node.0 {
+            // A restarted node has a new identity and knows nothing of its predecessor's targets.
+            return Err(Error::unavailable(format!("{addr} is not node {node}")));
+        }
+        let (sender, connection) = Builder::new(TokioExecutor::new())
+            .timer(TokioTimer::new())
+            .initial_stream_window_size(STREAM_WINDOW_BYTES)
+            .initial_connection_window_size(LINK_WINDOW_BYTES)
+            .max_send_buf_size(SEND_BUFFER_BYTES)
+            .keep_alive_interval(PROBE_INTERVAL)
+            .keep_alive_timeout(PROBE_TIMEOUT)
+            .handshake(TokioIo::new(link.stream))
+            .await
+            .map_err(|e| Error::unavailable(format!("HTTP/2 link to {addr}: {e}")))?;
+        tokio::spawn(async move {
+            if let Err(e) = connection.await {
+                log::info!(event = "link-lost", node:% = node, error:% = e; "link lost");
+            }
+        });
+        Ok(sender)
+    }
+}
--- /dev/null
+++ b/src/node/listen.rs
@@ -0,0 +1,278 @@
+//! Listeners of a node and the connections that they accept.
+
+use std::future::{Future, poll_fn};
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::server::conn::{http1, http2};
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+use crate::error::{Error, Result};
+use crate::ids::NodeId;
+use crate::node::admin::Admin;
+use crate::node::egress::Egress;
+use crate::node::flight::Flight;
+use crate::node::ingress::Ingress;
+use crate::node::links::{LINK_WINDOW_BYTES, SEND_BUFFER_BYTES, STREAM_WINDOW_BYTES};
+use crate::node::plug::{Admission, Freshness};
+use crate::node::settings::Limits;
+use crate::wire::{Handler, Hello, Protocol, Role, Secret, accept, serve_frames};
+
+/// Pause after a failed accept, such as one for lack of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest time for a caller to take the end of an answer before the socket is closed.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+
+/// Most bytes that are read from a closing connection.
+const LINGER_MAX_BYTES: usize = 256 * 1024;
+
+/// Most requests at the same time on one link; the gates of the targets bound the work.
+const STREAMS_MAX: u32 = 100_000;
+
+/// Time between probes on an accepted link.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time for the answer to a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Most connections to the admin listener.
+const ADMIN_CONNECTIONS: usize = 256;
+
+/// Most links that are accepted at the same time.
+const LINK_CONNECTIONS: usize = 10_000;
+
+/// When connections end.
+#[derive(Clone, Debug, Default)]
+pub struct Ending {
+    /// Asks connections to end after what runs on them.
+    pub closing: CancellationToken,
+    /// Counts open connections.
+    pub connections: Flight,
+}
+
+/// Binds a listener.
+///
+/// # Errors
+///
+/// Fails if the address can't be bound.
+pub async fn bind(name: &str, addr: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(addr)
+        .await
+        .map_err(|e| Error::io(format!("{name} address {addr}"), e))
+}
+
+/// Accepts connections until the end and serves each by `serve`.
+async fn accept_all<S, U>(listener: TcpListener, most: usize, ending: Ending, serve: S)
+where
+    S: Fn(TcpStream) -> U,
+    U: Future<Output = ()> + Send + 'static,
+{
+    let permits = Arc::new(Semaphore::new(most));
+    loop {
+        let next = async {
+            let permit = permits.clone().acquire_owned().await;
+            (listener.accept().await, permit)
+        };
+        let (accepted, permit) = tokio::select! {
+            () = ending.closing.cancelled() => return,
+            next = next => next,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        // A connection without it still works, only slower.
+        let _ = stream.set_nodelay(true);
+        let ticket = ending.connections.enter();
+        let served = serve(stream);
+        tokio::spawn(async move {
+            served.await;
+            drop((permit, ticket));
+        });
+    }
+}
+
+/// Serves callers.
+pub async fn serve_callers<F: Freshness, A: Admission>(
+    listener: TcpListener,
+    ingress: Arc<Ingress<F, A>>,
+    limits: Limits,
+    ending: Ending,
+) {
+    let most = limits.connections;
+    let closing = ending.closing.clone();
+    accept_all(listener, most, ending, move |stream| {
+        let closing = closing.clone();
+        serve_caller(stream, ingress.clone(), limits.clone(), closing)
+    })
+    .await;
+}
+
+async fn serve_caller<F: Freshness, A: Admission>(
+    stream: TcpStream,
+    ingress: Arc<Ingress<F, A>>,
+    limits: Limits,
+    closing: CancellationToken,
+) {
+    let service = service_fn(move |request| Box::pin(ingress.clone().serve(request)));
+    let mut connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_time)
+        .max_headers(limits.header_count)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut closing = pin!(closing.cancelled());
+    let mut told = false;
+    let ended = poll_fn(|cx| {
+        if !told && closing.as_mut().poll(cx).is_ready() {
+            told = true;
+            Pin::new(&mut connection).graceful_shutdown();
+        }
+        connection.poll_without_shutdown(cx)
+    });
+    if let Err(e) = ended.await {
+        log::debug!(event = "caller-connection", error:% = e; "connection of a caller ended");
+    }
+    linger(connection.into_parts().io.into_inner()).await;
+}
+
+/// Ends a connection so that the other side can read all that was written.
+///
+/// Closing a socket with unread data resets it, and what was written could be lost.
+async fn linger(mut stream: TcpStream) {
+    if stream.shutdown().await.is_err() {
+        return;
+    }
+    let read = async {
+        let mut buffer = [0; 4_096];
+        let mut total = 0;
+        while total < LINGER_MAX_BYTES {
+            match stream.read(&mut buffer).await {
+                Ok(n) if n > 0 => total += n,
+                _ => return,
+            }
+        }
+    };
+    // The socket is closed in any case.
+    let _ = timeout(LINGER_TIME, read).await;
+}
+
+/// Serves the admin interface.
+pub async fn serve_admin<F: Freshness>(
+    listener: TcpListener,
+    admin: Arc<Admin<F>>,
+    ending: Ending,
+) {
+    let closing = ending.closing.clone();
+    accept_all(listener, ADMIN_CONNECTIONS, ending, move |stream| {
+        let admin = admin.clone();
+        let service = service_fn(move |request| admin.clone().serve(request));
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .serve_connection(TokioIo::new(stream), service);
+        let closing = closing.clone();
+        async move {
+            let mut connection = pin!(connection);
+            let ended = tokio::select! {
+                ended = connection.as_mut() => ended,
+                () = closing.cancelled() => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            };
+            if let Err(e) = ended {
+                log::debug!(event = "admin-connection", error:% = e; "admin connection ended");
+            }
+        }
+    })
+    .await;
+}
+
+/// What an accepted link is served with.
+pub struct LinkSide<H> {
+    /// Identity of this node.
+    pub me: NodeId,
+    /// Secret of the fleet.
+    pub secret: Secret,
+    /// Serves requests of other ingresses.
+    pub egress: Arc<Egress>,
+    /// Serves frames.
+    pub handler: Arc<H>,
+}
+
+/// Serves links of other nodes and control processes.
+pub async fn serve_links<H: Handler + Send + Sync + 'static>(
+    listener: TcpListener,
+    side: LinkSide<H>,
+    ending: Ending,
+) {
+    let side = Arc::new(side);
+    let closing = ending.closing.clone();
+    accept_all(listener, LINK_CONNECTIONS, ending, move |stream| {
+        let (side, closing) = (side.clone(), closing.clone());
+        async move {
+            if let Err(e) = serve_link(stream, &side, closing).await {
+                log::info!(event = "link-ended", error:% = e; "accepted link ended");
+            }
+        }
+    })
+    .await;
+}
+
+async fn serve_link<H: Handler + Send + Sync + 'static>(
+    stream: TcpStream,
+    side: &LinkSide<H>,
+    closing: CancellationToken,
+) -> Result<()> {
+    let hello = Hello {
+        role: Role::Node,
+        id: side.me.0,
+        protocol: Protocol::Frames,
+    };
+    let link = accept(stream, &side.secret, hello).await?;
+    match link.peer.protocol {
+        Protocol::Http2 => serve_requests(link.stream, side.egress.clone(), closing).await,
+        Protocol::Frames => tokio::select! {
+            ended = serve_frames(link, side.handler.clone()) => ended,
+            () = closing.cancelled() => Ok(()),
+        },
+    }
+}
+
+async fn serve_requests(
+    stream: TcpStream,
+    egress: Arc<Egress>,
+    closing: CancellationToken,
+) -> Result<()> {
+    let service = service_fn(move |request| egress.clone().serve(request));
+    // Cancelled requests are usual between nodes, and the other side is authenticated, so that
+    // the protection against streams that are opened and reset at once is not needed.
+    let connection = http2::Builder::new(TokioExecutor::new())
+        .timer(TokioTimer::new())
+        .initial_stream_window_size(STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(LINK_WINDOW_BYTES)
+        .max_send_buf_size(SEND_BUFFER_BYTES)
+        .max_concurrent_streams(STREAMS_MAX)
+        .max_pending_accept_reset_streams(STREAMS_MAX as usize)
+        .max_local_error_reset_streams(None)
+        .keep_alive_interval(PROBE_INTERVAL)
+        .keep_alive_timeout(PROBE_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = closing.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    ended.map_err(|e| Error::unavailable(format!("HTTP/2 link: {e}")))
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,1 +1,357 @@
 //! The node daemon: ingress, egress, admin listener, sync and gossip.
+//!
+//! A caller's request enters at the ingress of any node ([`ingress`]), which authenticates and
+//! admits it, chooses a target ([`targets`]) and sends it ([`forward`]) by a link ([`links`]) to the
+//! egress ([`egress`]) on the target's VM. The egress waits for a slot ([`slots`]) and hands the
+//! request over on a connection of its pool ([`pool`]).
+
+pub mod admin;
+pub mod answer;
+pub mod call;
+pub mod egress;
+pub mod flight;
+pub mod forward;
+pub mod ingress;
+pub mod links;
+pub mod listen;
+pub mod local;
+pub mod open;
+pub mod plug;
+pub mod pool;
+pub mod sessions;
+pub mod settings;
+pub mod slots;
+pub mod targets;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::watch;
+use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio_util::sync::CancellationToken;
+
+pub use plug::{Admission, Freshness, Parts, Policy};
+pub use settings::{Limits, Settings};
+
+use crate::config::Account;
+use crate::error::{Error, Result};
+use crate::fleet::NodeRecord;
+use crate::ids::NodeId;
+use crate::metrics::Metrics;
+use crate::outcome::{Reason, Refusal};
+use crate::time::Monotonic;
+use crate::wire::{Channel, Handler, Hello};
+use admin::Admin;
+use egress::Egress;
+use flight::Flight;
+use forward::Forwarder;
+use ingress::Ingress;
+use links::Links;
+use listen::{Ending, LinkSide};
+use local::Local;
+use targets::Targets;
+
+/// Time between checks of silent targets and stale evidence.
+const TICK: Duration = Duration::from_millis(250);
+
+/// Longest time for connections to end after the last request of a drain.
+const CLOSE_TIME: Duration = Duration::from_secs(2);
+
+/// A running node.
+pub struct Handle {
+    id: NodeId,
+    link_addr: SocketAddr,
+    caller_addr: SocketAddr,
+    admin_addr: SocketAddr,
+    policy: Arc<Policy>,
+    targets: Arc<Targets>,
+    links: Arc<Links>,
+    local: Arc<Local>,
+    metrics: Metrics,
+    flight: Flight,
+    ending: Ending,
+    stop: CancellationToken,
+    leave: watch::Sender<Leaving>,
+    limits: Limits,
+}
+
+/// How far a drain has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Leaving {
+    /// The node works.
+    No,
+    /// It still takes new work but says that it leaves.
+    Soon,
+    /// It takes no new work.
+    Now,
+}
+
+/// A node that is never fresh; stands in until config sync is connected.
+#[derive(Debug, Default)]
+pub struct Unsynced;
+
+impl Freshness for Unsynced {
+    fn is_fresh(&self) -> bool {
+        false
+    }
+}
+
+impl Admission for Unsynced {
+    async fn admit(&self, _: &Account, _: Duration) -> std::result::Result<(), Refusal> {
+        Err(Refusal::after(Reason::Starting, Duration::from_secs(1)))
+    }
+}
+
+impl Handler for Unsynced {
+    async fn handle(&self, _: Hello, channel: Channel, _: Bytes) -> Result<Bytes> {
+        Err(Error::unavailable(format!("{channel:?} is not served")))
+    }
+}
+
+/// Starts a node that is not connected to config sync; it refuses every keyed request.
+///
+/// # Errors
+///
+/// Fails if a setting breaks a rule or an address can't be bound.
+pub async fn spawn(settings: Settings) -> Result<Handle> {
+    let parts = Parts {
+        policy: Arc::default(),
+        freshness: Arc::new(Unsynced),
+        admission: Arc::new(Unsynced),
+    };
+    spawn_with(settings, NodeId::random(), parts, Arc::new(Unsynced)).await
+}
+
+/// Starts the node `me` with given parts; `handler` serves the frames of other processes.
+///
+/// # Errors
+///
+/// Fails if a setting breaks a rule or an address can't be bound.
+pub async fn spawn_with<F, A, H>(
+    settings: Settings,
+    me: NodeId,
+    parts: Parts<F, A>,
+    handler: Arc<H>,
+) -> Result<Handle>
+where
+    F: Freshness,
+    A: Admission,
+    H: Handler + Send + Sync + 'static,
+{
+    settings.check()?;
+    let limits = settings.limits.clone();
+    let callers = listen::bind("caller", settings.caller_listen).await?;
+    let link = listen::bind("link", settings.link_listen).await?;
+    let admins = listen::bind("admin", settings.admin_listen).await?;
+    let link_addr = settings.link_public.unwrap_or(link.local_addr()?);
+    let clock = Monotonic::new();
+    let metrics = Metrics::open(settings.statsd)?;
+    let flight = Flight::default();
+    let ending = Ending::default();
+    let policy = parts.policy.clone();
+    let freshness = parts.freshness.clone();
+    let targets = Arc::new(Targets::new(clock, settings.zone.clone()));
+    let links = Arc::new(Links::new(me, settings.secret.clone(), limits.connect_time));
+    let local = Local::new(me, settings.zone, clock, limits.connect_time);
+    let local = Arc::new(local);
+    let forwarder = Forwarder::new(targets.clone(), links.clone(), clock, metrics.clone());
+    let ingress = Ingress::new(
+        parts,
+        forwarder,
+        clock,
+        flight.clone(),
+        metrics.clone(),
+        &limits,
+    );
+    let ingress = Arc::new(ingress);
+    let egress = Arc::new(Egress::new(local.clone(), clock, flight.clone(), &limits));
+    let admin = Admin::new(local.clone(), policy.clone(), freshness, metrics.clone());
+    let admin = Arc::new(admin);
+    let handle = Handle {
+        caller_addr: callers.local_addr()?,
+        admin_addr: admins.local_addr()?,
+        id: me,
+        link_addr,
+        policy: policy.clone(),
+        targets: targets.clone(),
+        links,
+        local: local.clone(),
+        metrics,
+        flight,
+        ending: ending.clone(),
+        stop: CancellationToken::new(),
+        leave: watch::Sender::new(Leaving::No),
+        limits: limits.clone(),
+    };
+    let side = LinkSide {
+        me,
+        secret: settings.secret,
+        egress: egress.clone(),
+        handler,
+    };
+    tokio::spawn(listen::serve_links(link, side, ending.clone()));
+    tokio::spawn(listen::serve_admin(admins, admin.clone(), ending.clone()));
+    tokio::spawn(listen::serve_callers(
+        callers,
+        ingress.clone(),
+        limits,
+        ending,
+    ));
+    let sweep = keep_swept(ingress.clone(), targets.clone(), policy);
+    handle.watch(sweep);
+    handle.watch(keep_local(local, targets, link_addr));
+    handle.watch(follow_leave(
+        handle.leave.subscribe(),
+        ingress,
+        egress,
+        admin,
+    ));
+    log::info!(
+        event = "node-started", node:% = me, caller:% = handle.caller_addr,
+        link:% = link_addr, admin:% = handle.admin_addr; "node started"
+    );
+    Ok(handle)
+}
+
+/// Ends open requests at each change of the configuration and when the evidence runs out.
+async fn keep_swept<F: Freshness, A: Admission>(
+    ingress: Arc<Ingress<F, A>>,
+    targets: Arc<Targets>,
+    policy: Arc<Policy>,
+) {
+    let mut changes = policy.changes();
+    changes.mark_changed();
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            changed = changes.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                if let Some(config) = policy.load() {
+                    targets.set_floors(&config);
+                }
+            }
+            _ = ticks.tick() => {}
+        }
+        ingress.sweep();
+    }
+}
+
+/// Removes silent targets and makes this node's own targets known to its ingress.
+async fn keep_local(local: Arc<Local>, targets: Arc<Targets>, addr: SocketAddr) {
+    let mut records = local.records();
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            changed = records.changed() => if changed.is_err() { return },
+            _ = ticks.tick() => local.tick(),
+        }
+        let record = records.borrow_and_update().clone();
+        targets.learn(addr, &record);
+    }
+}
+
+/// Passes the steps of a drain on.
+async fn follow_leave<F: Freshness, A: Admission>(
+    mut leave: watch::Receiver<Leaving>,
+    ingress: Arc<Ingress<F, A>>,
+    egress: Arc<Egress>,
+    admin: Arc<Admin<F>>,
+) {
+    while leave.changed().await.is_ok() {
+        let step = *leave.borrow_and_update();
+        if step != Leaving::No {
+            admin.leave();
+            ingress.close_connections();
+        }
+        if step == Leaving::Now {
+            ingress.drain();
+            egress.drain();
+        }
+    }
+}
+
+impl Handle {
+    /// Returns the identity of this run of the node.
+    pub fn id(&self) -> NodeId {
+        self.id
+    }
+
+    /// Returns where other nodes and control processes connect.
+    pub fn link_addr(&self) -> SocketAddr {
+        self.link_addr
+    }
+
+    /// Returns where callers connect.
+    pub fn caller_addr(&self) -> SocketAddr {
+        self.caller_addr
+    }
+
+    /// Returns where targets and operators connect.
+    pub fn admin_addr(&self) -> SocketAddr {
+        self.admin_addr
+    }
+
+    /// Returns the configuration in force.
+    pub fn policy(&self) -> &Arc<Policy> {
+        &self.policy
+    }
+
+    /// Returns the metrics of the node.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    /// Returns a receiver of the node's own record, for gossip.
+    pub fn records(&self) -> watch::Receiver<NodeRecord> {
+        self.local.records()
+    }
+
+    /// Returns how many requests run.
+    pub fn running(&self) -> usize {
+        self.flight.running()
+    }
+
+    /// Takes over what gossip says of the node with the link address `addr`.
+    pub fn learn(&self, addr: SocketAddr, record: &NodeRecord) {
+        self.targets.learn(addr, record);
+    }
+
+    /// Forgets a node that is gone.
+    pub fn forget(&self, node: NodeId) {
+        self.targets.forget(node);
+        self.links.forget(node);
+    }
+
+    /// Leaves the fleet: takes no new work after a grace time, finishes what runs, then ends.
+    pub async fn drain(self) {
+        log::info!(event = "drain-started", running = self.flight.running(); "drain started");
+        self.local.leave();
+        self.leave.send_replace(Leaving::Soon);
+        tokio::time::sleep(self.limits.drain_grace).await;
+        self.leave.send_replace(Leaving::Now);
+        let finished = timeout(self.limits.drain_max, self.flight.idle()).await;
+        self.ending.closing.cancel();
+        let closed = timeout(CLOSE_TIME, self.ending.connections.idle()).await;
+        self.stop.cancel();
+        log::info!(
+            event = "drain-ended", finished = finished.is_ok(), closed = closed.is_ok();
+            "drain ended"
+        );
+    }
+
+    fn watch(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let stop = self.stop.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = stop.cancelled() => {}
+                () = task => {}
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/node/open.rs
@@ -0,0 +1,61 @@
+//! The local limit of routes that are open to all.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use crate::config::Service;
+use crate::ids::ServiceName;
+use crate::outcome::{Reason, Refusal};
+use crate::time::Time;
+
+/// Thousandths of a request; a rate in thousandths a second adds this many in one second.
+const MILLIS: f64 = 1_000.0;
+
+/// A token bucket for each service.
+#[derive(Debug, Default)]
+pub struct OpenLimit {
+    buckets: Mutex<HashMap<ServiceName, Bucket>>,
+}
+
+#[derive(Debug)]
+struct Bucket {
+    tokens: f64,
+    filled: Time,
+}
+
+impl OpenLimit {
+    /// Admits one request to `service` or says when one will be admitted.
+    pub fn admit(&self, service: &Service, now: Time) -> Result<(), Refusal> {
+        let mut buckets = self.buckets.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(bucket) = buckets.get_mut(&service.name) {
+            return bucket.admit(service, now);
+        }
+        let mut bucket = Bucket {
+            tokens: f64::from(service.open_burst.0),
+            filled: now,
+        };
+        let admitted = bucket.admit(service, now);
+        buckets.insert(service.name.clone(), bucket);
+        admitted
+    }
+}
+
+impl Bucket {
+    fn admit(&mut self, service: &Service, now: Time) -> Result<(), Refusal> {
+        let rate = service.open_rate.as_millis() as f64 / MILLIS;
+        let gained = now.since(self.filled).as_secs_f64() * rate;
+        let burst = f64::from(service.open_burst.0);
+        self.tokens = (self.tokens + gained).min(burst);
+        self.filled = now;
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        if rate <= 0.0 || burst < 1.0 {
+            return Err(Refusal::new(Reason::OpenLimit));
+        }
+        let wait = Duration::from_secs_f64((1.0 - self.tokens) / rate);
+        Err(Refusal::after(Reason::OpenLimit, wait))
+    }
+}
--- /dev/null
+++ b/src/node/plug.rs
@@ -0,0 +1,78 @@
+//! Interfaces through which the request path asks for decisions.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use tokio::sync::watch;
+
+use crate::config::{Account, Config};
+use crate::outcome::Refusal;
+
+/// Proof that the configuration is current.
+pub trait Freshness: Send + Sync + 'static {
+    /// Returns true while keys may be honoured.
+    fn is_fresh(&self) -> bool;
+}
+
+/// The rate limit of client accounts.
+pub trait Admission: Send + Sync + 'static {
+    /// Admits one request of `account` or refuses it; waits no longer than `deadline`.
+    fn admit(
+        &self,
+        account: &Account,
+        deadline: Duration,
+    ) -> impl Future<Output = Result<(), Refusal>> + Send;
+}
+
+/// The configuration in force, with a signal at each change.
+///
+/// It is empty until the first configuration has arrived; requests are refused as `starting` then.
+#[derive(Debug)]
+pub struct Policy {
+    current: ArcSwapOption<Config>,
+    changes: watch::Sender<u64>,
+}
+
+impl Policy {
+    /// Creates a policy without configuration.
+    pub fn new() -> Policy {
+        Policy {
+            current: ArcSwapOption::empty(),
+            changes: watch::Sender::new(0),
+        }
+    }
+
+    /// Puts `config` in force.
+    pub fn store(&self, config: Config) {
+        self.current.store(Some(Arc::new(config)));
+        self.changes.send_modify(|n| *n += 1);
+    }
+
+    /// Returns the configuration in force.
+    pub fn load(&self) -> Option<Arc<Config>> {
+        self.current.load_full()
+    }
+
+    /// Returns a receiver that is notified at each change.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Policy::new()
+    }
+}
+
+/// What the request path of one node is built from.
+pub struct Parts<F, A> {
+    /// The configuration, also written by the sync task.
+    pub policy: Arc<Policy>,
+    /// Proof that the configuration is current.
+    pub freshness: Arc<F>,
+    /// The rate limit of client accounts.
+    pub admission: Arc<A>,
+}
--- /dev/null
+++ b/src/node/pool.rs
@@ -0,0 +1,198 @@
+//! HTTP/1.1 connections to one target.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::{Instant, timeout};
+
+use crate::http::body::Paced;
+use crate::outcome::{Outcome, Reason, Refusal};
+
+/// Longest idle time after which a connection is used again.
+///
+/// Targets close idle connections after a few seconds. A request that meets such a close may be
+/// of unknown outcome, and a new connection costs about 1 ms only.
+const IDLE_MAX: Duration = Duration::from_secs(2);
+
+/// Time for a connection to be ready again after its answer was read whole.
+const READY_TIME: Duration = Duration::from_millis(2);
+
+/// Sends one request at a time to a target.
+pub type Sender = SendRequest<Paced>;
+
+/// The connections to one target.
+#[derive(Debug)]
+pub struct Pool {
+    addr: SocketAddr,
+    patience: Duration,
+    idle: Mutex<Vec<Idle>>,
+    permits: Arc<Semaphore>,
+    limit: AtomicU32,
+    excess: Arc<AtomicUsize>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    sender: Sender,
+    since: Instant,
+}
+
+impl Idle {
+    fn is_usable(&self) -> bool {
+        self.since.elapsed() < IDLE_MAX && !self.sender.is_closed()
+    }
+}
+
+/// An answer and the connection that it arrives on.
+pub struct Reply {
+    /// Head and body of the answer.
+    pub response: Response<Incoming>,
+    /// The connection, to be kept once the answer has been read whole.
+    pub sender: Sender,
+}
+
+impl Pool {
+    /// Creates a pool of at most `connections` connections to `addr`.
+    pub fn new(addr: SocketAddr, connections: u32, patience: Duration) -> Pool {
+        Pool {
+            addr,
+            patience,
+            idle: Mutex::default(),
+            permits: Arc::new(Semaphore::new(connections as usize)),
+            limit: AtomicU32::new(connections),
+            excess: Arc::default(),
+        }
+    }
+
+    /// Changes the most connections; those above it are not replaced when they end.
+    pub fn set_limit(&self, connections: u32) {
+        let before = self.limit.swap(connections, Ordering::SeqCst);
+        if connections > before {
+            self.permits.add_permits((connections - before) as usize);
+        } else {
+            let excess = (before - connections) as usize;
+            let forgotten = self.permits.forget_permits(excess);
+            self.excess.fetch_add(excess - forgotten, Ordering::SeqCst);
+        }
+    }
+
+    /// Sends a request on a kept connection or a new one.
+    ///
+    /// A request that a kept connection proves not to have sent goes out again on a new one.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Outcome::NotRun`] only if no byte of the request was sent.
+    pub async fn send(&self, mut request: Request<Paced>) -> Result<Reply, Outcome> {
+        while let Some(mut sender) = self.take().await {
+            match sender.try_send_request(request).await {
+                Ok(response) => return Ok(Reply { response, sender }),
+                Err(mut e) => match e.take_message() {
+                    Some(unsent) => request = unsent,
+                    None => return Err(unknown(e.error())),
+                },
+            }
+        }
+        let mut sender = self.connect().await.map_err(not_run)?;
+        match sender.try_send_request(request).await {
+            Ok(response) => Ok(Reply { response, sender }),
+            Err(mut e) => Err(match e.take_message() {
+                Some(_) => not_run(Reason::Connect),
+                None => unknown(e.error()),
+            }),
+        }
+    }
+
+    /// Keeps a connection whose last answer was read whole.
+    pub fn keep(&self, sender: Sender) {
+        if sender.is_closed() {
+            return;
+        }
+        let since = Instant::now();
+        self.lock().push(Idle { sender, since });
+    }
+
+    /// Closes connections that were idle for too long.
+    pub fn trim(&self) {
+        self.lock().retain(Idle::is_usable);
+    }
+
+    /// Takes the connection that was used last, so that the others can time out.
+    async fn take(&self) -> Option<Sender> {
+        loop {
+            let mut idle = self.pop()?;
+            if idle.sender.is_ready() {
+                return Some(idle.sender);
+            }
+            if let Ok(Ok(())) = timeout(READY_TIME, idle.sender.ready()).await {
+                return Some(idle.sender);
+            }
+        }
+    }
+
+    fn pop(&self) -> Option<Idle> {
+        let mut all = self.lock();
+        all.retain(Idle::is_usable);
+        all.pop()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Idle>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn connect(&self) -> Result<Sender, Reason> {
+        timeout(self.patience, self.open())
+            .await
+            .unwrap_or(Err(Reason::Connect))
+    }
+
+    async fn open(&self) -> Result<Sender, Reason> {
+        let permit = self.permits.clone().acquire_owned().await;
+        let permit = permit.map_err(|_| Reason::Connect)?;
+        let stream = TcpStream::connect(self.addr).await;
+        let stream = stream.map_err(|_| Reason::Connect)?;
+        stream.set_nodelay(true).map_err(|_| Reason::Connect)?;
+        let (sender, connection) = Builder::new()
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|_| Reason::Connect)?;
+        tokio::spawn(drive(connection, permit, self.excess.clone()));
+        Ok(sender)
+    }
+}
+
+/// Runs a connection; its permit is free only when the socket is closed.
+async fn drive(
+    connection: hyper::client::conn::http1::Connection<TokioIo<TcpStream>, Paced>,
+    permit: OwnedSemaphorePermit,
+    excess: Arc<AtomicUsize>,
+) {
+    if let Err(e) = connection.await {
+        log::debug!(event = "target-connection", error:% = e; "connection to target ended");
+    }
+    let less = |n: usize| n.checked_sub(1);
+    let order = Ordering::SeqCst;
+    if excess.fetch_update(order, order, less).is_ok() {
+        permit.forget();
+    }
+}
+
+fn not_run(reason: Reason) -> Outcome {
+    Outcome::NotRun(Refusal::new(reason))
+}
+
+fn unknown(error: &hyper::Error) -> Outcome {
+    Outcome::Unknown(if error.is_parse() {
+        Reason::TargetError
+    } else {
+        Reason::LostLink
+    })
+}
--- /dev/null
+++ b/src/node/settings.rs
@@ -0,0 +1,129 @@
+//! What a node process needs to know at its start.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::error::{Error, Result};
+use crate::ids::ZoneName;
+use crate::wire::Secret;
+
+/// Settings of a node, checked by [`Settings::check`] before anything is opened.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Where callers connect.
+    pub caller_listen: SocketAddr,
+    /// Where other nodes and control processes connect.
+    pub link_listen: SocketAddr,
+    /// Address under which others reach the link listener; none if it is the bound address.
+    pub link_public: Option<SocketAddr>,
+    /// Where targets on this VM and operators connect.
+    pub admin_listen: SocketAddr,
+    /// Permits an admin listener that is not on loopback.
+    pub admin_public: bool,
+    /// Link addresses of the control processes.
+    pub control: Vec<SocketAddr>,
+    /// Availability zone of this VM.
+    pub zone: ZoneName,
+    /// Secret of the fleet.
+    pub secret: Secret,
+    /// Where metrics go by UDP.
+    pub statsd: Option<SocketAddr>,
+    /// Limits on callers, links and targets.
+    pub limits: Limits,
+}
+
+/// Limits on what one caller, link or target may use.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Most headers of a request.
+    pub header_count: usize,
+    /// Most bytes of a request line with its headers.
+    pub header_bytes: usize,
+    /// Most connections of callers at the same time.
+    pub connections: usize,
+    /// Time for a request line with its headers, from the first byte.
+    pub header_time: Duration,
+    /// Longest silence within a caller's body.
+    pub body_time: Duration,
+    /// Longest silence within a target's answer after its headers.
+    pub answer_time: Duration,
+    /// Longest time in which a caller takes none of an answer.
+    pub write_time: Duration,
+    /// Longest silence between two requests on a connection.
+    pub idle_time: Duration,
+    /// Time for a connection to a target or another node.
+    pub connect_time: Duration,
+    /// Time during which a draining node still takes new work.
+    pub drain_grace: Duration,
+    /// Longest drain; what still runs after it is cut.
+    pub drain_max: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            header_count: 100,
+            header_bytes: 32 * 1024,
+            connections: 20_000,
+            header_time: Duration::from_secs(10),
+            body_time: Duration::from_secs(20),
+            answer_time: Duration::from_secs(60),
+            write_time: Duration::from_secs(30),
+            idle_time: Duration::from_secs(75),
+            connect_time: Duration::from_secs(1),
+            drain_grace: Duration::from_secs(2),
+            drain_max: Duration::from_secs(600),
+        }
+    }
+}
+
+impl Settings {
+    /// Checks the settings as a whole.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the admin listener is reachable from other VMs without permission, if there are
+    /// too many control processes, or if a limit is zero.
+    pub fn check(&self) -> Result<()> {
+        if !self.admin_listen.ip().is_loopback() && !self.admin_public {
+            return Err(Error::invalid(format!(
+                "admin address {} is not on loopback",
+                self.admin_listen
+            )));
+        }
+        if self.control.len() > CONTROL_MAX {
+            return Err(Error::invalid(format!(
+                "at most {CONTROL_MAX} control addresses, not {}",
+                self.control.len()
+            )));
+        }
+        self.limits.check()
+    }
+}
+
+/// Most control processes of a fleet.
+const CONTROL_MAX: usize = 7;
+
+impl Limits {
+    fn check(&self) -> Result<()> {
+        let times = [
+            ("header time", self.header_time),
+            ("body time", self.body_time),
+            ("answer time", self.answer_time),
+            ("write time", self.write_time),
+            ("idle time", self.idle_time),
+            ("connect time", self.connect_time),
+        ];
+        let counts = [
+            ("header count", self.header_count),
+            ("header bytes", self.header_bytes),
+            ("connections", self.connections),
+        ];
+        let zero_time = times.iter().find(|(_, t)| t.is_zero()).map(|(n, _)| n);
+        let zero_count = counts.iter().find(|(_, c)| *c == 0).map(|(n, _)| n);
+        match zero_time.or(zero_count) {
+            Some(name) => Err(Error::invalid(format!("{name} must not be zero"))),
+            None => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/src/node/slots.rs
@@ -0,0 +1,196 @@
+//! The gate of one target with the tasks that wait at it.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+
+use crate::fleet::TargetState;
+use crate::gate::{Cancelled, Decision, Gate, Limits, Load, Offer, Offered};
+use crate::ids::AttemptId;
+use crate::outcome::{Reason, Refusal};
+use crate::time::{Clock, Monotonic};
+
+/// Longest wait before a waiting task asks its gate again.
+const RECHECK: Duration = Duration::from_secs(1);
+
+/// The gate of one target, shared by the tasks of its requests.
+#[derive(Debug)]
+pub struct TargetGate {
+    clock: Monotonic,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    gate: Gate,
+    waiting: HashMap<AttemptId, oneshot::Sender<Result<(), Refusal>>>,
+}
+
+/// A slot in use; it is free again when this is dropped.
+#[derive(Debug)]
+pub struct Lease {
+    gate: Arc<TargetGate>,
+    attempt: AttemptId,
+}
+
+/// A place in the queue; it is left when this is dropped.
+struct Place {
+    gate: Arc<TargetGate>,
+    attempt: AttemptId,
+    left: bool,
+}
+
+impl TargetGate {
+    /// Creates the gate of a target; a cold one opens its slots step by step.
+    pub fn new(clock: Monotonic, limits: Limits, cold: bool) -> Arc<TargetGate> {
+        let state = State {
+            gate: Gate::new(clock.now(), limits, cold),
+            waiting: HashMap::new(),
+        };
+        Arc::new(TargetGate {
+            clock,
+            state: Mutex::new(state),
+        })
+    }
+
+    /// Waits for a slot; dropping the future leaves the queue.
+    ///
+    /// # Errors
+    ///
+    /// Returns the gate's refusal; the request did not run then.
+    pub async fn enter(self: &Arc<Self>, offer: Offer) -> Result<Lease, Refusal> {
+        let attempt = offer.attempt;
+        let (sender, receiver) = oneshot::channel();
+        match self.offer(offer, sender) {
+            Offered::Run => Ok(self.lease(attempt)),
+            Offered::Refused(refusal) => Err(refusal),
+            Offered::Queued => {
+                let place = Place {
+                    gate: self.clone(),
+                    attempt,
+                    left: false,
+                };
+                place.wait(receiver).await
+            }
+        }
+    }
+
+    fn lease(self: &Arc<Self>, attempt: AttemptId) -> Lease {
+        Lease {
+            gate: self.clone(),
+            attempt,
+        }
+    }
+
+    /// Takes over changed limits.
+    pub fn set_limits(&self, limits: Limits) {
+        let mut state = self.lock();
+        let decisions = state.gate.set_limits(self.clock.now(), limits);
+        state.carry_out(decisions);
+    }
+
+    /// Returns the state to publish.
+    pub fn state(&self) -> TargetState {
+        self.lock().gate.state(self.clock.now())
+    }
+
+    /// Returns the present load.
+    pub fn load(&self) -> Load {
+        self.lock().gate.load(self.clock.now())
+    }
+
+    fn offer(&self, offer: Offer, sender: oneshot::Sender<Result<(), Refusal>>) -> Offered {
+        let mut state = self.lock();
+        let attempt = offer.attempt;
+        let offered = state.gate.offer(self.clock.now(), offer);
+        if offered == Offered::Queued {
+            state.waiting.insert(attempt, sender);
+        }
+        offered
+    }
+
+    fn finish(&self, attempt: AttemptId) {
+        let mut state = self.lock();
+        let decisions = state.gate.finish(self.clock.now(), attempt);
+        state.carry_out(decisions);
+    }
+
+    /// Withdraws an attempt that waits or has just been given a slot.
+    fn leave(&self, attempt: AttemptId) {
+        let mut state = self.lock();
+        let now = self.clock.now();
+        state.waiting.remove(&attempt);
+        if state.gate.cancel(now, attempt) == Cancelled::Running {
+            let decisions = state.gate.finish(now, attempt);
+            state.carry_out(decisions);
+        }
+    }
+
+    fn expire(&self) {
+        let mut state = self.lock();
+        let decisions = state.gate.expire(self.clock.now());
+        state.carry_out(decisions);
+    }
+
+    /// Returns the time until the gate wants to be asked again.
+    fn until_expiry(&self) -> Duration {
+        let next = self.lock().gate.next_expiry();
+        next.map_or(RECHECK, |at| at.since(self.clock.now()).min(RECHECK))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn carry_out(&mut self, decisions: Vec<Decision>) {
+        for decision in decisions {
+            let (attempt, result) = match decision {
+                Decision::Run(attempt) => (attempt, Ok(())),
+                Decision::Refuse(attempt, refusal) => (attempt, Err(refusal)),
+            };
+            if let Some(sender) = self.waiting.remove(&attempt) {
+                // A task that has just gone gives its slot back when its place is dropped.
+                let _ = sender.send(result);
+            }
+        }
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        self.gate.finish(self.attempt);
+    }
+}
+
+impl Place {
+    async fn wait(
+        mut self,
+        mut receiver: oneshot::Receiver<Result<(), Refusal>>,
+    ) -> Result<Lease, Refusal> {
+        loop {
+            let expiry = tokio::time::sleep(self.gate.until_expiry());
+            let decided = tokio::select! {
+                decided = &mut receiver => decided,
+                () = expiry => {
+                    self.gate.expire();
+                    continue;
+                }
+            };
+            decided.unwrap_or(Err(Refusal::new(Reason::Deadline)))?;
+            self.left = true;
+            return Ok(self.gate.lease(self.attempt));
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if !self.left {
+            self.gate.leave(self.attempt);
+        }
+    }
+}
