--- a/tests/common/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -82,7 +82,11 @@
     pub fn start(controls: usize, nodes: usize) -> Fleet {
         let dir = TempDir::new().unwrap();
         std::fs::write(dir.path().join("fleet.secret"), "fleet-secret-0123456789").unwrap();
-        std::fs::write(dir.path().join("operator.secret"), "operator-secret-0123456789").unwrap();
+        std::fs::write(
+            dir.path().join("operator.secret"),
+            "operator-secret-0123456789",
+        )
+        .unwrap();
         // Every fleet has a loopback network of its own, so that fixed ports never collide with
         // those of tests that run at the same time.
         let network = (std::process::id() << 4) | (NETWORKS.fetch_add(1, Ordering::Relaxed) & 15);
@@ -144,7 +148,11 @@
 
     fn spawn(&self, name: &str, program: &Path, args: &[(&str, String)]) -> Proc {
         let log = self.path(&format!("{name}.log"));
-        let file = File::options().create(true).append(true).open(&log).unwrap();
+        let file = File::options()
+            .create(true)
+            .append(true)
+            .open(&log)
+            .unwrap();
         let mut command = Command::new(program);
         for (flag, value) in args {
             command.arg(format!("--{flag}")).arg(value);
@@ -219,7 +227,10 @@
         Command::new(env!("CARGO_BIN_EXE_laburnumctl"))
             .args(args)
             .env("LABURNUM_CONTROLS", Self::list(controls))
-            .env("LABURNUM_OPERATOR_SECRET_FILE", self.secret_file("operator"))
+            .env(
+                "LABURNUM_OPERATOR_SECRET_FILE",
+                self.secret_file("operator"),
+            )
             .output()
             .unwrap()
     }
--- /dev/null
+++ b/tests/processes/main.rs
@@ -0,0 +1,4 @@
+//! Tests with real processes on loopback.
+
+mod fleet;
+mod operator_client;
