--- /dev/null
+++ b/src/limit/message.rs
@@ -0,0 +1,114 @@
+//! Messages between seats, owners and holders.
+
+use std::time::Duration;
+
+use crate::ids::{AccountName, NodeId};
+use crate::limit::Shard;
+use crate::time::Time;
+
+/// A candidate's claim on shards, or its renewal, sent to one seat.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Claim {
+    /// The candidate.
+    pub node: NodeId,
+    /// Send time on the candidate's clock; grows with each claim and orders them at the seat.
+    pub sent: Time,
+    /// Digest of the seat layout that the candidate follows.
+    pub layout: u64,
+    /// Shards to vote for.
+    pub claim: Vec<Shard>,
+    /// Shards whose vote is given back.
+    pub release: Vec<Shard>,
+}
+
+/// A seat's answer to a [`Claim`].
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ballot {
+    /// Send time of the claim, echoed.
+    pub sent: Time,
+    /// Shards that the seat voted for.
+    pub granted: Vec<Shard>,
+    /// Shards that another node holds.
+    pub held: Vec<Held>,
+    /// How long the seat still abstains, if it does.
+    pub abstains: Option<Duration>,
+}
+
+/// A vote that a seat has given to another node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// The shard.
+    pub shard: Shard,
+    /// The node voted for.
+    pub holder: NodeId,
+    /// Time until the vote ends unless it is renewed.
+    pub remaining: Duration,
+}
+
+/// A holder's report and request for one account.
+///
+/// Counters grow over the life of a credit, so lost, repeated and reordered asks do no harm.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// The account.
+    pub account: AccountName,
+    /// The holder's number for its line of credit; grows with each new one.
+    pub credit: u64,
+    /// The owner's lease that the credit belongs to, zero if not known yet.
+    pub lease: u64,
+    /// Send time on the holder's clock.
+    pub sent: Time,
+    /// Tokens of the credit spent so far.
+    pub spent: u64,
+    /// Tokens of the credit given back so far.
+    pub returned: u64,
+    /// Requests that wait for a token now.
+    pub waiting: u32,
+    /// Recent demand in thousandths of a request per second.
+    pub demand: u64,
+    /// The holder drops the credit.
+    pub close: bool,
+}
+
+/// An owner's answer to an [`Ask`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// The account.
+    pub account: AccountName,
+    /// The credit of the ask.
+    pub credit: u64,
+    /// Send time of the ask, echoed.
+    pub sent: Time,
+    /// What the owner says.
+    pub reply: Reply,
+}
+
+/// Content of an [`Answer`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// The state of the credit.
+    Grant(Grant),
+    /// The node does not own the shard; it may know who does.
+    Elsewhere(Option<NodeId>),
+}
+
+/// The state of a credit at the owner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// The owner's lease.
+    pub lease: u64,
+    /// Tokens granted over the life of the credit.
+    pub total: u64,
+    /// Time from the answer until every token of the credit expires.
+    pub valid_for: Duration,
+    /// Time from the answer until the last granted token may be spent.
+    pub ready_in: Duration,
+    /// Time in which the account mints one token.
+    pub gap: Duration,
+    /// Tokens that the holder should keep; it returns more than that.
+    pub target: u64,
+    /// Time until a token exists for this holder, if a waiting request got none.
+    pub retry: Option<Duration>,
+    /// Time between tokens for this holder while they are scarce.
+    pub pace: Duration,
+}
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -1,1 +1,64 @@
 //! Rates and bursts of client accounts over the whole fleet.
+//!
+//! An account hashes to a [`Shard`]. A node that holds a lease on the shard from a majority of its
+//! [`Seat`]s is the shard's [`Owner`] and keeps one bucket for each account in use. The other nodes
+//! run a [`Holder`] that spends tokens granted by the owner. [`Placement`] names the seats and the
+//! candidates of each shard.
+//!
+//! Over any interval `t` the fleet admits at most `rate * t + burst` requests of an account:
+//!
+//! - `level + outstanding` of a bucket never exceeds the burst, where outstanding tokens are those
+//!   granted and neither reported nor expired.
+//! - Tokens are granted in advance of minting only with the time from which they may be spent.
+//! - No grant outlives the owner's lease, and a new owner starts with an empty bucket.
+//! - Every check takes the time read at the check, so that a paused process spends nothing late.
+//!
+//! A restarted seat abstains for one lease, since it has forgotten its votes. A fleet that starts
+//! as a whole therefore grants its first tokens about [`LEASE`] after the start.
+
+mod bucket;
+mod holder;
+mod message;
+mod owner;
+mod placement;
+mod seat;
+
+use std::time::Duration;
+
+pub use holder::{Admit, Done, Holder, Ticket};
+pub use message::{Answer, Ask, Ballot, Claim, Grant, Held, Reply};
+pub use owner::{Accounts, Allowance, Owner};
+pub use placement::{Placement, SEAT_COUNT, Shard, Site};
+pub use seat::Seat;
+
+/// Number of shards that accounts hash to.
+pub const SHARD_COUNT: u16 = 2_048;
+
+/// Length of a seat's vote for the owner of a shard.
+pub const LEASE: Duration = Duration::from_secs(3);
+
+/// Time between renewals of a lease.
+pub const RENEW_PERIOD: Duration = Duration::from_secs(1);
+
+/// Period of batched reports from holders to owners.
+pub const BATCH_PERIOD: Duration = Duration::from_millis(100);
+
+/// Longest time that a request waits for a token before it is refused.
+pub const WAIT_MAX: Duration = Duration::from_millis(100);
+
+/// Time after which an unanswered ask is sent again.
+pub const ASK_TIMEOUT: Duration = Duration::from_millis(25);
+
+/// Two clocks that each drift by at most 1 % differ by less than 2.03 % of a duration, so a
+/// duration measured by another process is shortened or lengthened by 2.1 %.
+const DRIFT_PER_MILLE: u32 = 21;
+
+/// Returns a duration that ends on this clock before `d` ends on the clock that measured it.
+fn shrink(d: Duration) -> Duration {
+    d * (1_000 - DRIFT_PER_MILLE) / 1_000
+}
+
+/// Returns a duration that ends on this clock after `d` ends on the clock that measured it.
+fn stretch(d: Duration) -> Duration {
+    d * (1_000 + DRIFT_PER_MILLE) / 1_000
+}
--- /dev/null
+++ b/src/limit/placement.rs
@@ -0,0 +1,212 @@
+//! Which nodes may own a shard and which nodes are its seats.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::ids::{AccountName, NodeId, ZoneName};
+use crate::limit::SHARD_COUNT;
+
+/// Seats of a shard, as far as there are nodes.
+pub const SEAT_COUNT: usize = 3;
+
+/// Nodes for which one set of seats is named, so that renewals stay inside the byte budget.
+const GROUP_NODES: usize = 64;
+
+/// Seed that separates the order of seats from the order of owners.
+const SEAT_SEED: u64 = 1 << 32;
+
+/// A part of the accounts that has one owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Shard(pub u16);
+
+impl Shard {
+    /// Returns the shard of an account.
+    pub fn of(account: &AccountName) -> Shard {
+        let hash = xxh3_64(account.as_str().as_bytes());
+        Shard((hash % u64::from(SHARD_COUNT)) as u16)
+    }
+}
+
+impl fmt::Display for Shard {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// A node as placement sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Site {
+    /// The process.
+    pub id: NodeId,
+    /// Its link address, which stays the same over restarts.
+    pub addr: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+}
+
+impl Site {
+    fn weight(&self, seed: u64) -> u64 {
+        xxh3_64_with_seed(self.addr.to_string().as_bytes(), seed)
+    }
+}
+
+/// Seats of every group of shards.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Layout {
+    groups: Vec<Vec<SocketAddr>>,
+    digest: u64,
+}
+
+impl Layout {
+    fn of(sites: &[Site]) -> Layout {
+        let count = sites.len().div_ceil(GROUP_NODES) as u64;
+        let groups: Vec<_> = (0..count).map(|g| choose_seats(sites, g)).collect();
+        let digest = xxh3_64(format!("{groups:?}").as_bytes());
+        Layout { groups, digest }
+    }
+
+    fn seats(&self, shard: Shard) -> &[SocketAddr] {
+        match self.groups.len() {
+            0 => &[],
+            n => &self.groups[usize::from(shard.0) % n],
+        }
+    }
+}
+
+/// Takes the first node of each zone in rendezvous order, then the rest in that order.
+fn choose_seats(sites: &[Site], group: u64) -> Vec<SocketAddr> {
+    let mut order: Vec<&Site> = sites.iter().collect();
+    order.sort_by_key(|site| (site.weight(SEAT_SEED + group), site.addr));
+    order.dedup_by_key(|site| site.addr);
+    let mut zones: Vec<&ZoneName> = Vec::new();
+    let (mut first, mut rest) = (Vec::new(), Vec::new());
+    for site in order {
+        if zones.contains(&&site.zone) {
+            rest.push(site.addr);
+        } else {
+            zones.push(&site.zone);
+            first.push(site.addr);
+        }
+    }
+    first.extend(rest);
+    first.truncate(SEAT_COUNT);
+    first
+}
+
+/// Candidates and seats of every shard, by one node's view of the registry.
+///
+/// Both orders hash the address, so that a restarted process takes the place that it had before.
+///
+/// When the registry changes the seats, a lease needs a majority of the old and of the new seats
+/// until [`Placement::settle`] is called. A seat votes only for claims of its own layout. Both
+/// rules together keep a node that has not learned the change from winning beside one that has.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    me: NodeId,
+    sites: Vec<Site>,
+    live: Vec<bool>,
+    first: Vec<Option<NodeId>>,
+    layouts: Vec<Layout>,
+}
+
+impl Placement {
+    /// Creates a placement without members.
+    pub fn new(me: NodeId) -> Placement {
+        Placement {
+            me,
+            sites: Vec::new(),
+            live: Vec::new(),
+            first: vec![None; usize::from(SHARD_COUNT)],
+            layouts: Vec::new(),
+        }
+    }
+
+    /// Takes over the registry's members and this node's view of which of them are alive.
+    ///
+    /// This node counts as alive.
+    pub fn set_members(&mut self, sites: &[Site], live: impl Fn(NodeId) -> bool) {
+        let alive: Vec<bool> = sites.iter().map(|s| s.id == self.me || live(s.id)).collect();
+        if self.sites != sites {
+            self.sites = sites.to_vec();
+            self.add_layout(Layout::of(sites));
+        } else if self.live == alive {
+            return;
+        }
+        self.live = alive;
+        self.order();
+    }
+
+    /// Forgets earlier seats.
+    ///
+    /// To be called when the present registry has been accepted for longer than the lifetime of
+    /// evidence and a lease, so that no node with an older registry honours keys any more.
+    pub fn settle(&mut self) {
+        let last = self.layouts.pop();
+        self.layouts.clear();
+        self.layouts.extend(last);
+    }
+
+    /// Returns this node.
+    pub fn me(&self) -> NodeId {
+        self.me
+    }
+
+    /// Returns the first live node in the rendezvous order of a shard.
+    pub fn candidate(&self, shard: Shard) -> Option<NodeId> {
+        self.first[usize::from(shard.0)]
+    }
+
+    /// Returns true if this node believes that `node` is alive.
+    pub fn is_live(&self, node: NodeId) -> bool {
+        self.sites
+            .iter()
+            .zip(&self.live)
+            .any(|(site, live)| *live && site.id == node)
+    }
+
+    /// Returns the link address of a member.
+    pub fn addr(&self, node: NodeId) -> Option<SocketAddr> {
+        let site = self.sites.iter().find(|site| site.id == node)?;
+        Some(site.addr)
+    }
+
+    /// Returns the digest of the seat layout that claims must name.
+    pub fn layout(&self) -> u64 {
+        self.layouts.last().map_or(0, |layout| layout.digest)
+    }
+
+    /// Returns the sets of seats of a shard; a lease needs a majority of each.
+    pub fn seat_sets(&self, shard: Shard) -> impl Iterator<Item = &[SocketAddr]> {
+        self.layouts.iter().map(move |layout| layout.seats(shard))
+    }
+
+    /// Returns every seat whose vote on a shard may be needed.
+    pub fn seats(&self, shard: Shard) -> Vec<SocketAddr> {
+        let mut seats: Vec<_> = self.seat_sets(shard).flatten().copied().collect();
+        seats.sort();
+        seats.dedup();
+        seats
+    }
+
+    fn add_layout(&mut self, layout: Layout) {
+        self.layouts.retain(|l| l.digest != layout.digest);
+        self.layouts.push(layout);
+    }
+
+    fn order(&mut self) {
+        let mut hashes = BTreeMap::new();
+        for (site, live) in self.sites.iter().zip(&self.live) {
+            if *live {
+                hashes.insert(site.weight(0), site.id);
+            }
+        }
+        for shard in 0..SHARD_COUNT {
+            let weight = |hash: &u64| xxh3_64_with_seed(&hash.to_le_bytes(), u64::from(shard) + 1);
+            let best = hashes.iter().min_by_key(|(hash, _)| weight(hash));
+            self.first[usize::from(shard)] = best.map(|(_, id)| *id);
+        }
+    }
+}
--- /dev/null
+++ b/src/limit/seat.rs
@@ -0,0 +1,103 @@
+//! The voter that leases shards to owners.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::ids::NodeId;
+use crate::limit::{Ballot, Claim, Held, LEASE, Shard, stretch};
+use crate::time::Time;
+
+/// One of the seats of a shard: it gives each shard's vote to one node at a time.
+#[derive(Clone, Debug)]
+pub struct Seat {
+    started: Time,
+    votes: BTreeMap<Shard, Vote>,
+    latest: BTreeMap<NodeId, Time>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Vote {
+    holder: NodeId,
+    until: Time,
+}
+
+impl Seat {
+    /// Creates the seat of a process that starts at `now`.
+    ///
+    /// It abstains for one lease, because the process may have voted before it restarted.
+    pub fn new(now: Time) -> Seat {
+        Seat {
+            started: now,
+            votes: BTreeMap::new(),
+            latest: BTreeMap::new(),
+        }
+    }
+
+    /// Votes on a claim; `layout` is the digest of the seat layout that this node follows.
+    ///
+    /// Returns `None` for a claim that arrives after a later one of the same node. Such a claim
+    /// must not undo what the later one did.
+    pub fn vote(&mut self, now: Time, layout: u64, claim: &Claim) -> Option<Ballot> {
+        if self.latest.get(&claim.node).is_some_and(|t| *t > claim.sent) {
+            return None;
+        }
+        self.latest.insert(claim.node, claim.sent);
+        self.release(claim);
+        let mut ballot = Ballot {
+            sent: claim.sent,
+            abstains: self.abstains(now),
+            ..Ballot::default()
+        };
+        if ballot.abstains.is_some() || layout != claim.layout {
+            return Some(ballot);
+        }
+        for &shard in &claim.claim {
+            match self.other_holder(now, shard, claim.node) {
+                Some(held) => ballot.held.push(held),
+                None => {
+                    self.grant(now, shard, claim.node);
+                    ballot.granted.push(shard);
+                }
+            }
+        }
+        Some(ballot)
+    }
+
+    /// Drops ended votes and the claim times of nodes without one.
+    pub fn expire(&mut self, now: Time) {
+        self.votes.retain(|_, vote| vote.until > now);
+        let votes = &self.votes;
+        self.latest
+            .retain(|node, _| votes.values().any(|vote| vote.holder == *node));
+    }
+
+    fn abstains(&self, now: Time) -> Option<Duration> {
+        let end = self.started + stretch(LEASE);
+        (now < end).then(|| end.since(now))
+    }
+
+    fn release(&mut self, claim: &Claim) {
+        for shard in &claim.release {
+            if self.votes.get(shard).is_some_and(|v| v.holder == claim.node) {
+                self.votes.remove(shard);
+            }
+        }
+    }
+
+    fn other_holder(&self, now: Time, shard: Shard, node: NodeId) -> Option<Held> {
+        let vote = self.votes.get(&shard)?;
+        if vote.holder == node || vote.until <= now {
+            return None;
+        }
+        Some(Held {
+            shard,
+            holder: vote.holder,
+            remaining: vote.until.since(now),
+        })
+    }
+
+    fn grant(&mut self, now: Time, shard: Shard, holder: NodeId) {
+        let until = now + stretch(LEASE);
+        self.votes.insert(shard, Vote { holder, until });
+    }
+}
