Add owners, holders and credits of the rate limits

An owner keeps one bucket for each account in use and grants credits whose counters only grow, so that lost, repeated and reordered messages cannot count a token twice. No test has run against it yet.

--- /dev/null
+++ b/src/limit/credit.rs
@@ -0,0 +1,129 @@
+//! A holder's line of credit at one owner for one account.
+
+use crate::ids::AccountName;
+use crate::limit::{Ask, Grant, shrink, stretch};
+use crate::time::Time;
+
+/// Tokens granted under one lease; all of them expire together.
+#[derive(Clone, Debug)]
+pub(super) struct Credit {
+    number: u64,
+    /// Zero until the first answer.
+    lease: u64,
+    total: u64,
+    spent: u64,
+    returned: u64,
+    reported: u64,
+    until: Time,
+    settled: u64,
+    ready: Time,
+}
+
+impl Credit {
+    pub(super) fn new(number: u64) -> Credit {
+        Credit {
+            number,
+            lease: 0,
+            total: 0,
+            spent: 0,
+            returned: 0,
+            reported: 0,
+            until: Time::ZERO,
+            settled: 0,
+            ready: Time::ZERO,
+        }
+    }
+
+    pub(super) fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Returns true if the credit has had tokens and they have expired.
+    pub(super) fn is_expired(&self, now: Time) -> bool {
+        self.lease != 0 && self.until <= now
+    }
+
+    /// Returns the tokens that may be spent at `now`.
+    pub(super) fn usable(&self, now: Time) -> u64 {
+        if self.until <= now {
+            return 0;
+        }
+        let open = if self.ready <= now {
+            self.total
+        } else {
+            self.settled
+        };
+        open.saturating_sub(self.spent + self.returned)
+    }
+
+    /// Returns the tokens that may be spent at `now` or later.
+    pub(super) fn held(&self, now: Time) -> u64 {
+        match self.until <= now {
+            true => 0,
+            false => self.total - self.spent - self.returned,
+        }
+    }
+
+    /// Returns when the tokens that are granted in advance may be spent.
+    pub(super) fn ready_at(&self, now: Time) -> Option<Time> {
+        (self.ready > now && self.settled < self.total).then_some(self.ready)
+    }
+
+    pub(super) fn unreported(&self) -> u64 {
+        self.spent - self.reported
+    }
+
+    pub(super) fn spend(&mut self, now: Time) -> bool {
+        let usable = self.usable(now) > 0;
+        self.spent += u64::from(usable);
+        usable
+    }
+
+    /// Gives back the tokens beyond `keep`.
+    pub(super) fn give_back(&mut self, now: Time, keep: u64) {
+        self.returned += self.held(now).saturating_sub(keep);
+    }
+
+    /// Books the state at the owner; returns false if the owner no longer knows the credit.
+    ///
+    /// The expiry counts from the send time of the ask, which is before the owner's answer.
+    pub(super) fn book(&mut self, now: Time, sent: Time, grant: &Grant) -> bool {
+        if grant.valid_for.is_zero() || (self.lease != 0 && self.lease != grant.lease) {
+            return false;
+        }
+        self.lease = grant.lease;
+        if self.ready <= now {
+            self.settled = self.total;
+        }
+        if grant.total > self.total {
+            self.ready = self.ready.max(now + stretch(grant.ready_in));
+        }
+        self.total = self.total.max(grant.total);
+        self.settled = self.settled.max(grant.settled);
+        self.until = self.until.max(sent + shrink(grant.valid_for));
+        true
+    }
+
+    pub(super) fn ask(&mut self, now: Time, name: &AccountName) -> Ask {
+        self.reported = self.spent;
+        Ask {
+            account: name.clone(),
+            credit: self.number,
+            lease: self.lease,
+            sent: now,
+            spent: self.spent,
+            returned: self.returned,
+            waiting: 0,
+            demand: 0,
+            close: false,
+        }
+    }
+
+    /// Gives back all tokens and returns the last ask of the credit.
+    pub(super) fn close(mut self, now: Time, name: &AccountName) -> Ask {
+        self.give_back(now, 0);
+        let mut ask = self.ask(now, name);
+        ask.close = true;
+        ask
+    }
+}
--- a/src/limit/message.rs
+++ b/src/limit/message.rs
@@ -101,10 +101,10 @@
     pub total: u64,
     /// Time from the answer until every token of the credit expires.
     pub valid_for: Duration,
-    /// Time from the answer until the last granted token may be spent.
+    /// Part of the total that may be spent at once.
+    pub settled: u64,
+    /// Time from the answer until the rest of the total may be spent.
     pub ready_in: Duration,
-    /// Time in which the account mints one token.
-    pub gap: Duration,
     /// Tokens that the holder should keep; it returns more than that.
     pub target: u64,
     /// Time until a token exists for this holder, if a waiting request got none.
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -17,6 +17,7 @@
 //! as a whole therefore grants its first tokens about [`LEASE`] after the start.
 
 mod bucket;
+mod credit;
 mod holder;
 mod message;
 mod owner;
--- /dev/null
+++ b/src/limit/owner.rs
@@ -0,0 +1,326 @@
+//! Leases on shards and the buckets of the shards that a node owns.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::ids::{AccountName, NodeId};
+use crate::limit::bucket::Bucket;
+use crate::limit::{
+    Answer, Ask, Ballot, Claim, LEASE, Placement, RENEW_PERIOD, Reply, SHARD_COUNT, Shard,
+};
+use crate::time::Time;
+use crate::units::{Burst, Rate};
+
+/// Rate and burst of a client account.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Allowance {
+    /// Tokens minted per second.
+    pub rate: Rate,
+    /// Most tokens that exist at one instant.
+    pub burst: Burst,
+}
+
+/// The accounts in force.
+pub trait Accounts {
+    /// Returns the allowance of an account, or `None` if it is unknown.
+    fn allowance(&self, name: &AccountName) -> Option<Allowance>;
+}
+
+/// A node's part as owner of shards: it wins leases and grants tokens.
+#[derive(Clone, Debug)]
+pub struct Owner {
+    node: NodeId,
+    shards: BTreeMap<Shard, Tenure>,
+    leases: u64,
+}
+
+/// What the node knows about one shard.
+#[derive(Clone, Debug, Default)]
+struct Tenure {
+    votes: BTreeMap<SocketAddr, Time>,
+    next_claim: Time,
+    /// Send time of the last release; ballots of earlier claims are void.
+    released: Time,
+    other: Option<Other>,
+    lease: Option<Lease>,
+}
+
+/// Another node that a seat has voted for.
+#[derive(Clone, Copy, Debug)]
+struct Other {
+    node: NodeId,
+    until: Time,
+}
+
+/// A lease that this node holds.
+#[derive(Clone, Debug)]
+struct Lease {
+    number: u64,
+    since: Time,
+    buckets: BTreeMap<AccountName, Bucket>,
+}
+
+impl Tenure {
+    /// Returns the time until which a majority of each set of seats has voted for this node.
+    fn until(&self, placement: &Placement, shard: Shard) -> Time {
+        placement
+            .seat_sets(shard)
+            .map(|seats| self.majority_until(seats))
+            .min()
+            .unwrap_or(Time::ZERO)
+    }
+
+    fn majority_until(&self, seats: &[SocketAddr]) -> Time {
+        let mut votes: Vec<Time> = seats
+            .iter()
+            .filter_map(|s| self.votes.get(s))
+            .copied()
+            .collect();
+        votes.sort();
+        let majority = seats.len() / 2 + 1;
+        match votes.len().checked_sub(majority) {
+            Some(index) => votes[index],
+            None => Time::ZERO,
+        }
+    }
+
+    /// Drops a lease that has ended, and with it every bucket.
+    fn lapse(&mut self, now: Time, until: Time) {
+        if until <= now {
+            self.lease = None;
+        }
+    }
+}
+
+impl Owner {
+    /// Creates the owner part of `node`, without leases.
+    pub fn new(node: NodeId) -> Owner {
+        Owner {
+            node,
+            shards: BTreeMap::new(),
+            leases: 0,
+        }
+    }
+
+    /// Returns the claims that are due, one for each seat; `mine` says which shards are handled here.
+    ///
+    /// A node claims the shards that it holds and those whose first live candidate it is, unless a
+    /// seat has said that another node holds them. It gives back votes that it has no use for.
+    pub fn claims(
+        &mut self,
+        now: Time,
+        placement: &Placement,
+        mine: impl Fn(Shard) -> bool,
+    ) -> BTreeMap<SocketAddr, Claim> {
+        let mut claims = BTreeMap::new();
+        for shard in (0..SHARD_COUNT).map(Shard).filter(|s| mine(*s)) {
+            let first = placement.candidate(shard) == Some(self.node);
+            if !first && !self.shards.contains_key(&shard) {
+                continue;
+            }
+            self.claim_shard(now, placement, shard, first, &mut claims);
+        }
+        claims
+    }
+
+    fn claim_shard(
+        &mut self,
+        now: Time,
+        placement: &Placement,
+        shard: Shard,
+        first: bool,
+        claims: &mut BTreeMap<SocketAddr, Claim>,
+    ) {
+        let tenure = self.shards.entry(shard).or_default();
+        tenure.lapse(now, tenure.until(placement, shard));
+        tenure.votes.retain(|_, until| *until > now);
+        let held_by_other = tenure.other.is_some_and(|o| o.until > now);
+        let wants = tenure.lease.is_some() || (first && !held_by_other);
+        if wants && now < tenure.next_claim {
+            return;
+        }
+        let new_claim = || Claim {
+            node: self.node,
+            sent: now,
+            layout: placement.layout(),
+            claim: Vec::new(),
+            release: Vec::new(),
+        };
+        if wants {
+            tenure.next_claim = now + RENEW_PERIOD;
+            for seat in placement.seats(shard) {
+                claims
+                    .entry(seat)
+                    .or_insert_with(new_claim)
+                    .claim
+                    .push(shard);
+            }
+            return;
+        }
+        for seat in std::mem::take(&mut tenure.votes).into_keys() {
+            tenure.released = now;
+            claims
+                .entry(seat)
+                .or_insert_with(new_claim)
+                .release
+                .push(shard);
+        }
+        if !first && !held_by_other {
+            self.shards.remove(&shard);
+        }
+    }
+
+    /// Books the answer of a seat to a claim of this node.
+    ///
+    /// The vote counts from the claim's send time, which is before the seat's receive time.
+    pub fn ballot(&mut self, now: Time, placement: &Placement, seat: SocketAddr, ballot: &Ballot) {
+        let until = ballot.sent + LEASE;
+        for &shard in &ballot.granted {
+            self.book_vote(now, placement, shard, seat, ballot.sent, until);
+        }
+        for held in &ballot.held {
+            let tenure = self.shards.entry(held.shard).or_default();
+            let until = now + held.remaining;
+            tenure.votes.remove(&seat);
+            tenure.other = Some(Other {
+                node: held.holder,
+                until,
+            });
+        }
+        if let Some(wait) = ballot.abstains {
+            self.retry_in(now, wait);
+        }
+    }
+
+    fn book_vote(
+        &mut self,
+        now: Time,
+        placement: &Placement,
+        shard: Shard,
+        seat: SocketAddr,
+        sent: Time,
+        until: Time,
+    ) {
+        let Some(tenure) = self.shards.get_mut(&shard) else {
+            return;
+        };
+        if sent <= tenure.released && tenure.released > Time::ZERO {
+            return;
+        }
+        tenure.lapse(now, tenure.until(placement, shard));
+        let vote = tenure.votes.entry(seat).or_insert(until);
+        *vote = until.max(*vote);
+        if tenure.lease.is_none() && tenure.until(placement, shard) > now {
+            self.leases += 1;
+            tenure.other = None;
+            tenure.lease = Some(Lease {
+                number: lease_number(self.node, self.leases),
+                since: now,
+                buckets: BTreeMap::new(),
+            });
+        }
+    }
+
+    /// Claims again after `wait` those shards that have too few votes yet.
+    fn retry_in(&mut self, now: Time, wait: Duration) {
+        for tenure in self.shards.values_mut().filter(|t| t.lease.is_none()) {
+            tenure.next_claim = tenure.next_claim.min(now + wait);
+        }
+    }
+
+    /// Answers a holder's ask.
+    pub fn ask(
+        &mut self,
+        now: Time,
+        placement: &Placement,
+        from: NodeId,
+        ask: &Ask,
+        accounts: &impl Accounts,
+    ) -> Answer {
+        Answer {
+            account: ask.account.clone(),
+            credit: ask.credit,
+            sent: ask.sent,
+            reply: self.reply(now, placement, from, ask, accounts),
+        }
+    }
+
+    fn reply(
+        &mut self,
+        now: Time,
+        placement: &Placement,
+        from: NodeId,
+        ask: &Ask,
+        accounts: &impl Accounts,
+    ) -> Reply {
+        let shard = Shard::of(&ask.account);
+        let Some(tenure) = self.shards.get_mut(&shard) else {
+            return Reply::Elsewhere(placement.candidate(shard).filter(|n| *n != self.node));
+        };
+        let until = tenure.until(placement, shard);
+        tenure.lapse(now, until);
+        let Some(lease) = &mut tenure.lease else {
+            let other = tenure.other.filter(|o| o.until > now);
+            return Reply::Elsewhere(other.map(|o| o.node));
+        };
+        let Some(allowance) = accounts.allowance(&ask.account) else {
+            return Reply::Elsewhere(None);
+        };
+        let bucket = lease
+            .buckets
+            .entry(ask.account.clone())
+            .or_insert_with(|| Bucket::new(allowance, lease.since, now));
+        bucket.change(now, allowance);
+        Reply::Grant(bucket.ask(now, from, ask, lease.number, until.since(now)))
+    }
+
+    /// Takes over a changed allowance at once; `old` is what was in force until now.
+    ///
+    /// An account without a bucket here gets one at the level of the old allowance, so that a
+    /// higher burst fills at the new rate and is not there at once.
+    pub fn change(&mut self, now: Time, name: &AccountName, old: Allowance, new: Allowance) {
+        let tenure = self.shards.get_mut(&Shard::of(name));
+        let Some(lease) = tenure.and_then(|t| t.lease.as_mut()) else {
+            return;
+        };
+        let since = lease.since;
+        lease
+            .buckets
+            .entry(name.clone())
+            .or_insert_with(|| Bucket::new(old, since, now))
+            .change(now, new);
+    }
+
+    /// Forgets the buckets of accounts that are not in use.
+    pub fn expire(&mut self, now: Time) {
+        for lease in self.shards.values_mut().filter_map(|t| t.lease.as_mut()) {
+            lease.buckets.retain(|_, bucket| !bucket.is_idle(now));
+        }
+    }
+
+    /// Returns the number of shards held, by this node's last look at its votes.
+    pub fn shard_count(&self) -> usize {
+        self.shards.values().filter(|t| t.lease.is_some()).count()
+    }
+
+    /// Returns the number of buckets.
+    pub fn bucket_count(&self) -> usize {
+        let leases = self.shards.values().filter_map(|t| t.lease.as_ref());
+        leases.map(|lease| lease.buckets.len()).sum()
+    }
+
+    /// Returns true if this node holds the lease of a shard at `now`.
+    pub fn holds(&self, now: Time, placement: &Placement, shard: Shard) -> bool {
+        self.shards
+            .get(&shard)
+            .is_some_and(|t| t.lease.is_some() && t.until(placement, shard) > now)
+    }
+}
+
+/// Returns a number that no other node gives to a lease.
+fn lease_number(node: NodeId, count: u64) -> u64 {
+    xxh3_64_with_seed(&node.0.to_le_bytes(), count).max(1)
+}
--- a/src/limit/placement.rs
+++ b/src/limit/placement.rs
@@ -128,7 +128,10 @@
     ///
     /// This node counts as alive.
     pub fn set_members(&mut self, sites: &[Site], live: impl Fn(NodeId) -> bool) {
-        let alive: Vec<bool> = sites.iter().map(|s| s.id == self.me || live(s.id)).collect();
+        let alive: Vec<bool> = sites
+            .iter()
+            .map(|s| s.id == self.me || live(s.id))
+            .collect();
         if self.sites != sites {
             self.sites = sites.to_vec();
             self.add_layout(Layout::of(sites));
--- a/src/limit/seat.rs
+++ b/src/limit/seat.rs
@@ -38,7 +38,11 @@
     /// Returns `None` for a claim that arrives after a later one of the same node. Such a claim
     /// must not undo what the later one did.
     pub fn vote(&mut self, now: Time, layout: u64, claim: &Claim) -> Option<Ballot> {
-        if self.latest.get(&claim.node).is_some_and(|t| *t > claim.sent) {
+        if self
+            .latest
+            .get(&claim.node)
+            .is_some_and(|t| *t > claim.sent)
+        {
             return None;
         }
         self.latest.insert(claim.node, claim.sent);
@@ -78,7 +82,11 @@
 
     fn release(&mut self, claim: &Claim) {
         for shard in &claim.release {
-            if self.votes.get(shard).is_some_and(|v| v.holder == claim.node) {
+            if self
+                .votes
+                .get(shard)
+                .is_some_and(|v| v.holder == claim.node)
+            {
                 self.votes.remove(shard);
             }
         }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -149,9 +149,7 @@
             return Vec::new();
         };
         let parts = value.split(',').filter(|part| !part.trim().is_empty());
-        parts
-            .filter_map(|part| self.parse(&source, part))
-            .collect()
+        parts.filter_map(|part| self.parse(&source, part)).collect()
     }
 
     /// Reads a secret from the file of setting `name-file`, or else from the variable of `name`.
