Queue fairly between accounts at the gate

Start-time fair queueing by account with slot time as cost, a part of the queue and of the slots for anonymous requests, refusals by queue length, account share and expected wait, and slots that grow from a cold start.

--- /dev/null
+++ b/src/gate/fair.rs
@@ -0,0 +1,211 @@
+//! Start-time fair queueing between client accounts.
+//!
+//! Start-time fair queueing is preferred to deficit round robin for two reasons. Rates differ by
+//! more than a thousand between accounts, so one round with a quantum for the smallest account
+//! hands a long run of slots to the largest. And the cost of a request, its slot time, is known
+//! only when it ends; a tag can be corrected afterwards, a spent quantum can't.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::ids::{AccountName, AttemptId};
+use crate::time::Time;
+use crate::units::Rate;
+
+/// A request that waits for a slot.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Waiting {
+    pub attempt: AttemptId,
+    pub deadline: Time,
+}
+
+/// A request that left the queue, with the tag from which its account was charged.
+#[derive(Clone, Debug)]
+pub(super) struct Charge {
+    pub account: AccountName,
+    pub weight: Rate,
+    start: f64,
+    cost: Duration,
+}
+
+#[derive(Clone, Debug)]
+struct Flow {
+    account: AccountName,
+    weight: Rate,
+    /// Virtual time up to which the account has used its share.
+    finish: f64,
+    waiting: VecDeque<Waiting>,
+}
+
+impl Flow {
+    fn start(&self, clock: f64) -> f64 {
+        self.finish.max(clock)
+    }
+
+    /// Returns the virtual time that `cost` takes at this weight.
+    fn step(&self, cost: Duration) -> f64 {
+        virtual_time(cost, self.weight)
+    }
+}
+
+fn virtual_time(cost: Duration, weight: Rate) -> f64 {
+    cost.as_secs_f64() / weight.as_f64().max(f64::MIN_POSITIVE)
+}
+
+/// The queues of all accounts with the virtual clock that orders them.
+#[derive(Clone, Debug, Default)]
+pub(super) struct FairQueue {
+    /// Sorted by account.
+    flows: Vec<Flow>,
+    clock: f64,
+    len: usize,
+}
+
+impl FairQueue {
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Returns how many requests of `account` wait.
+    pub fn len_of(&self, account: &AccountName) -> usize {
+        match self.find(account) {
+            Ok(at) => self.flows[at].waiting.len(),
+            Err(_) => 0,
+        }
+    }
+
+    /// Returns how many waiting requests would go before a new one of `account`.
+    ///
+    /// A flow's k-th request starts k steps after its head, so those below the new tag are ahead.
+    pub fn ahead_of(&self, account: &AccountName, weight: Rate, cost: Duration) -> usize {
+        let cost = cost.max(LEAST_COST);
+        let (start, own) = match self.find(account) {
+            Ok(at) => {
+                let flow = &self.flows[at];
+                (flow.start(self.clock), flow.waiting.len())
+            }
+            Err(_) => (self.clock, 0),
+        };
+        let tag = start + own as f64 * virtual_time(cost, weight);
+        let others = self.flows.iter().filter(|f| f.account != *account);
+        let before = |f: &Flow| {
+            let steps = (tag - f.start(self.clock)) / f.step(cost);
+            (steps.floor().max(-1.0) as i64 + 1).clamp(0, f.waiting.len() as i64) as usize
+        };
+        own + others.map(before).sum::<usize>()
+    }
+
+    pub fn push(&mut self, account: &AccountName, weight: Rate, waiting: Waiting) {
+        self.flow(account, weight).waiting.push_back(waiting);
+        self.len += 1;
+    }
+
+    /// Takes the request with the lowest start tag and charges its account with `cost`.
+    pub fn pop(&mut self, cost: Duration) -> Option<(Waiting, Charge)> {
+        let clock = self.clock;
+        let next = self
+            .flows
+            .iter_mut()
+            .filter(|f| !f.waiting.is_empty())
+            .min_by(|a, b| a.start(clock).total_cmp(&b.start(clock)))?;
+        let waiting = next.waiting.pop_front()?;
+        let (account, weight) = (next.account.clone(), next.weight);
+        self.len -= 1;
+        Some((waiting, self.charge(&account, weight, cost)))
+    }
+
+    /// Charges an account for a request that starts now, whether it waited or not.
+    pub fn charge(&mut self, account: &AccountName, weight: Rate, cost: Duration) -> Charge {
+        let clock = self.clock;
+        let cost = cost.max(LEAST_COST);
+        let flow = self.flow(account, weight);
+        let start = flow.start(clock);
+        flow.finish = start + flow.step(cost);
+        self.clock = start;
+        self.drop_idle();
+        Charge {
+            account: account.clone(),
+            weight,
+            start,
+            cost,
+        }
+    }
+
+    /// Replaces the assumed cost of a request by its real slot time.
+    pub fn settle(&mut self, charge: &Charge, real: Duration) {
+        let real = real.max(LEAST_COST);
+        let clock = self.clock;
+        let end = charge.start + virtual_time(real, charge.weight);
+        match self.find(&charge.account) {
+            Ok(at) => {
+                let flow = &mut self.flows[at];
+                flow.finish += flow.step(real) - flow.step(charge.cost);
+            }
+            Err(_) if end > clock => self.flow(&charge.account, charge.weight).finish = end,
+            Err(_) => {}
+        }
+    }
+
+    /// Removes a waiting request; returns false if it does not wait.
+    pub fn remove(&mut self, attempt: AttemptId) -> bool {
+        let before = self.len;
+        self.retain(|w| w.attempt != attempt);
+        self.len < before
+    }
+
+    /// Keeps the waiting requests that `keep` accepts.
+    pub fn retain(&mut self, mut keep: impl FnMut(&Waiting) -> bool) {
+        for flow in &mut self.flows {
+            flow.waiting.retain(&mut keep);
+        }
+        self.len = self.flows.iter().map(|f| f.waiting.len()).sum();
+    }
+
+    /// Returns the earliest deadline of a waiting request.
+    pub fn first_deadline(&self) -> Option<Time> {
+        let waiting = self.flows.iter().flat_map(|f| &f.waiting);
+        waiting.map(|w| w.deadline).min()
+    }
+
+    /// Forgets what accounts used; called when the target is idle.
+    pub fn reset(&mut self) {
+        self.flows.retain(|f| !f.waiting.is_empty());
+        for flow in &mut self.flows {
+            flow.finish = 0.0;
+        }
+        self.clock = 0.0;
+    }
+
+    fn find(&self, account: &AccountName) -> Result<usize, usize> {
+        self.flows.binary_search_by(|f| f.account.cmp(account))
+    }
+
+    fn flow(&mut self, account: &AccountName, weight: Rate) -> &mut Flow {
+        let at = match self.find(account) {
+            Ok(at) => at,
+            Err(at) => {
+                let flow = Flow {
+                    account: account.clone(),
+                    weight,
+                    finish: self.clock,
+                    waiting: VecDeque::new(),
+                };
+                self.flows.insert(at, flow);
+                at
+            }
+        };
+        let flow = &mut self.flows[at];
+        flow.weight = weight;
+        flow
+    }
+
+    /// Drops accounts that wait for nothing and have used less than their share.
+    fn drop_idle(&mut self) {
+        let clock = self.clock;
+        self.flows
+            .retain(|f| !f.waiting.is_empty() || f.finish > clock);
+    }
+}
+
+/// Smallest cost of a request, so that requests which fail at once are not free.
+const LEAST_COST: Duration = Duration::from_micros(100);
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -3,14 +3,21 @@
 //! The egress offers each request to the [`Gate`] of its target. The gate runs it, queues it or
 //! refuses it at once, and is the only place that knows whether a request was handed over.
 
+mod fair;
+mod limits;
+
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use self::fair::{Charge, FairQueue, Waiting};
+use self::limits::Opening;
+pub use self::limits::{Limits, WARM_UP};
+
 use crate::fleet::TargetState;
 use crate::ids::{AccountName, AttemptId};
 use crate::outcome::{Reason, Refusal};
 use crate::time::Time;
-use crate::units::{Rate, Slots};
+use crate::units::Rate;
 
 /// A request for a slot.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -56,22 +63,6 @@
     Absent,
 }
 
-/// The limits that a target announces.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Limits {
-    /// How many requests it serves at the same time.
-    pub slots: Slots,
-    /// How many connections it accepts; each running request uses one.
-    pub connections: u32,
-}
-
-impl Limits {
-    /// Returns how many requests may run at the same time.
-    pub fn running(self) -> usize {
-        self.slots.0.min(self.connections) as usize
-    }
-}
-
 /// What a gate tells about itself on answers and in metrics.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
@@ -85,95 +76,159 @@
     pub service: Duration,
 }
 
-/// Queue places for each slot.
-const QUEUE_PER_SLOT: usize = 4;
+/// Queue places for each slot; a wait of more than eight service times is better spent elsewhere.
+const QUEUE_PER_SLOT: usize = 8;
+
+/// Part of the queue that anonymous requests may fill, as a divisor.
+const OPEN_QUEUE_DIVISOR: usize = 4;
+
+/// Part of the slots that anonymous requests may hold, as a divisor.
+const OPEN_SLOTS_DIVISOR: usize = 2;
+
+/// Weight of the newest service time in the mean.
+const SERVICE_GAIN: f64 = 0.05;
+
+/// Service time that is assumed before the first request has ended.
+const ASSUMED_SERVICE: Duration = Duration::from_millis(25);
+
+/// Shortest time after which a refused caller is told to come back.
+const LEAST_RETRY: Duration = Duration::from_millis(5);
+
+/// A request that holds a slot.
+#[derive(Clone, Debug)]
+struct Running {
+    attempt: AttemptId,
+    since: Time,
+    /// The charge to its account, or `None` for an anonymous request.
+    charge: Option<Charge>,
+}
 
 /// The slots and the queue of one target.
+///
+/// Attempt ids must be unique; the edge drops repeated ones before it offers them.
+///
+/// # Examples
+///
+/// ```
+/// use laburnumtide::gate::{Gate, Limits, Offer, Offered};
+/// use laburnumtide::prelude::*;
+///
+/// let now = Time::from_millis(1_000);
+/// let limits = Limits { slots: Slots(1), connections: 10 };
+/// let mut gate = Gate::new(now, limits, false);
+/// let offer = |n| Offer {
+///     attempt: AttemptId(n),
+///     account: Some("bank".parse().unwrap()),
+///     weight: Rate::per_sec(10),
+///     deadline: Time::from_millis(9_000),
+/// };
+/// assert_eq!(gate.offer(now, offer(1)), Offered::Run);
+/// assert_eq!(gate.offer(now, offer(2)), Offered::Queued);
+/// ```
 #[derive(Clone, Debug)]
 pub struct Gate {
-    limits: Limits,
+    opening: Opening,
     draining: bool,
-    running: Vec<(AttemptId, Time)>,
-    queue: VecDeque<Offer>,
+    running: Vec<Running>,
+    accounts: FairQueue,
+    open: VecDeque<Waiting>,
+    service: Option<Duration>,
+    latest: Time,
 }
 
 impl Gate {
     /// Creates the gate of a target that was first seen at `now`.
-    pub fn new(_now: Time, limits: Limits, _cold: bool) -> Gate {
+    ///
+    /// A cold target opens a part of its slots at first and all of them after [`WARM_UP`].
+    pub fn new(now: Time, limits: Limits, cold: bool) -> Gate {
         Gate {
-            limits,
+            opening: Opening::new(now, limits, cold),
             draining: false,
             running: Vec::new(),
-            queue: VecDeque::new(),
+            accounts: FairQueue::default(),
+            open: VecDeque::new(),
+            service: None,
+            latest: now,
         }
     }
 
-    /// Offers a request.
+    /// Offers a request, which runs, waits or is refused at once.
     pub fn offer(&mut self, now: Time, offer: Offer) -> Offered {
+        self.latest = now;
         if self.draining {
             return Offered::Refused(Refusal::new(Reason::Draining));
         }
-        if self.running.len() < self.limits.running() {
-            self.running.push((offer.attempt, now));
+        if self.is_late(now, offer.deadline) {
+            return Offered::Refused(self.too_late(now, &offer, Duration::ZERO));
+        }
+        if self.has_room(now, offer.account.is_none()) && self.is_next(&offer) {
+            self.start_offer(now, &offer);
             return Offered::Run;
         }
-        if self.queue.len() >= self.limits.running() * QUEUE_PER_SLOT {
-            let delay = Duration::from_millis(100);
-            return Offered::Refused(Refusal::after(Reason::QueueFull, delay));
+        match self.refusal(now, &offer) {
+            Some(refusal) => Offered::Refused(refusal),
+            None => {
+                self.enqueue(&offer);
+                Offered::Queued
+            }
         }
-        self.queue.push_back(offer);
-        Offered::Queued
     }
 
     /// Gives back the slot of an attempt that ended, and decides who takes it.
     pub fn finish(&mut self, now: Time, attempt: AttemptId) -> Vec<Decision> {
-        self.running.retain(|(a, _)| *a != attempt);
-        self.expire(now)
+        if let Some(at) = self.running.iter().position(|r| r.attempt == attempt) {
+            let ended = self.running.swap_remove(at);
+            let real = now.since(ended.since);
+            self.measure(real);
+            if let Some(charge) = &ended.charge {
+                self.accounts.settle(charge, real);
+            }
+        }
+        let decisions = self.expire(now);
+        if self.is_idle() {
+            self.accounts.reset();
+        }
+        decisions
     }
 
     /// Withdraws an attempt.
-    pub fn cancel(&mut self, _now: Time, attempt: AttemptId) -> Cancelled {
-        if self.running.iter().any(|(a, _)| *a == attempt) {
+    pub fn cancel(&mut self, now: Time, attempt: AttemptId) -> Cancelled {
+        self.latest = now;
+        if self.running.iter().any(|r| r.attempt == attempt) {
             return Cancelled::Running;
         }
-        match self.queue.iter().position(|o| o.attempt == attempt) {
-            Some(at) => {
-                self.queue.remove(at);
-                Cancelled::Removed
-            }
-            None => Cancelled::Absent,
+        let before = self.queued();
+        self.open.retain(|w| w.attempt != attempt);
+        if self.accounts.remove(attempt) || self.queued() < before {
+            return Cancelled::Removed;
         }
+        Cancelled::Absent
     }
 
     /// Drops queued requests that can no longer meet their deadline and fills free slots.
     pub fn expire(&mut self, now: Time) -> Vec<Decision> {
-        let mut decisions = Vec::new();
-        self.queue.retain(|o| {
-            let late = o.deadline <= now;
-            if late {
-                let refusal = Refusal::new(Reason::Deadline);
-                decisions.push(Decision::Refuse(o.attempt, refusal));
-            }
-            !late
-        });
-        while self.running.len() < self.limits.running() {
-            let Some(offer) = self.queue.pop_front() else {
-                break;
-            };
-            self.running.push((offer.attempt, now));
-            decisions.push(Decision::Run(offer.attempt));
+        self.latest = now;
+        let mut decisions = self.drop_late(now);
+        while let Some(attempt) = self.start_next(now) {
+            decisions.push(Decision::Run(attempt));
         }
         decisions
     }
 
     /// Returns when [`Gate::expire`] is due, if anything waits.
     pub fn next_expiry(&self) -> Option<Time> {
-        self.queue.iter().map(|o| o.deadline).min()
+        let open = self.open.iter().map(|w| w.deadline).min();
+        let first = open
+            .into_iter()
+            .chain(self.accounts.first_deadline())
+            .min()?;
+        let growth = self.opening.next_step(self.latest);
+        Some(growth.map_or(first, |t| t.min(first)))
     }
 
     /// Takes over changed limits; running requests keep their slots.
     pub fn set_limits(&mut self, now: Time, limits: Limits) -> Vec<Decision> {
-        self.limits = limits;
+        self.opening.limits = limits;
         self.expire(now)
     }
 
@@ -183,25 +238,190 @@
     }
 
     /// Returns the state to publish in the node record.
-    pub fn state(&self, _now: Time) -> TargetState {
-        match self.draining {
-            true => TargetState::Draining,
-            false => TargetState::Ready,
+    pub fn state(&self, now: Time) -> TargetState {
+        if self.draining {
+            TargetState::Draining
+        } else if self.opening.is_cold(now) {
+            TargetState::Cold
+        } else {
+            TargetState::Ready
         }
     }
 
     /// Returns true if nothing runs or waits.
     pub fn is_idle(&self) -> bool {
-        self.running.is_empty() && self.queue.is_empty()
+        self.running.is_empty() && self.queued() == 0
     }
 
     /// Returns the present load.
-    pub fn load(&self, _now: Time) -> Load {
+    pub fn load(&self, now: Time) -> Load {
         Load {
             running: self.running.len() as u32,
-            queued: self.queue.len() as u32,
-            slots: self.limits.running() as u32,
-            service: Duration::ZERO,
+            queued: self.queued() as u32,
+            slots: self.opening.slots(now) as u32,
+            service: self.service(now),
+        }
+    }
+
+    fn queued(&self) -> usize {
+        self.accounts.len() + self.open.len()
+    }
+
+    fn has_room(&self, now: Time, open: bool) -> bool {
+        let slots = self.opening.slots(now);
+        let free = self.running.len() < slots;
+        free && (!open || self.open_running() < open_slots(slots))
+    }
+
+    fn open_running(&self) -> usize {
+        self.running.iter().filter(|r| r.charge.is_none()).count()
+    }
+
+    /// Returns true if no waiting request has to go first.
+    fn is_next(&self, offer: &Offer) -> bool {
+        let of_account = offer.account.is_some();
+        self.accounts.len() == 0 && (of_account || self.open.is_empty())
+    }
+
+    /// Returns the mean service time; the age of running requests counts, so that a target that
+    /// hangs is not taken for a fast one.
+    fn service(&self, now: Time) -> Duration {
+        let measured = self.service.unwrap_or(ASSUMED_SERVICE);
+        let ages: Duration = self.running.iter().map(|r| now.since(r.since)).sum();
+        let mean_age = ages / (self.running.len().max(1) as u32);
+        measured.max(mean_age)
+    }
+
+    fn measure(&mut self, real: Duration) {
+        let mean = match self.service {
+            Some(old) => old.mul_f64(1.0 - SERVICE_GAIN) + real.mul_f64(SERVICE_GAIN),
+            None => real,
+        };
+        self.service = Some(mean);
+    }
+
+    /// Returns the expected time until a slot is free for a request behind `ahead` others.
+    fn wait_behind(&self, now: Time, ahead: usize) -> Duration {
+        let slots = self.opening.slots(now).max(1) as u32;
+        self.service(now) * (ahead as u32 + 1) / slots
+    }
+
+    /// Returns true if a request that started now would most likely miss its deadline.
+    ///
+    /// Half the mean service time is asked for, since many requests take less than the mean.
+    fn is_late(&self, now: Time, deadline: Time) -> bool {
+        now + self.service.unwrap_or_default() / 2 > deadline
+    }
+
+    /// Returns why `offer` may not wait, if so.
+    fn refusal(&self, now: Time, offer: &Offer) -> Option<Refusal> {
+        let most = self.opening.slots(now) * QUEUE_PER_SLOT;
+        let free = most.saturating_sub(self.queued());
+        if free == 0 {
+            let wait = self.wait_behind(now, self.queued());
+            return Some(Refusal::after(Reason::QueueFull, wait.max(LEAST_RETRY)));
+        }
+        let ahead = self.ahead_of(now, offer);
+        let wait = self.wait_behind(now, ahead).max(LEAST_RETRY);
+        match &offer.account {
+            // An account may fill as much of the queue as it leaves free, so that one that sends
+            // too much always leaves room for the others.
+            Some(account) if self.accounts.len_of(account) >= free => {
+                return Some(Refusal::after(Reason::AccountShare, wait));
+            }
+            None if self.open.len() >= (most / OPEN_QUEUE_DIVISOR).max(1) => {
+                return Some(Refusal::after(Reason::OpenLimit, wait));
+            }
+            _ => {}
+        }
+        let late = self.is_late(now + self.wait_behind(now, ahead), offer.deadline);
+        late.then(|| self.too_late(now, offer, wait))
+    }
+
+    /// Returns how many waiting requests go before `offer`.
+    fn ahead_of(&self, now: Time, offer: &Offer) -> usize {
+        match &offer.account {
+            Some(account) => self
+                .accounts
+                .ahead_of(account, offer.weight, self.service(now)),
+            None => self.queued(),
+        }
+    }
+
+    /// Returns the refusal of a request that can't meet its deadline after `wait`.
+    ///
+    /// It may come back when the wait has shrunk to what its deadline allows.
+    fn too_late(&self, now: Time, offer: &Offer, wait: Duration) -> Refusal {
+        let allowed = offer.deadline.since(now + self.service(now) / 2);
+        let delay = wait.saturating_sub(allowed).max(LEAST_RETRY);
+        Refusal::after(Reason::Deadline, delay)
+    }
+
+    fn enqueue(&mut self, offer: &Offer) {
+        let waiting = Waiting {
+            attempt: offer.attempt,
+            deadline: offer.deadline,
+        };
+        match &offer.account {
+            Some(account) => self.accounts.push(account, offer.weight, waiting),
+            None => self.open.push_back(waiting),
+        }
+    }
+
+    fn start_offer(&mut self, now: Time, offer: &Offer) {
+        let cost = self.service(now);
+        let charge = offer
+            .account
+            .as_ref()
+            .map(|account| self.accounts.charge(account, offer.weight, cost));
+        self.start(now, offer.attempt, charge);
+    }
+
+    /// Starts the next waiting request, accounts before anonymous requests.
+    fn start_next(&mut self, now: Time) -> Option<AttemptId> {
+        if !self.has_room(now, false) {
+            return None;
+        }
+        let cost = self.service(now);
+        if let Some((waiting, charge)) = self.accounts.pop(cost) {
+            self.start(now, waiting.attempt, Some(charge));
+            return Some(waiting.attempt);
         }
+        if !self.has_room(now, true) {
+            return None;
+        }
+        let waiting = self.open.pop_front()?;
+        self.start(now, waiting.attempt, None);
+        Some(waiting.attempt)
     }
+
+    fn start(&mut self, now: Time, attempt: AttemptId, charge: Option<Charge>) {
+        self.running.push(Running {
+            attempt,
+            since: now,
+            charge,
+        });
+    }
+
+    fn drop_late(&mut self, now: Time) -> Vec<Decision> {
+        let need = self.service.unwrap_or_default() / 2;
+        let retry = self.wait_behind(now, self.queued()).max(LEAST_RETRY);
+        let mut late = Vec::new();
+        let mut keep = |w: &Waiting| {
+            let in_time = now + need <= w.deadline;
+            if !in_time {
+                let refusal = Refusal::after(Reason::Deadline, retry);
+                late.push(Decision::Refuse(w.attempt, refusal));
+            }
+            in_time
+        };
+        self.open.retain(&mut keep);
+        self.accounts.retain(&mut keep);
+        late
+    }
+}
+
+/// Returns how many of `slots` anonymous requests may hold.
+fn open_slots(slots: usize) -> usize {
+    (slots / OPEN_SLOTS_DIVISOR).max(1)
 }
