--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod frame;
 pub mod link;
+pub mod replica;
 pub mod rpc;
 
 pub use frame::{Channel, Frame, FrameCodec};
