Compare targets of a service and eject outliers above the floor

The egress measures windows with latency bands, each ingress compares the targets by shares of requests, adds its own path evidence, and keeps the floor after every change.

--- /dev/null
+++ b/src/route/floor.rs
@@ -0,0 +1,78 @@
+//! The floor under the capacity of a service.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::time::Time;
+use crate::units::Slots;
+
+/// Time for which the slots of a lost target stay announced.
+///
+/// Without it the floor would sink with each lost target, and ejection could follow it down.
+const LOST_MEMORY: Duration = Duration::from_secs(600);
+
+/// The capacity of a service in slots, as one ingress sees it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Capacity {
+    /// Slots of all targets, and of those lost a short time ago.
+    pub announced: u32,
+    /// Slots of targets that are ready and in full rotation.
+    ///
+    /// Draining, leaving, cold, lost, ejected and returning targets do not count.
+    pub healthy: u32,
+    /// The floor in slots.
+    pub floor: u32,
+}
+
+impl Capacity {
+    /// Returns true if `slots` can be taken away without falling below the floor.
+    pub fn can_spare(&self, slots: Slots) -> bool {
+        self.healthy >= self.floor.saturating_add(slots.0)
+    }
+
+    /// Returns true if there is less than the floor demands.
+    pub fn is_short(&self) -> bool {
+        self.healthy < self.floor
+    }
+}
+
+/// Returns the floor in slots, rounded up.
+pub(super) fn floor_slots(announced: u32, percent: u8) -> u32 {
+    (u64::from(announced) * u64::from(percent)).div_ceil(100) as u32
+}
+
+/// A target that went away without draining.
+#[derive(Clone, Debug)]
+struct Loss {
+    addr: SocketAddr,
+    slots: Slots,
+    until: Time,
+}
+
+/// The slots of targets that were lost a short time ago.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Losses {
+    entries: Vec<Loss>,
+}
+
+impl Losses {
+    pub fn add(&mut self, now: Time, addr: SocketAddr, slots: Slots) {
+        self.replaced(addr);
+        self.entries.push(Loss {
+            addr,
+            slots,
+            until: now + LOST_MEMORY,
+        });
+    }
+
+    /// Forgets the target at `addr`, since another took its place.
+    pub fn replaced(&mut self, addr: SocketAddr) {
+        self.entries.retain(|l| l.addr != addr);
+    }
+
+    /// Returns the slots that count at `now`.
+    pub fn slots(&mut self, now: Time) -> u32 {
+        self.entries.retain(|l| l.until > now);
+        self.entries.iter().map(|l| l.slots.0).sum()
+    }
+}
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -1,11 +1,23 @@
 //! Choice of targets, health, ejection, floor and retries.
 //!
-//! The egress measures its targets and publishes the result as
+//! The egress measures its targets with a [`Meter`] and publishes the result as
 //! [`Health`](crate::fleet::Health). Each ingress keeps a [`Balancer`], which compares the targets
 //! of a service, adds what this ingress saw of the paths, and picks a target for each request.
 
 mod balancer;
+mod evidence;
+mod floor;
+mod health;
+mod judge;
+mod kinds;
+mod path;
 mod retry;
+mod service;
+mod standing;
 
-pub use balancer::{Balancer, Request, Sample};
+pub use balancer::{Balancer, Event, Request, Sample};
+pub use floor::Capacity;
+pub use health::{Meter, Verdict};
+pub use judge::Cause;
 pub use retry::{RetryBudget, RetryQuestion, may_retry};
+pub use standing::{EJECT_BASE, RETURN_TIME, Standing};
--- /dev/null
+++ b/src/route/service.rs
@@ -0,0 +1,578 @@
+//! One service as one ingress sees it.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+
+use super::floor::{Capacity, Losses, floor_slots};
+use super::judge::{Cause, Exhibit, Finding, judge, usual_service};
+use super::kinds::KindBans;
+use super::path::Path;
+use super::standing::{Record, Standing};
+use super::{Event, Request, Sample};
+use crate::fleet::{Health, TargetRecord, TargetState};
+use crate::gate::{Load, WARM_UP};
+use crate::ids::{TargetId, ZoneName};
+use crate::time::Time;
+use crate::units::Slots;
+
+/// Floor of a service whose configuration is not known, in percent.
+const DEFAULT_FLOOR: u8 = 50;
+
+/// Time between reviews when nothing new is known.
+const REVIEW: Duration = Duration::from_millis(100);
+
+/// Evidence older than this no longer counts.
+const EVIDENCE_LIFE: Duration = Duration::from_secs(150);
+
+/// Use of the slots from which requests spill over to other zones.
+const SPILL_USE: f64 = 0.7;
+
+/// What a hop to another zone costs against a target in the own zone.
+const ZONE_COST: Duration = Duration::from_millis(2);
+
+/// Share of the idempotent requests that probe an ejected target.
+///
+/// A share of traffic, since a rate at each of 560 ingresses would be a flood at the target.
+const PROBE_SHARE: f64 = 0.005;
+
+/// Draws until a target with a reduced share is accepted; after them the next one is taken.
+const DRAWS: usize = 8;
+
+/// Weight of the newest report in the backlog of other ingresses.
+const BACKLOG_GAIN: f64 = 0.3;
+
+/// Extra cost of a target that fails every request, as a multiple of its expected wait.
+const FAILURE_COST: f64 = 10.0;
+
+/// Service time that is assumed before anything is measured.
+const ASSUMED_SERVICE: Duration = Duration::from_millis(25);
+
+/// Severity must differ by this factor before an ejected target and a worse one change places.
+const SWAP_FACTOR: f64 = 2.0;
+
+/// A target as one ingress sees it.
+#[derive(Clone, Debug)]
+pub(super) struct Target {
+    pub id: TargetId,
+    pub zone: ZoneName,
+    pub record: TargetRecord,
+    pub leaving: bool,
+    pub standing: Record,
+    path: Path,
+    bans: KindBans,
+    /// When the health was received.
+    health_at: Time,
+    cold_since: Time,
+    /// Requests of other ingresses at the target, smoothed.
+    backlog: f64,
+    service: Option<Duration>,
+}
+
+impl Target {
+    pub fn new(
+        now: Time,
+        id: TargetId,
+        zone: ZoneName,
+        record: TargetRecord,
+        leaving: bool,
+    ) -> Target {
+        Target {
+            id,
+            zone,
+            record,
+            leaving,
+            standing: Record::new(),
+            path: Path::default(),
+            bans: KindBans::default(),
+            health_at: now,
+            cold_since: now,
+            backlog: 0.0,
+            service: None,
+        }
+    }
+
+    /// Takes over a newer record and keeps what this ingress learned itself.
+    pub fn renew(&mut self, now: Time, zone: &ZoneName, record: &TargetRecord, leaving: bool) {
+        if self.record.health != record.health {
+            self.health_at = now;
+        }
+        if self.record.state != TargetState::Cold && record.state == TargetState::Cold {
+            self.cold_since = now;
+        }
+        self.zone = zone.clone();
+        self.record = record.clone();
+        self.leaving = leaving;
+    }
+
+    /// Returns true if the target accepts new work.
+    fn is_open(&self) -> bool {
+        !self.leaving && self.record.state != TargetState::Draining
+    }
+
+    /// Returns true if the target counts as capacity, apart from ejection.
+    fn is_ready(&self) -> bool {
+        !self.leaving && self.record.state == TargetState::Ready
+    }
+
+    fn slots(&self) -> f64 {
+        f64::from(self.record.slots.0.max(1))
+    }
+
+    fn is_in_use(&self, now: Time) -> bool {
+        self.is_open() && self.share(now) > 0.0
+    }
+
+    /// Returns the share of its usual work that the target gets.
+    fn share(&self, now: Time) -> f64 {
+        let cold = match self.record.state {
+            TargetState::Cold => {
+                let warmth = now.since(self.cold_since).as_secs_f64() / WARM_UP.as_secs_f64();
+                (0.1 + 0.9 * warmth).min(1.0)
+            }
+            _ => 1.0,
+        };
+        cold * self.standing.share(now)
+    }
+
+    fn use_of_slots(&self) -> f64 {
+        (f64::from(self.path.outstanding) + self.backlog) / self.slots()
+    }
+
+    /// Returns the expected cost of a request in seconds: wait, service and likely failure.
+    fn cost(&self, usual: Duration) -> f64 {
+        let service = self.service.unwrap_or(usual).as_secs_f64();
+        let wait = self.use_of_slots() * service;
+        let window = &self.record.health.recent;
+        let failing = f64::from(window.bad()) / f64::from(window.requests.max(1));
+        (wait + service) * (1.0 + FAILURE_COST * failing)
+    }
+
+    fn exhibit(&self, now: Time) -> Exhibit<'_> {
+        let health = &self.record.health;
+        let from = self.standing.fresh_from;
+        let recent = self.health_at - health.recent.span() >= from;
+        let long = self.health_at - health.long.span() >= from;
+        let alive = now.since(self.health_at) < EVIDENCE_LIFE;
+        Exhibit {
+            health,
+            use_recent: alive && recent,
+            use_long: alive && long,
+            suspect: self.standing.is_suspect(),
+        }
+    }
+
+    /// Returns true if the probes of the ejection that ends now went badly.
+    fn probes_failed(&self, now: Time, usual: Duration) -> bool {
+        let exhibit = self.exhibit(now);
+        if self.path.is_bad(now, usual) {
+            return true;
+        }
+        if !exhibit.use_recent {
+            return false;
+        }
+        let window = &exhibit.health.recent;
+        window.requests > 0 && window.bad() * 2 >= window.requests
+    }
+}
+
+/// The targets of one service and the decisions about them.
+#[derive(Clone, Debug)]
+pub(super) struct Service {
+    floor: u8,
+    /// Sorted by id.
+    targets: Vec<Target>,
+    losses: Losses,
+    usual: Duration,
+    next_review: Time,
+    near: Vec<usize>,
+    all: Vec<usize>,
+    ejected: Vec<usize>,
+}
+
+impl Service {
+    pub fn new() -> Service {
+        Service {
+            floor: DEFAULT_FLOOR,
+            targets: Vec::new(),
+            losses: Losses::default(),
+            usual: ASSUMED_SERVICE,
+            next_review: Time::ZERO,
+            near: Vec::new(),
+            all: Vec::new(),
+            ejected: Vec::new(),
+        }
+    }
+
+    pub fn set_floor(&mut self, percent: u8) {
+        self.floor = percent.min(100);
+        self.next_review = Time::ZERO;
+    }
+
+    pub fn targets(&self) -> &[Target] {
+        &self.targets
+    }
+
+    pub fn usual(&self) -> Duration {
+        self.usual
+    }
+
+    /// Adds a target or renews the one with the same id.
+    pub fn put(&mut self, now: Time, target: Target) {
+        self.losses.replaced(target.record.addr);
+        match self.targets.binary_search_by(|t| t.id.cmp(&target.id)) {
+            Ok(at) => {
+                let old = &mut self.targets[at];
+                old.renew(now, &target.zone, &target.record, target.leaving);
+            }
+            Err(at) => self.targets.insert(at, target),
+        }
+    }
+
+    /// Removes a target; one that was neither draining nor leaving is remembered as lost.
+    pub fn remove(&mut self, now: Time, id: &TargetId) {
+        if let Ok(at) = self.targets.binary_search_by(|t| t.id.cmp(id)) {
+            let target = self.targets.remove(at);
+            if target.is_open() {
+                let record = &target.record;
+                self.losses.add(now, record.addr, record.slots);
+            }
+        }
+    }
+
+    pub fn report(&mut self, now: Time, id: &TargetId, sample: Sample) {
+        let usual = self.usual;
+        if let Ok(at) = self.targets.binary_search_by(|t| t.id.cmp(id)) {
+            let path = &mut self.targets[at].path;
+            path.report(now, sample);
+            if path.is_bad(now, usual) {
+                self.next_review = self.next_review.min(now);
+            }
+        }
+    }
+
+    pub fn observe(&mut self, now: Time, id: &TargetId, load: Load, health: Option<&Health>) {
+        if let Ok(at) = self.targets.binary_search_by(|t| t.id.cmp(id)) {
+            let target = &mut self.targets[at];
+            let present = f64::from(load.running + load.queued);
+            let others = (present - f64::from(target.path.outstanding)).max(0.0);
+            target.backlog += (others - target.backlog) * BACKLOG_GAIN;
+            target.service = Some(load.service);
+            if let Some(health) = health {
+                target.record.health = health.clone();
+                target.health_at = now;
+            }
+        }
+    }
+
+    /// Returns the capacity at `now`.
+    pub fn capacity(&mut self, now: Time) -> Capacity {
+        let slots = |keep: fn(&Target) -> bool| -> u32 {
+            let kept = self.targets.iter().filter(|t| keep(t));
+            kept.map(|t| t.record.slots.0).sum()
+        };
+        let announced = slots(|_| true) + self.losses.slots(now);
+        Capacity {
+            announced,
+            healthy: slots(|t| t.is_ready() && t.standing.is_active()),
+            floor: floor_slots(announced, self.floor),
+        }
+    }
+
+    pub fn is_due(&self, now: Time) -> bool {
+        now >= self.next_review
+    }
+
+    /// Judges the targets, keeps the floor and prepares the choice.
+    pub fn review(&mut self, now: Time, zone: &ZoneName, events: &mut Vec<Event>) {
+        self.next_review = now + REVIEW;
+        let healths = self.targets.iter().map(|t| &t.record.health);
+        self.usual = usual_service(healths).unwrap_or(ASSUMED_SERVICE);
+        self.advance(now, events);
+        let findings = self.findings(now);
+        self.eject(now, &findings, events);
+        self.keep_floor(now, events);
+        self.ban_kinds(now, events);
+        self.prepare(now, zone);
+    }
+
+    /// Ends ejections and returns that are over.
+    fn advance(&mut self, now: Time, events: &mut Vec<Event>) {
+        let usual = self.usual;
+        for target in &mut self.targets {
+            if target.standing.is_due(now) {
+                if target.probes_failed(now, usual) {
+                    target.standing.prolong(now);
+                } else {
+                    target.standing.begin_return(now);
+                }
+                target.path.restart();
+            }
+            if target.standing.advance(now) {
+                events.push(Event::Returned(target.id.clone()));
+            }
+        }
+    }
+
+    /// Compares the targets by what the egresses measured, then adds the paths of this ingress.
+    fn findings(&self, now: Time) -> Vec<Finding> {
+        let exhibits: Vec<Exhibit<'_>> = self.targets.iter().map(|t| t.exhibit(now)).collect();
+        let mut findings = judge(&exhibits);
+        for (finding, target) in findings.iter_mut().zip(&self.targets) {
+            if target.path.is_bad(now, self.usual) {
+                finding.cause = Some(Cause::Path);
+                finding.severity = 1.0;
+            }
+        }
+        findings
+    }
+
+    /// Ejects the worst targets as far as the floor allows.
+    fn eject(&mut self, now: Time, findings: &[Finding], events: &mut Vec<Event>) {
+        let mut accused: Vec<(usize, Cause, f64)> = (0..self.targets.len())
+            .filter(|at| !self.targets[*at].standing.is_ejected())
+            .filter_map(|at| Some((at, findings[at].cause?, findings[at].severity)))
+            .collect();
+        accused.sort_by(|a, b| b.2.total_cmp(&a.2));
+        for (at, cause, severity) in accused {
+            if !self.make_room(now, at, severity, events) {
+                continue;
+            }
+            let target = &mut self.targets[at];
+            target.standing.eject(now, cause, severity);
+            events.push(Event::Ejected {
+                target: target.id.clone(),
+                cause,
+                severity,
+            });
+        }
+    }
+
+    /// Returns true if the target may be ejected, if need be after a less bad one has returned.
+    fn make_room(&mut self, now: Time, at: usize, severity: f64, events: &mut Vec<Event>) -> bool {
+        let target = &self.targets[at];
+        let counts = target.is_ready() && target.standing.is_active();
+        let slots = target.record.slots;
+        let capacity = self.capacity(now);
+        if !counts {
+            return !capacity.is_short();
+        }
+        if capacity.can_spare(slots) {
+            return true;
+        }
+        let Some(other) = self.least_bad() else {
+            return false;
+        };
+        let mild = self.targets[other].standing.severity * SWAP_FACTOR < severity;
+        let after = Capacity {
+            healthy: capacity.healthy + self.targets[other].record.slots.0,
+            ..capacity
+        };
+        if !mild || !after.can_spare(slots) {
+            return false;
+        }
+        self.restore(other, events);
+        true
+    }
+
+    /// Returns the least bad targets to rotation until the floor is kept.
+    fn keep_floor(&mut self, now: Time, events: &mut Vec<Event>) {
+        while self.capacity(now).is_short() {
+            match self.least_bad() {
+                Some(at) => self.restore(at, events),
+                None => break,
+            }
+        }
+    }
+
+    /// Returns the target out of full rotation that would do least harm in it.
+    fn least_bad(&self) -> Option<usize> {
+        let out = |t: &Target| t.is_ready() && !t.standing.is_active();
+        (0..self.targets.len())
+            .filter(|at| out(&self.targets[*at]))
+            .min_by(|a, b| {
+                let (a, b) = (&self.targets[*a].standing, &self.targets[*b].standing);
+                let by_standing = a.is_ejected().cmp(&b.is_ejected());
+                by_standing.then(a.severity.total_cmp(&b.severity))
+            })
+    }
+
+    fn restore(&mut self, at: usize, events: &mut Vec<Event>) {
+        let target = &mut self.targets[at];
+        target.standing.restore();
+        events.push(Event::KeptByFloor(target.id.clone()));
+    }
+
+    /// Keeps kinds of requests away from targets that fail only for them.
+    fn ban_kinds(&mut self, now: Time, events: &mut Vec<Event>) {
+        let worst_kind = |t: &Target| t.record.health.worst.as_ref().map(|w| w.kind.clone());
+        let worst: Vec<Option<String>> = self.targets.iter().map(worst_kind).collect();
+        for at in 0..self.targets.len() {
+            let Some(kind) = &worst[at] else { continue };
+            let same = worst.iter().filter(|w| w.as_ref() == Some(kind)).count();
+            // A kind that fails at half of the targets fails by itself.
+            let is_common = same * 2 >= self.targets.len();
+            if is_common || !self.can_ban(now, kind, at) {
+                continue;
+            }
+            let target = &mut self.targets[at];
+            if target.bans.add(now, kind, target.health_at) {
+                events.push(Event::KindAvoided {
+                    target: target.id.clone(),
+                    kind: kind.clone(),
+                });
+            }
+        }
+    }
+
+    /// Returns true if the floor is kept for `kind` without the target at `at`.
+    fn can_ban(&mut self, now: Time, kind: &str, at: usize) -> bool {
+        let mut capacity = self.capacity(now);
+        let serves = |t: &Target| t.is_ready() && t.standing.is_active();
+        let banned: u32 = self
+            .targets
+            .iter()
+            .filter(|t| serves(t) && t.bans.contains(now, kind))
+            .map(|t| t.record.slots.0)
+            .sum();
+        capacity.healthy = capacity.healthy.saturating_sub(banned);
+        let target = &self.targets[at];
+        let own = if serves(target) && !target.bans.contains(now, kind) {
+            target.record.slots
+        } else {
+            Slots(0)
+        };
+        capacity.can_spare(own)
+    }
+
+    fn prepare(&mut self, now: Time, zone: &ZoneName) {
+        let targets = &self.targets;
+        let ids = 0..targets.len();
+        self.all = ids.clone().filter(|i| targets[*i].is_in_use(now)).collect();
+        self.near = self
+            .all
+            .iter()
+            .copied()
+            .filter(|i| targets[*i].zone == *zone)
+            .collect();
+        let probed = |t: &Target| t.is_open() && t.standing.is_ejected();
+        self.ejected = ids.filter(|i| probed(&targets[*i])).collect();
+    }
+
+    /// Picks a target for a request.
+    pub fn pick(&self, now: Time, request: &Request<'_>, rng: &mut impl Rng) -> Option<TargetId> {
+        if let Some(at) = self.probe(request, rng) {
+            return Some(self.targets[at].id.clone());
+        }
+        let near = self.choose(now, &self.near, request, rng);
+        if let Some(at) = near
+            && self.targets[at].use_of_slots() < SPILL_USE
+        {
+            return Some(self.targets[at].id.clone());
+        }
+        let far = self.choose(now, &self.all, request, rng);
+        let best = match (near, far) {
+            (Some(a), Some(b)) => self.nearer(a, b),
+            (a, b) => a.or(b).or_else(|| self.last_resort(request))?,
+        };
+        Some(self.targets[best].id.clone())
+    }
+
+    /// Returns an ejected target for a small share of the idempotent requests.
+    fn probe(&self, request: &Request<'_>, rng: &mut impl Rng) -> Option<usize> {
+        let may_probe = request.idempotent && request.tried.is_empty();
+        if !may_probe || self.ejected.is_empty() {
+            return None;
+        }
+        let share = PROBE_SHARE * self.ejected.len() as f64;
+        let at = self.ejected[rng.random_range(0..self.ejected.len())];
+        rng.random_bool(share.min(1.0)).then_some(at)
+    }
+
+    /// Returns the better of two targets drawn at random.
+    fn choose(
+        &self,
+        now: Time,
+        among: &[usize],
+        request: &Request<'_>,
+        rng: &mut impl Rng,
+    ) -> Option<usize> {
+        let first = self.draw(now, among, request, None, rng)?;
+        match self.draw(now, among, request, Some(first), rng) {
+            Some(second) => Some(self.cheaper(first, second)),
+            None => Some(first),
+        }
+    }
+
+    /// Draws a target that the request may go to, with the probability of its share.
+    fn draw(
+        &self,
+        now: Time,
+        among: &[usize],
+        request: &Request<'_>,
+        besides: Option<usize>,
+        rng: &mut impl Rng,
+    ) -> Option<usize> {
+        let fits = |at: usize| {
+            let target = &self.targets[at];
+            Some(at) != besides
+                && !request.tried.contains(&target.id)
+                && !target.bans.contains(now, request.kind)
+        };
+        if among.is_empty() {
+            return None;
+        }
+        let mut at = rng.random_range(0..among.len());
+        for _ in 0..DRAWS {
+            let share = self.targets[among[at]].share(now);
+            if fits(among[at]) && (share >= 1.0 || rng.random_bool(share)) {
+                return Some(among[at]);
+            }
+            at = rng.random_range(0..among.len());
+        }
+        let turned = among.iter().cycle().skip(at).take(among.len()).copied();
+        let mut fitting = turned.filter(|i| fits(*i));
+        let by_share = |a: &usize, b: &usize| {
+            let (a, b) = (self.targets[*a].share(now), self.targets[*b].share(now));
+            a.total_cmp(&b)
+        };
+        match besides {
+            // A second choice with a reduced share would get more than its share.
+            Some(_) => fitting.find(|i| self.targets[*i].share(now) >= 1.0),
+            None => fitting.max_by(by_share),
+        }
+    }
+
+    fn cheaper(&self, a: usize, b: usize) -> usize {
+        let cost = |at: usize| self.targets[at].cost(self.usual);
+        if cost(a) <= cost(b) { a } else { b }
+    }
+
+    /// Returns `far` if it is cheaper than `near` in spite of the way to its zone.
+    fn nearer(&self, near: usize, far: usize) -> usize {
+        let cost = |at: usize| self.targets[at].cost(self.usual);
+        if cost(far) + ZONE_COST.as_secs_f64() < cost(near) {
+            far
+        } else {
+            near
+        }
+    }
+
+    /// Returns an ejected or banned target if nothing else is left for a first attempt.
+    fn last_resort(&self, request: &Request<'_>) -> Option<usize> {
+        if !request.tried.is_empty() {
+            return None;
+        }
+        let usable = self.all.iter().chain(&self.ejected).copied();
+        usable.min_by(|a, b| {
+            let (a, b) = (&self.targets[*a].standing, &self.targets[*b].standing);
+            a.severity.total_cmp(&b.severity)
+        })
+    }
+
+    /// Returns the standing of a target.
+    pub fn standing(&self, id: &TargetId) -> Option<Standing> {
+        let at = self.targets.binary_search_by(|t| t.id.cmp(id)).ok()?;
+        Some(self.targets[at].standing.standing)
+    }
+}
