--- /dev/null
+++ b/src/control/group.rs
@@ -0,0 +1,176 @@
+//! Messages to the other replicas, and greetings by which they learn of each other.
+//!
+//! At the first start every replica is told the link addresses of all initial peers. It greets
+//! them; an answer names the identity behind the address and tells whether it knows a group. Once a
+//! replica without a group knows all peers and none of them knows a group, it names them as the
+//! founders to the state machine, which founds the group by a unanimous vote. Later the list only
+//! serves to find the group again: a replica with a new identity greets the leader and is let in.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::mpsc::Sender;
+use std::time::Duration;
+
+use log::debug;
+use tokio::runtime::Handle;
+use tokio::sync::Semaphore;
+
+use crate::control::core::Command;
+use crate::control::view::View;
+use crate::ids::ReplicaId;
+use crate::replica::{Member, Message, Replica};
+use crate::wire::replica::Envelope;
+use crate::wire::{Channel, Hello, Peer, Secret};
+
+/// Time between two greetings of a peer.
+const GREETING_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time for one call to a peer.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Calls to one peer that run at the same time; further messages are dropped, since the state
+/// machine sends again what matters.
+const CALLS_MAX: usize = 16;
+
+/// The way to one address.
+#[derive(Clone, Debug)]
+struct Way {
+    peer: Peer,
+    calls: Arc<Semaphore>,
+}
+
+/// The other replicas as the replica's thread reaches them.
+pub struct Group {
+    own: Member,
+    peers: Vec<SocketAddr>,
+    secret: Secret,
+    hello: Hello,
+    runtime: Handle,
+    commands: Sender<Command>,
+    ways: BTreeMap<SocketAddr, Way>,
+    /// The latest greeting of each address.
+    known: BTreeMap<SocketAddr, (Member, bool)>,
+}
+
+impl Group {
+    /// Creates the group of the process that `own` describes; `peers` are all initial others.
+    pub fn new(
+        own: Member,
+        peers: Vec<SocketAddr>,
+        secret: Secret,
+        hello: Hello,
+        runtime: Handle,
+        commands: Sender<Command>,
+    ) -> Group {
+        Group {
+            own,
+            peers,
+            secret,
+            hello,
+            runtime,
+            commands,
+            ways: BTreeMap::new(),
+            known: BTreeMap::new(),
+        }
+    }
+
+    /// Notes what an envelope tells of its sender.
+    pub fn greeted(&mut self, envelope: &Envelope) {
+        let from = &envelope.from;
+        let news = (from.clone(), envelope.founded);
+        self.known.insert(from.link, news);
+    }
+
+    /// Returns all initial members once each peer is known and none knows a group.
+    pub fn founders(&self) -> Option<Vec<Member>> {
+        let mut members = vec![self.own.clone()];
+        for peer in &self.peers {
+            let (member, founded) = self.known.get(peer)?;
+            if *founded {
+                return None;
+            }
+            members.push(member.clone());
+        }
+        Some(members)
+    }
+
+    fn link_of(&self, replica: &Replica, id: ReplicaId) -> Option<SocketAddr> {
+        if let Some(member) = replica.replicas().get(id) {
+            return Some(member.link);
+        }
+        let mut known = self.known.values();
+        known.find(|(m, _)| m.id == id).map(|(m, _)| m.link)
+    }
+
+    /// Sends messages, one call for each receiver.
+    pub fn send(&mut self, replica: &Replica, messages: Vec<(ReplicaId, Message)>) {
+        let mut batches: BTreeMap<ReplicaId, Vec<Message>> = BTreeMap::new();
+        for (to, message) in messages {
+            batches.entry(to).or_default().push(message);
+        }
+        for (to, messages) in batches {
+            let Some(link) = self.link_of(replica, to) else {
+                continue;
+            };
+            let envelope = Envelope {
+                from: self.own.clone(),
+                founded: !replica.replicas().is_empty(),
+                to: Some(to),
+                messages,
+            };
+            self.call(link, &envelope);
+        }
+    }
+
+    fn call(&mut self, link: SocketAddr, envelope: &Envelope) {
+        let way = self.ways.entry(link).or_insert_with(|| Way {
+            peer: Peer::new(link, self.secret.clone(), self.hello),
+            calls: Arc::new(Semaphore::new(CALLS_MAX)),
+        });
+        let Ok(permit) = way.calls.clone().try_acquire_owned() else {
+            return;
+        };
+        let (peer, payload) = (way.peer.clone(), envelope.encode());
+        let commands = self.commands.clone();
+        self.runtime.spawn(async move {
+            exchange(&peer, payload, &commands).await;
+            drop(permit);
+        });
+    }
+}
+
+/// Sends an envelope and passes the answer on.
+async fn exchange(peer: &Peer, payload: bytes::Bytes, commands: &Sender<Command>) {
+    match peer.call(Channel::Replica, payload, CALL_TIMEOUT).await {
+        Ok(answer) => {
+            if let Ok(envelope) = Envelope::decode(answer) {
+                // The thread is gone only when the process ends.
+                let _ = commands.send(Command::Envelope(envelope));
+            }
+        }
+        Err(e) => {
+            debug!(event = "peer-call-failed", peer:% = peer.addr(), error:% = e; "no answer")
+        }
+    }
+}
+
+/// Returns the envelope that introduces the process.
+pub fn greeting(own: &Member, view: &View) -> Envelope {
+    Envelope {
+        from: own.clone(),
+        founded: !view.meta().replicas.is_empty(),
+        to: None,
+        messages: Vec::new(),
+    }
+}
+
+/// Greets one peer for ever.
+pub async fn greet(peer: Peer, own: Member, view: Arc<View>, commands: Sender<Command>) {
+    let mut interval = tokio::time::interval(GREETING_INTERVAL);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        exchange(&peer, greeting(&own, &view).encode(), &commands).await;
+    }
+}
--- /dev/null
+++ b/src/control/operator.rs
@@ -0,0 +1,321 @@
+//! The operator's HTTP interface.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::mpsc::Sender;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use log::debug;
+use serde::Serialize;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, oneshot};
+use tokio::time::timeout;
+
+use crate::config::Note;
+use crate::control::api::{
+    Conflict, Failure, Invalid, NodeStatus, NotLeader, NoteState, ReplicaStatus, Status,
+};
+use crate::control::core::{Command, Submitted};
+use crate::control::nodes::Nodes;
+use crate::control::state::NoteHead;
+use crate::control::view::View;
+use crate::metrics::Metrics;
+use crate::replica;
+use crate::time::{Clock, Monotonic};
+use crate::units::NoteNumber;
+use crate::wire::Secret;
+
+/// Largest body of a request in bytes.
+const BODY_MAX_BYTES: usize = 2 * 1024 * 1024;
+
+/// Time for the head of a request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Time for the body of a request.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Longest life of a connection, so that idle ones don't use up the limit.
+const CONNECTION_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Time in which a note must commit before the submitter is told to send it again.
+const COMMIT_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// Time in which the answer waits for the acceptance of a committed note.
+const ACCEPT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Connections that are open at the same time.
+const CONNECTIONS_MAX: usize = 256;
+
+type Reply = Response<Full<Bytes>>;
+
+/// Answers operators.
+#[derive(Debug)]
+pub struct Operator {
+    /// The operator secret.
+    pub secret: Secret,
+    /// What the replica's thread publishes.
+    pub view: Arc<View>,
+    /// What is known about the nodes.
+    pub nodes: Arc<Nodes>,
+    /// The process's clock.
+    pub clock: Monotonic,
+    /// The way to the replica's thread.
+    pub commands: Sender<Command>,
+    /// The process's metrics.
+    pub metrics: Metrics,
+}
+
+fn json<T: Serialize>(status: StatusCode, body: &T) -> Reply {
+    let bytes = serde_json::to_vec(body).expect("API messages have text keys only");
+    reply(status, "application/json", bytes)
+}
+
+fn reply(status: StatusCode, kind: &'static str, body: impl Into<Bytes>) -> Reply {
+    let mut reply = Response::new(Full::new(body.into()));
+    *reply.status_mut() = status;
+    let kind = header::HeaderValue::from_static(kind);
+    reply.headers_mut().insert(header::CONTENT_TYPE, kind);
+    reply
+}
+
+fn failure(status: StatusCode, message: impl Into<String>) -> Reply {
+    let message = message.into();
+    json(status, &Failure { message })
+}
+
+fn hex(digest: &[u8; 32]) -> String {
+    digest.iter().map(|b| format!("{b:02x}")).collect()
+}
+
+impl Operator {
+    /// Accepts connections for ever.
+    pub async fn serve(self: Arc<Self>, listener: TcpListener) {
+        let permits = Arc::new(Semaphore::new(CONNECTIONS_MAX));
+        loop {
+            let permit = permits.clone().acquire_owned().await;
+            let permit = permit.expect("the semaphore is never closed");
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(e) => {
+                    // Out of file descriptors, most likely; a pause lets some be closed.
+                    debug!(event = "accept-failed", error:% = e; "operator listener");
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                    continue;
+                }
+            };
+            let operator = self.clone();
+            tokio::spawn(async move {
+                let served = timeout(CONNECTION_TIMEOUT, operator.serve_one(stream));
+                let _ = served.await;
+                drop(permit);
+            });
+        }
+    }
+
+    async fn serve_one(self: Arc<Self>, stream: TcpStream) {
+        let service = service_fn(move |request| {
+            let operator = self.clone();
+            async move { Ok::<_, Infallible>(operator.answer(request).await) }
+        });
+        let served = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIMEOUT)
+            .serve_connection(TokioIo::new(stream), service)
+            .await;
+        if let Err(e) = served {
+            debug!(event = "operator-connection", error:% = e; "connection ended");
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Reply {
+        let path = request.uri().path().to_owned();
+        let method = request.method().clone();
+        match (&method, path.as_str()) {
+            (&Method::GET, "/live") => return reply(StatusCode::OK, "text/plain", "live\n"),
+            (&Method::GET, "/ready") => return self.ready(),
+            (&Method::GET, "/metrics") => {
+                return reply(StatusCode::OK, "text/plain", self.metrics.render());
+            }
+            _ => {}
+        }
+        if !self.is_authorized(request.headers()) {
+            return failure(StatusCode::UNAUTHORIZED, "the operator secret is needed");
+        }
+        match (&method, path.as_str()) {
+            (&Method::GET, "/status") => self.status(),
+            (&Method::POST, "/notes") => self.submit(request.into_body()).await,
+            (&Method::GET, path) => match path.strip_prefix("/notes/") {
+                Some(number) => self.note(number),
+                None => failure(StatusCode::NOT_FOUND, "no such path"),
+            },
+            _ => failure(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+
+    fn is_authorized(&self, headers: &HeaderMap) -> bool {
+        let given = headers.get(header::AUTHORIZATION).map(|v| v.as_bytes());
+        let token = given.and_then(|v| v.strip_prefix(b"Bearer "));
+        token.is_some_and(|t| self.secret.matches(t.trim_ascii()))
+    }
+
+    /// Ready means that this replica leads or follows a leader.
+    fn ready(&self) -> Reply {
+        match self.view.meta().leader {
+            Some(_) => reply(StatusCode::OK, "text/plain", "ready\n"),
+            None => reply(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "no leader\n"),
+        }
+    }
+
+    fn not_leader(&self) -> Reply {
+        let meta = self.view.meta();
+        // A replica whose own lease has run out names nobody.
+        let leader = meta.leader.filter(|l| *l != meta.id);
+        let leader = leader.and_then(|_| meta.leader_operator());
+        json(StatusCode::MISDIRECTED_REQUEST, &NotLeader { leader })
+    }
+
+    async fn submit(&self, body: Incoming) -> Reply {
+        let text = match read_body(body).await {
+            Ok(text) => text,
+            Err(reply) => return reply,
+        };
+        let note = match Note::parse(&text) {
+            Ok(note) => note,
+            Err(errors) => return invalid(errors),
+        };
+        let number = note.number();
+        let (sender, receiver) = oneshot::channel();
+        if self.commands.send(Command::Submit(note, sender)).is_err() {
+            return failure(StatusCode::SERVICE_UNAVAILABLE, "the replica has ended");
+        }
+        match timeout(COMMIT_TIMEOUT, receiver).await {
+            Ok(Ok(Submitted::Taken(head))) => self.taken(head).await,
+            Ok(Ok(Submitted::Conflict(head))) => self.conflict(number, head),
+            Ok(Ok(Submitted::Invalid(errors))) => invalid(errors),
+            Ok(Ok(Submitted::NotLeader)) => self.not_leader(),
+            Ok(Ok(Submitted::Unavailable(text))) => failure(StatusCode::SERVICE_UNAVAILABLE, text),
+            Ok(Err(_)) | Err(_) => {
+                let text = "the note is not committed in time; send it again";
+                failure(StatusCode::SERVICE_UNAVAILABLE, text)
+            }
+        }
+    }
+
+    async fn taken(&self, head: NoteHead) -> Reply {
+        let mut changes = self.view.changes();
+        let accepted = changes.wait_for(|state| state.accepted() >= head.position);
+        // Without acceptance in time the answer says so, and the operator can ask for the state.
+        let _ = timeout(ACCEPT_TIMEOUT, accepted).await;
+        json(StatusCode::OK, &self.note_state(&head))
+    }
+
+    fn conflict(&self, number: NoteNumber, head: Option<NoteHead>) -> Reply {
+        let conflict = Conflict {
+            number,
+            title: head.as_ref().and_then(|h| h.title.clone()),
+            digest: head.map(|h| hex(&h.digest)),
+            next: self.view.state().config().number().next(),
+        };
+        json(StatusCode::CONFLICT, &conflict)
+    }
+
+    fn note_state(&self, head: &NoteHead) -> NoteState {
+        let state = self.view.state();
+        let registry = state.registry();
+        let registered = registry.members().len();
+        let missing = self.nodes.missing(&registry, head.position);
+        NoteState {
+            number: head.number,
+            title: head.title.clone(),
+            digest: hex(&head.digest),
+            position: head.position,
+            accepted: state.accepted() >= head.position,
+            registered,
+            holding: registered - missing.len(),
+            missing,
+        }
+    }
+
+    fn note(&self, number: &str) -> Reply {
+        let Ok(number) = number.parse::<NoteNumber>() else {
+            return failure(StatusCode::BAD_REQUEST, "a note number is a whole number");
+        };
+        if !self.view.meta().leads(self.clock.now()) {
+            return self.not_leader();
+        }
+        match self.view.state().note(number) {
+            Some(head) => json(StatusCode::OK, &self.note_state(head)),
+            None => failure(StatusCode::NOT_FOUND, "the note is unknown or long past"),
+        }
+    }
+
+    fn status(&self) -> Reply {
+        let now = self.clock.now();
+        let meta = self.view.meta();
+        let state = self.view.state();
+        let replicas = meta.replicas.members().iter().map(|m| ReplicaStatus {
+            id: m.id,
+            addr: Some(m.link),
+            voter: m.voter,
+            position: meta.positions.iter().find(|p| p.0 == m.id).map(|p| p.1),
+        });
+        let registry = state.registry();
+        let nodes = registry.members().iter().map(|m| {
+            let contact = self.nodes.contact(now, m.id);
+            NodeStatus {
+                id: m.id,
+                addr: m.addr,
+                zone: m.zone.clone(),
+                position: contact.map_or_else(Default::default, |c| c.0),
+                silent_ms: contact.map(|c| c.1.as_millis() as u64),
+            }
+        });
+        let status = Status {
+            replica: meta.id,
+            role: role_name(&meta).to_owned(),
+            term: meta.term,
+            leader: meta.leader_operator(),
+            committed: meta.committed,
+            number: state.config().number(),
+            replicas: replicas.collect(),
+            nodes: nodes.collect(),
+        };
+        json(StatusCode::OK, &status)
+    }
+}
+
+fn role_name(meta: &crate::control::view::Meta) -> &'static str {
+    match meta.role {
+        replica::Role::Leader => "leader",
+        replica::Role::PreCandidate | replica::Role::Candidate => "candidate",
+        replica::Role::Follower if meta.replicas.is_voter(meta.id) => "follower",
+        replica::Role::Follower => "learner",
+    }
+}
+
+fn invalid(errors: Vec<crate::config::NoteError>) -> Reply {
+    let errors = errors.into_iter().map(Into::into).collect();
+    json(StatusCode::UNPROCESSABLE_ENTITY, &Invalid { errors })
+}
+
+async fn read_body(body: Incoming) -> Result<String, Reply> {
+    let limited = Limited::new(body, BODY_MAX_BYTES).collect();
+    let collected = match timeout(BODY_TIMEOUT, limited).await {
+        Ok(Ok(collected)) => collected,
+        Ok(Err(e)) if e.is::<LengthLimitError>() => {
+            let text = format!("a note may have at most {BODY_MAX_BYTES} bytes");
+            return Err(failure(StatusCode::PAYLOAD_TOO_LARGE, text));
+        }
+        Ok(Err(_)) => return Err(failure(StatusCode::BAD_REQUEST, "the body broke off")),
+        Err(_) => return Err(failure(StatusCode::REQUEST_TIMEOUT, "the body is too slow")),
+    };
+    String::from_utf8(collected.to_bytes().into())
+        .map_err(|_| failure(StatusCode::BAD_REQUEST, "a note is UTF-8 text"))
+}
--- /dev/null
+++ b/src/control/view.rs
@@ -0,0 +1,215 @@
+//! What the replica's thread publishes for everyone who only reads.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use tokio::sync::watch;
+
+use crate::control::state::State;
+use crate::ids::ReplicaId;
+use crate::replica::{Replica, Replicas, Role, Vouch};
+use crate::time::Time;
+use crate::units::{Position, Term};
+
+/// Committed entries that are kept for nodes that are slightly behind.
+const TAIL_ENTRIES: usize = 2_048;
+
+/// Bytes of committed entries after which the oldest are dropped.
+const TAIL_BYTES: usize = 8 * 1024 * 1024;
+
+/// What is known about the replica itself.
+#[derive(Clone, Debug)]
+pub struct Meta {
+    /// Its identity.
+    pub id: ReplicaId,
+    /// The part that it plays.
+    pub role: Role,
+    /// Its term.
+    pub term: Term,
+    /// The leader of the term.
+    pub leader: Option<ReplicaId>,
+    /// The last committed position.
+    pub committed: Position,
+    /// The group in force.
+    pub replicas: Replicas,
+    /// Positions that the members are known to hold.
+    pub positions: Vec<(ReplicaId, Position)>,
+    /// True if a voter holds nothing that is not known to be committed.
+    settled: bool,
+    /// Until when this replica speaks for the group.
+    vouch_end: Option<Time>,
+}
+
+impl Meta {
+    fn of(replica: &Replica, now: Time) -> Meta {
+        let members = replica.replicas().members();
+        let position = |id| replica.position_of(id).map(|p| (id, p));
+        Meta {
+            id: replica.id(),
+            role: replica.role(),
+            term: replica.term(),
+            leader: replica.leader(),
+            committed: replica.committed(),
+            replicas: replica.replicas().clone(),
+            positions: members.iter().filter_map(|m| position(m.id)).collect(),
+            settled: replica.vouch(now) != Vouch::None && replica.last() == replica.committed(),
+            vouch_end: replica.vouch_end(now),
+        }
+    }
+
+    /// Returns true if the replica leads with a lease and knows all that is committed.
+    pub fn leads(&self, now: Time) -> bool {
+        self.vouch_end.is_some_and(|end| now < end)
+    }
+
+    /// Returns what the replica can say about positions after `position`.
+    pub fn vouch(&self, now: Time, position: Position) -> Vouch {
+        if position < self.committed {
+            Vouch::None
+        } else if self.leads(now) {
+            Vouch::Group
+        } else if self.settled && self.replicas.is_voter(self.id) {
+            Vouch::Voter
+        } else {
+            Vouch::None
+        }
+    }
+
+    /// Returns the leader's operator address.
+    pub fn leader_operator(&self) -> Option<SocketAddr> {
+        Some(self.replicas.get(self.leader?)?.operator)
+    }
+
+    /// Returns the leader's link address.
+    pub fn leader_link(&self) -> Option<SocketAddr> {
+        Some(self.replicas.get(self.leader?)?.link)
+    }
+}
+
+/// Encoded committed entries, the oldest first.
+#[derive(Debug, Default)]
+struct Tail {
+    /// The position before the first entry.
+    base: Position,
+    entries: VecDeque<Bytes>,
+    bytes: usize,
+}
+
+/// The published state of one replica.
+#[derive(Debug)]
+pub struct View {
+    meta: ArcSwap<Meta>,
+    state: watch::Sender<Arc<State>>,
+    tail: Mutex<Tail>,
+    snapshot: Mutex<Option<(Position, Bytes)>>,
+}
+
+impl View {
+    /// Publishes a replica with the state of its snapshot.
+    pub fn new(replica: &Replica, state: State, now: Time) -> View {
+        let base = state.position();
+        View {
+            meta: ArcSwap::from_pointee(Meta::of(replica, now)),
+            state: watch::Sender::new(Arc::new(state)),
+            tail: Mutex::new(Tail {
+                base,
+                ..Tail::default()
+            }),
+            snapshot: Mutex::default(),
+        }
+    }
+
+    /// Publishes the replica's role and positions.
+    ///
+    /// To be called before the replica's actions are carried out: once an acknowledgement is out,
+    /// this replica must no longer vouch that nothing newer exists.
+    pub fn publish_meta(&self, replica: &Replica, now: Time) {
+        self.meta.store(Arc::new(Meta::of(replica, now)));
+    }
+
+    /// Publishes applied entries together with the state after them.
+    pub fn publish_state(&self, state: State, entries: Vec<Bytes>) {
+        let mut tail = self.tail();
+        for entry in entries {
+            tail.bytes += entry.len();
+            tail.entries.push_back(entry);
+        }
+        while tail.entries.len() > TAIL_ENTRIES || tail.bytes > TAIL_BYTES {
+            let Some(entry) = tail.entries.pop_front() else {
+                break;
+            };
+            tail.bytes -= entry.len();
+            tail.base = tail.base.next();
+        }
+        drop(tail);
+        self.state.send_replace(Arc::new(state));
+    }
+
+    /// Publishes the state of an installed snapshot.
+    pub fn publish_install(&self, state: State) {
+        *self.tail() = Tail {
+            base: state.position(),
+            ..Tail::default()
+        };
+        self.state.send_replace(Arc::new(state));
+    }
+
+    /// Returns what is known about the replica.
+    pub fn meta(&self) -> Arc<Meta> {
+        self.meta.load_full()
+    }
+
+    /// Returns the applied state.
+    pub fn state(&self) -> Arc<State> {
+        self.state.borrow().clone()
+    }
+
+    /// Returns a receiver that is notified at each change of the state.
+    pub fn changes(&self) -> watch::Receiver<Arc<State>> {
+        self.state.subscribe()
+    }
+
+    /// Returns entries after `position`, bounded in count and bytes, or none if the first of them
+    /// is no longer kept.
+    pub fn entries_after(
+        &self,
+        position: Position,
+        count: usize,
+        bytes: usize,
+    ) -> Option<Vec<Bytes>> {
+        let tail = self.tail();
+        let skip = position.0.checked_sub(tail.base.0)? as usize;
+        let mut size = 0;
+        let mut fits = |entry: &&Bytes| {
+            let first = size == 0;
+            size += entry.len().max(1);
+            first || size <= bytes
+        };
+        let entries = tail.entries.iter().skip(skip).take(count);
+        Some(entries.take_while(&mut fits).cloned().collect())
+    }
+
+    /// Returns an encoded state that is at most as old as the kept entries, and its position.
+    ///
+    /// A snapshot that is being fetched, at `wanted`, is kept as long as entries follow it.
+    pub fn snapshot(&self, wanted: Option<Position>) -> (Position, Bytes) {
+        let mut cached = self.snapshot.lock().unwrap_or_else(PoisonError::into_inner);
+        let base = self.tail().base;
+        if let Some((position, bytes)) = &*cached
+            && (*position >= base || wanted == Some(*position))
+        {
+            return (*position, bytes.clone());
+        }
+        let state = self.state();
+        let fresh = (state.position(), state.encode());
+        *cached = Some(fresh.clone());
+        fresh
+    }
+
+    fn tail(&self) -> MutexGuard<'_, Tail> {
+        self.tail.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
