--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -4,6 +4,8 @@
 //! errors of a start are reported together. Secrets come from a file or from the environment and
 //! never from a flag, since flags are visible to every user of a VM.
 
+mod node;
+
 use std::fmt;
 use std::path::PathBuf;
 use std::str::FromStr;
@@ -13,6 +15,8 @@
 use crate::error::{Error, Result};
 use crate::wire::Secret;
 
+pub use node::{NodeArgs, NodeSettings};
+
 /// Prefix of every environment variable.
 pub const ENV_PREFIX: &str = "LABURNUM_";
 
@@ -184,9 +188,14 @@
         if self.errors.is_empty() {
             Ok(())
         } else {
-            Err(Errors(self.errors))
+            Err(self.into_errors())
         }
     }
+
+    /// Ends the check where something that is needed is missing.
+    pub fn into_errors(self) -> Errors {
+        Errors(self.errors)
+    }
 }
 
 /// A time span in settings, written like `500ms` or `5s`.
@@ -237,3 +246,19 @@
         std::process::exit(EXIT_USAGE);
     })
 }
+
+/// Waits for SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Fails if the signals can't be watched.
+pub async fn ended() -> Result<()> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/settings/node.rs
@@ -0,0 +1,192 @@
+//! Settings of `laburnum-node`.
+
+use std::net::SocketAddr;
+
+use argh::FromArgs;
+
+use super::{Checker, Errors, Span};
+use crate::ids::ZoneName;
+use crate::node::{Limits, Settings};
+
+/// The node of a VM: takes callers, guards the targets on its VM.
+#[derive(FromArgs, Clone, Debug, Default)]
+#[argh(
+    note = "Every option --some-name can also be given as LABURNUM_SOME_NAME.",
+    error_code(0, "ended by SIGTERM or SIGINT after a drain"),
+    error_code(1, "could not start or go on"),
+    error_code(2, "wrong options or settings; all are listed")
+)]
+pub struct NodeArgs {
+    /// address for callers (required)
+    #[argh(option)]
+    pub caller_listen: Option<String>,
+
+    /// address for links from other nodes (required)
+    #[argh(option)]
+    pub link_listen: Option<String>,
+
+    /// address that others use for links, if it is not --link-listen
+    #[argh(option)]
+    pub link_public: Option<String>,
+
+    /// address for targets on this VM, probes and metrics (default 127.0.0.1:7202)
+    #[argh(option)]
+    pub admin_listen: Option<String>,
+
+    /// allow an admin address that is not on loopback: true or false (default false)
+    #[argh(option)]
+    pub admin_public: Option<String>,
+
+    /// link addresses of the control processes, separated by commas (required)
+    #[argh(option)]
+    pub controls: Option<String>,
+
+    /// availability zone of this VM (required)
+    #[argh(option)]
+    pub zone: Option<String>,
+
+    /// file with the fleet secret (else LABURNUM_FLEET_SECRET)
+    #[argh(option)]
+    pub fleet_secret_file: Option<String>,
+
+    /// address for metrics as statsd lines by UDP
+    #[argh(option)]
+    pub statsd: Option<String>,
+
+    /// log filter (default info)
+    #[argh(option)]
+    pub log: Option<String>,
+
+    /// most headers of a request (default 100)
+    #[argh(option)]
+    pub header_count: Option<String>,
+
+    /// most bytes of a request line with its headers (default 32768)
+    #[argh(option)]
+    pub header_bytes: Option<String>,
+
+    /// most connections of callers (default 20000)
+    #[argh(option)]
+    pub connections: Option<String>,
+
+    /// time for a request line with its headers (default 10s)
+    #[argh(option)]
+    pub header_time: Option<String>,
+
+    /// longest silence within a caller's body (default 20s)
+    #[argh(option)]
+    pub body_time: Option<String>,
+
+    /// longest silence within a target's answer (default 60s)
+    #[argh(option)]
+    pub answer_time: Option<String>,
+
+    /// longest time in which a caller takes none of an answer (default 30s)
+    #[argh(option)]
+    pub write_time: Option<String>,
+
+    /// longest silence between two requests on a connection (default 75s)
+    #[argh(option)]
+    pub idle_time: Option<String>,
+
+    /// time for a connection to a target or another node (default 1s)
+    #[argh(option)]
+    pub connect_time: Option<String>,
+
+    /// time during which a draining node still takes new work (default 2s)
+    #[argh(option)]
+    pub drain_grace: Option<String>,
+
+    /// longest drain; what still runs after it is cut (default 10m)
+    #[argh(option)]
+    pub drain_max: Option<String>,
+
+    /// print the version and exit
+    #[argh(switch)]
+    pub version: bool,
+}
+
+/// Checked settings of a node process.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// Settings of the node itself.
+    pub node: Settings,
+    /// The log filter.
+    pub log: String,
+}
+
+impl NodeArgs {
+    /// Checks the settings as a whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns every error.
+    pub fn check<E>(self, mut checker: Checker<E>) -> Result<NodeSettings, Errors>
+    where
+        E: Fn(&str) -> Option<String>,
+    {
+        let log = checker.default("log", self.log.clone(), "info".to_owned());
+        let limits = self.limits(&mut checker);
+        let admin: SocketAddr = ([127, 0, 0, 1], 7202).into();
+        let caller = checker.required("caller-listen", self.caller_listen);
+        let link = checker.required("link-listen", self.link_listen);
+        let link_public = checker.optional("link-public", self.link_public);
+        let admin_listen = checker.default("admin-listen", self.admin_listen, admin);
+        let admin_public = checker.default("admin-public", self.admin_public, false);
+        let controls = checker.list("controls", self.controls);
+        if controls.is_empty() {
+            checker.reject("--controls or LABURNUM_CONTROLS must name at least one address");
+        }
+        let zone = checker.required::<ZoneName>("zone", self.zone);
+        let secret = checker.secret("fleet-secret", self.fleet_secret_file);
+        let statsd = checker.optional("statsd", self.statsd);
+        let (Some(caller), Some(link), Some(zone), Some(secret)) = (caller, link, zone, secret)
+        else {
+            return Err(checker.into_errors());
+        };
+        let node = Settings {
+            caller_listen: caller,
+            link_listen: link,
+            link_public,
+            admin_listen,
+            admin_public,
+            control: controls,
+            zone,
+            secret,
+            statsd,
+            limits,
+        };
+        if let Err(e) = node.check() {
+            checker.reject(e.to_string());
+        }
+        checker.finish().map(|()| NodeSettings { node, log })
+    }
+
+    fn limits<E>(&self, checker: &mut Checker<E>) -> Limits
+    where
+        E: Fn(&str) -> Option<String>,
+    {
+        let base = Limits::default();
+        let mut span = |name, flag: &Option<String>, default| {
+            let Span(time) = checker.default(name, flag.clone(), Span(default));
+            time
+        };
+        let mut limits = Limits {
+            header_time: span("header-time", &self.header_time, base.header_time),
+            body_time: span("body-time", &self.body_time, base.body_time),
+            answer_time: span("answer-time", &self.answer_time, base.answer_time),
+            write_time: span("write-time", &self.write_time, base.write_time),
+            idle_time: span("idle-time", &self.idle_time, base.idle_time),
+            connect_time: span("connect-time", &self.connect_time, base.connect_time),
+            drain_grace: span("drain-grace", &self.drain_grace, base.drain_grace),
+            drain_max: span("drain-max", &self.drain_max, base.drain_max),
+            ..base
+        };
+        let mut count =
+            |name, flag: &Option<String>, default| checker.default(name, flag.clone(), default);
+        limits.header_count = count("header-count", &self.header_count, limits.header_count);
+        limits.header_bytes = count("header-bytes", &self.header_bytes, limits.header_bytes);
+        limits.connections = count("connections", &self.connections, limits.connections);
+        limits
+    }
+}
--- /dev/null
+++ b/tests/docs_match.rs
@@ -0,0 +1,43 @@
+//! Pages match the code.
+
+use laburnumtide::prelude::*;
+
+fn page(name: &str) -> String {
+    let path = format!("{}/{name}", env!("CARGO_MANIFEST_DIR"));
+    std::fs::read_to_string(path).unwrap()
+}
+
+/// Guards against a refusal that operators can't look up.
+#[test]
+fn reasons_listed() {
+    let text = page("docs/operators.md");
+    for reason in Reason::ALL {
+        let status = reason.status().as_u16();
+        let outcome = match reason.may_have_run() {
+            true => "unknown",
+            false => "not-run",
+        };
+        let row = format!(
+            "| `{reason}` | {status} | {outcome} | {} | {} |",
+            reason.meaning(),
+            reason.action()
+        );
+        assert!(text.contains(&row), "docs/operators.md lacks {row}");
+    }
+}
+
+/// Guards against the example note of the operators' page being refused.
+#[test]
+fn example_notes() {
+    let text = page("docs/operators.md");
+    let blocks: Vec<&str> = text.split("```toml\n").skip(1).collect();
+    assert_eq!(blocks.len(), 2);
+    let mut config = laburnumtide::config::Config::new();
+    for block in blocks {
+        let toml = block.split("```").next().unwrap();
+        let digest = KeyDigest::of(b"example").to_string();
+        let toml = toml.replace("sha256:<64 hexadecimal digits>", &digest);
+        let note = laburnumtide::config::Note::parse(&toml).unwrap();
+        config.apply(&note).unwrap();
+    }
+}
