--- /dev/null
+++ b/src/storage/store.rs
@@ -0,0 +1,442 @@
+//! The store of one data folder.
+
+use std::io;
+use std::path::{Path, PathBuf};
+
+use super::disk::{Disk, DiskFile};
+use super::frame::{self, FRAMES_START, Frame, Seal};
+use super::{RECORD_MAX_BYTES, Record};
+use crate::error::{Category, Error, Result};
+use crate::ids::ReplicaId;
+
+/// A data folder with its log, snapshot and identity.
+///
+/// Records and snapshot are also held in memory, so that reads go on whatever the disk does.
+///
+/// ```
+/// use laburnumtide::storage::{Record, Store, fake::FakeDisk};
+///
+/// let disk = FakeDisk::new();
+/// let mut store = Store::open(disk.clone(), "data").unwrap();
+/// let record = Record { index: 1, bytes: b"first".to_vec() };
+/// store.append(&[record.clone()]).unwrap();
+/// drop(store);
+/// disk.crash();
+/// let store = Store::open(disk, "data").unwrap();
+/// assert_eq!(store.records(1), [record]);
+/// ```
+#[derive(Debug)]
+pub struct Store<D: Disk> {
+    disk: D,
+    folder: PathBuf,
+    identity: ReplicaId,
+    log: D::File,
+    seal: Seal,
+    /// Consecutive records behind the snapshot.
+    records: Vec<Record>,
+    snapshot: Option<(u64, Vec<u8>)>,
+    local: Vec<u8>,
+    /// Why nothing can be written until the folder is opened again.
+    broken: Option<String>,
+    _lock: D::Lock,
+}
+
+impl<D: Disk> Store<D> {
+    /// Opens a data folder, and creates it with a new identity if it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// [`Category::Conflict`] if another process uses the folder, [`Category::Corrupt`] if synced
+    /// content is damaged or missing, [`Category::Io`] if the disk fails.
+    pub fn open(disk: D, folder: impl AsRef<Path>) -> Result<Store<D>> {
+        let folder = folder.as_ref().to_owned();
+        disk.create_folder(&folder)
+            .map_err(during("create folder"))?;
+        let lock = disk
+            .lock(&folder.join("lock"))
+            .map_err(|e| match e.kind() {
+                io::ErrorKind::WouldBlock => {
+                    Error::new(Category::Conflict, "another process uses the data folder")
+                }
+                _ => Error::io("lock data folder", e),
+            })?;
+        let snapshot = read_snapshot(&disk, &folder)?;
+        let files = Files {
+            identity: read(&disk, &folder, "identity")?,
+            log: read(&disk, &folder, "log")?,
+        };
+        let (identity, file) = match files.state(snapshot.is_some())? {
+            State::Whole { identity, log } => (identity, log),
+            State::New => create(&disk, &folder)?,
+        };
+        let history = replay(&file, snapshot.as_ref().map_or(0, |s| s.0))?;
+        let mut store = Store {
+            log: disk.open(&folder.join("log")).map_err(during("open log"))?,
+            seal: history.seal,
+            records: history.records,
+            local: history.local,
+            broken: None,
+            _lock: lock,
+            disk,
+            folder,
+            identity,
+            snapshot,
+        };
+        store.keep(history.length, file.len() as u64)?;
+        Ok(store)
+    }
+
+    /// Cuts a torn tail behind `length` and seals whole frames that were not sealed.
+    fn keep(&mut self, length: u64, present: u64) -> Result<()> {
+        if present > length {
+            let action = "cut torn end of log";
+            self.log.truncate(length).map_err(during(action))?;
+        }
+        if present > length || self.seal.length < length {
+            self.log.sync().map_err(during("sync log"))?;
+        }
+        if self.seal.length < length {
+            self.write_seal(length)?;
+        }
+        Ok(())
+    }
+
+    /// Returns the identity of the folder.
+    pub fn identity(&self) -> ReplicaId {
+        self.identity
+    }
+
+    /// Returns the index of the last record, or of the snapshot if no record follows it.
+    pub fn last(&self) -> u64 {
+        self.first() + self.records.len() as u64 - 1
+    }
+
+    /// Returns the index of the first record that is or would be held.
+    pub fn first(&self) -> u64 {
+        self.snapshot.as_ref().map_or(0, |s| s.0) + 1
+    }
+
+    /// Returns the records from index `from` on; those that the snapshot replaced are gone.
+    pub fn records(&self, from: u64) -> &[Record] {
+        let skip = from.saturating_sub(self.first());
+        let skip = self
+            .records
+            .len()
+            .min(usize::try_from(skip).unwrap_or(usize::MAX));
+        &self.records[skip..]
+    }
+
+    /// Returns the last snapshot and its index.
+    pub fn snapshot(&self) -> Option<(u64, Vec<u8>)> {
+        self.snapshot.clone()
+    }
+
+    /// Returns the local value; empty before the first is saved.
+    pub fn local(&self) -> &[u8] {
+        &self.local
+    }
+
+    /// Appends records and syncs them.
+    ///
+    /// # Errors
+    ///
+    /// [`Category::Invalid`] if the indexes do not follow or a record is too large. After an I/O
+    /// error none of the records is held, but some may be found when the folder is opened again; a
+    /// full disk leaves reads working, and the call can be repeated.
+    pub fn append(&mut self, records: &[Record]) -> Result<()> {
+        let mut bytes = Vec::new();
+        for (record, index) in records.iter().zip(self.last() + 1..) {
+            if record.index != index {
+                return Err(Error::invalid(format!(
+                    "record {} does not follow {}",
+                    record.index,
+                    index - 1
+                )));
+            }
+            check_size(&record.bytes)?;
+            frame::put_record(&mut bytes, record);
+        }
+        if records.is_empty() {
+            return Ok(());
+        }
+        self.write(&bytes)?;
+        self.records.extend_from_slice(records);
+        Ok(())
+    }
+
+    /// Drops the records from `index` on and syncs that.
+    ///
+    /// # Errors
+    ///
+    /// [`Category::Invalid`] if the snapshot replaced the record already; I/O errors as for
+    /// [`Store::append`].
+    pub fn truncate_from(&mut self, index: u64) -> Result<()> {
+        if index < self.first() {
+            return Err(Error::invalid(format!("record {index} is in the snapshot")));
+        }
+        if index > self.last() {
+            return Ok(());
+        }
+        let mut bytes = Vec::new();
+        frame::put_truncate(&mut bytes, index);
+        self.write(&bytes)?;
+        self.records.truncate((index - self.first()) as usize);
+        Ok(())
+    }
+
+    /// Replaces the local value and syncs it.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Store::append`].
+    pub fn save_local(&mut self, bytes: &[u8]) -> Result<()> {
+        check_size(bytes)?;
+        let mut frames = Vec::new();
+        frame::put_local(&mut frames, bytes);
+        self.write(&frames)?;
+        self.local = bytes.to_vec();
+        Ok(())
+    }
+
+    /// Replaces the snapshot, drops the records up to `index` and trims the log.
+    ///
+    /// Records behind `index` stay; a caller whose records contradict the snapshot drops them
+    /// first.
+    ///
+    /// # Errors
+    ///
+    /// [`Category::Invalid`] if the present snapshot is newer. After an I/O error the snapshot may
+    /// be saved although the log is not trimmed; the call can be repeated.
+    pub fn save_snapshot(&mut self, index: u64, bytes: &[u8]) -> Result<()> {
+        self.check_broken()?;
+        if index + 1 < self.first() {
+            return Err(Error::invalid(format!("snapshot {index} is outdated")));
+        }
+        let file = frame::wrap(index, bytes);
+        put_file(&self.disk, &self.folder, "snapshot", &file)?;
+        let gone = (index + 1 - self.first()) as usize;
+        self.records.drain(..gone.min(self.records.len()));
+        self.snapshot = Some((index, bytes.to_vec()));
+        self.trim()
+    }
+
+    /// Rewrites the log without the records that the snapshot replaces.
+    fn trim(&mut self) -> Result<()> {
+        let mut frames = Vec::new();
+        frame::put_local(&mut frames, &self.local);
+        for record in &self.records {
+            frame::put_record(&mut frames, record);
+        }
+        let (file, seal) = frame::log_file(&frames);
+        write_temporary(&self.disk, &self.folder, "log", &file)?;
+        // From the rename on, the open file may be the one without a name.
+        self.broken = Some("the log was being replaced".to_owned());
+        publish(&self.disk, &self.folder, "log")?;
+        let path = self.folder.join("log");
+        self.log = self.disk.open(&path).map_err(during("open log"))?;
+        self.seal = seal;
+        self.broken = None;
+        Ok(())
+    }
+
+    fn check_broken(&self) -> Result<()> {
+        match &self.broken {
+            None => Ok(()),
+            Some(why) => Err(Error::unavailable(format!(
+                "the data folder must be opened again: {why}"
+            ))),
+        }
+    }
+
+    /// Writes frames behind the seal, syncs them and seals them.
+    fn write(&mut self, frames: &[u8]) -> Result<()> {
+        self.check_broken()?;
+        let end = self.seal.length;
+        if let Err(e) = self.log.write_at(end, frames) {
+            // The partial frames must go, or later ones would stand behind damage.
+            if let Err(second) = self.log.truncate(end) {
+                self.broken = Some(format!("cut after a failed write: {second}"));
+            }
+            return Err(Error::io("write log", e));
+        }
+        if let Err(e) = self.log.sync() {
+            // What a failed sync left on the disk is unknown, and a second sync may report success
+            // without writing anything.
+            self.broken = Some(format!("sync failed: {e}"));
+            return Err(Error::io("sync log", e));
+        }
+        self.write_seal(end + frames.len() as u64)
+    }
+
+    fn write_seal(&mut self, length: u64) -> Result<()> {
+        let seal = Seal {
+            sequence: self.seal.sequence + 1,
+            length,
+        };
+        let written = self.log.write_at(seal.offset(), &seal.encode());
+        if let Err(e) = written.and_then(|()| self.log.sync()) {
+            self.broken = Some(format!("seal failed: {e}"));
+            return Err(Error::io("seal log", e));
+        }
+        self.seal = seal;
+        Ok(())
+    }
+}
+
+/// The files that tell whether a folder is new.
+struct Files {
+    identity: Option<Vec<u8>>,
+    log: Option<Vec<u8>>,
+}
+
+enum State {
+    /// Nothing was ever stored.
+    New,
+    Whole {
+        identity: ReplicaId,
+        log: Vec<u8>,
+    },
+}
+
+impl Files {
+    /// Decides between a new, a whole and a damaged folder.
+    ///
+    /// The identity is written after the first log, so a folder whose creation was interrupted holds
+    /// at most an empty log.
+    fn state(self, has_snapshot: bool) -> Result<State> {
+        match (self.identity, self.log) {
+            (Some(identity), Some(log)) => {
+                let (number, _) = frame::unwrap(&identity)
+                    .ok_or_else(|| Error::corrupt("file identity fails its checksum"))?;
+                let identity = ReplicaId(number);
+                Ok(State::Whole { identity, log })
+            }
+            (Some(_), None) => Err(Error::corrupt("file log is missing")),
+            (None, log) => match has_snapshot || log.is_some_and(|l| l.len() > FRAMES_START) {
+                true => Err(Error::corrupt("file identity is missing")),
+                false => Ok(State::New),
+            },
+        }
+    }
+}
+
+/// Creates an empty log, then the identity.
+fn create<D: Disk>(disk: &D, folder: &Path) -> Result<(ReplicaId, Vec<u8>)> {
+    let (file, _) = frame::log_file(&[]);
+    put_file(disk, folder, "log", &file)?;
+    let identity = ReplicaId::random();
+    put_file(disk, folder, "identity", &frame::wrap(identity.0, &[]))?;
+    Ok((identity, file))
+}
+
+struct History {
+    records: Vec<Record>,
+    local: Vec<u8>,
+    seal: Seal,
+    /// How many bytes of the file are whole.
+    length: u64,
+}
+
+/// Replays a log file; records up to `snapshot` are left out.
+fn replay(file: &[u8], snapshot: u64) -> Result<History> {
+    let seal = Seal::find(file).ok_or_else(|| Error::corrupt("log has no legible seal"))?;
+    let mut history = History {
+        records: Vec::new(),
+        local: Vec::new(),
+        seal,
+        length: FRAMES_START as u64,
+    };
+    let mut at = FRAMES_START;
+    while let Some((frame, length)) = file.get(at..).and_then(frame::take) {
+        history.step(frame, snapshot, at)?;
+        at += length;
+    }
+    if (at as u64) < seal.length {
+        return Err(Error::corrupt(format!(
+            "log is damaged at byte {at} of {} synced bytes",
+            seal.length
+        )));
+    }
+    history.length = at as u64;
+    Ok(history)
+}
+
+impl History {
+    fn step(&mut self, frame: Frame, snapshot: u64, at: usize) -> Result<()> {
+        match frame {
+            Frame::Local(bytes) => self.local = bytes,
+            Frame::Truncate(index) => self.records.retain(|r| r.index < index),
+            Frame::Record(record) if record.index <= snapshot => {}
+            Frame::Record(record) => {
+                let last = self.records.last().map_or(snapshot, |r| r.index);
+                if record.index != last + 1 {
+                    return Err(Error::corrupt(format!(
+                        "record {} at byte {at} of the log does not follow {last}",
+                        record.index
+                    )));
+                }
+                self.records.push(record);
+            }
+        }
+        Ok(())
+    }
+}
+
+fn read_snapshot<D: Disk>(disk: &D, folder: &Path) -> Result<Option<(u64, Vec<u8>)>> {
+    let Some(file) = read(disk, folder, "snapshot")? else {
+        return Ok(None);
+    };
+    match frame::unwrap(&file) {
+        Some((index, bytes)) => Ok(Some((index, bytes.to_vec()))),
+        None => Err(Error::corrupt("file snapshot fails its checksum")),
+    }
+}
+
+fn read<D: Disk>(disk: &D, folder: &Path, name: &str) -> Result<Option<Vec<u8>>> {
+    match disk.read(&folder.join(name)) {
+        Ok(bytes) => Ok(Some(bytes)),
+        Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(None),
+        Err(e) => Err(Error::io(format!("read {name}"), e)),
+    }
+}
+
+/// Replaces a file as a whole, so that a crash leaves the old or the new one.
+fn put_file<D: Disk>(disk: &D, folder: &Path, name: &str, bytes: &[u8]) -> Result<()> {
+    write_temporary(disk, folder, name, bytes)?;
+    publish(disk, folder, name)
+}
+
+fn write_temporary<D: Disk>(disk: &D, folder: &Path, name: &str, bytes: &[u8]) -> Result<()> {
+    let path = folder.join(format!("{name}.tmp"));
+    let write = || {
+        let mut file = disk.create(&path)?;
+        file.write_at(0, bytes)?;
+        file.sync()
+    };
+    write().map_err(|e| {
+        // Gives the room back; the next attempt replaces the file if this fails as well.
+        let _ = disk.remove(&path);
+        Error::io(format!("write {name}"), e)
+    })
+}
+
+/// Gives a temporary file its name and makes the name durable.
+fn publish<D: Disk>(disk: &D, folder: &Path, name: &str) -> Result<()> {
+    let path = folder.join(format!("{name}.tmp"));
+    disk.rename(&path, &folder.join(name))
+        .and_then(|()| disk.sync_folder(folder))
+        .map_err(during("replace file"))
+}
+
+fn check_size(bytes: &[u8]) -> Result<()> {
+    match bytes.len() > RECORD_MAX_BYTES {
+        true => Err(Error::invalid(format!(
+            "a record has more than {RECORD_MAX_BYTES} bytes"
+        ))),
+        false => Ok(()),
+    }
+}
+
+fn during(action: &'static str) -> impl FnOnce(io::Error) -> Error {
+    move |e| Error::io(action, e)
+}
--- /dev/null
+++ b/tests/durable_log.rs
@@ -0,0 +1,315 @@
+//! The store over crashes, torn writes, full disks and damage.
+
+use std::path::Path;
+
+use laburnumtide::error::Category;
+use laburnumtide::storage::fake::FakeDisk;
+use laburnumtide::storage::{Disk, RealDisk, Record, Store};
+use proptest::prelude::*;
+
+fn open(disk: &FakeDisk) -> Store<FakeDisk> {
+    Store::open(disk.clone(), "data").expect("the folder is whole")
+}
+
+fn record(index: u64, size: usize) -> Record {
+    let bytes = (0..size).map(|i| (i as u8) ^ (index as u8)).collect();
+    Record { index, bytes }
+}
+
+/// What a store holds, for comparison.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Held {
+    records: Vec<Record>,
+    snapshot: Option<(u64, Vec<u8>)>,
+    local: Vec<u8>,
+}
+
+impl Held {
+    fn of<D: Disk>(store: &Store<D>) -> Held {
+        Held {
+            records: store.records(0).to_vec(),
+            snapshot: store.snapshot(),
+            local: store.local().to_vec(),
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Append(usize, usize),
+    Truncate(u64),
+    Local(u8),
+    Snapshot(u64),
+}
+
+impl Step {
+    fn run<D: Disk>(&self, store: &mut Store<D>) -> laburnumtide::error::Result<()> {
+        match self {
+            Step::Append(count, size) => {
+                let next = store.last() + 1;
+                let records: Vec<_> = (next..).take(*count).map(|i| record(i, *size)).collect();
+                store.append(&records)
+            }
+            Step::Truncate(back) => {
+                let index = store.last().saturating_sub(*back).max(store.first());
+                store.truncate_from(index)
+            }
+            Step::Local(byte) => store.save_local(&[*byte; 40]),
+            Step::Snapshot(back) => {
+                let index = store.last().saturating_sub(*back).max(store.first() - 1);
+                store.save_snapshot(index, &[index as u8; 700])
+            }
+        }
+    }
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        3 => (1usize..4, 0usize..1_500).prop_map(|(n, size)| Step::Append(n, size)),
+        1 => (0u64..4).prop_map(Step::Truncate),
+        1 => any::<u8>().prop_map(Step::Local),
+        1 => (0u64..4).prop_map(Step::Snapshot),
+    ]
+}
+
+/// Returns true if `found` can follow from `before` by all or part of a step that leads to `after`.
+fn is_between(before: &Held, found: &Held, after: &Held) -> bool {
+    let local = found.local == before.local || found.local == after.local;
+    let snapshot = found.snapshot == before.snapshot || found.snapshot == after.snapshot;
+    let is_prefix = |short: &[Record], long: &[Record]| long.starts_with(short);
+    let records = found.records == before.records
+        || found.records == after.records
+        || (is_prefix(&before.records, &found.records)
+            && is_prefix(&found.records, &after.records));
+    local && snapshot && records
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1_000,
+        failure_persistence: None,
+        ..Default::default()
+    })]
+
+    /// Guards against a lost acknowledged write, and against a folder that a crash at any
+    /// operation leaves illegible.
+    #[test]
+    fn any_crash_keeps_synced_state(
+        steps in prop::collection::vec(step(), 1..12),
+        power in 1u64..80,
+        seed in any::<u64>(),
+    ) {
+        let disk = FakeDisk::new();
+        disk.cut_power_after(power);
+        let mut before = Held::default();
+        let mut after = Held::default();
+        if let Ok(mut store) = Store::open(disk.clone(), "data") {
+            for step in &steps {
+                // A second disk without faults tells where the step would have led.
+                let copy = replay(&store);
+                after = copy.after(step);
+                if step.run(&mut store).is_err() {
+                    break;
+                }
+                before = Held::of(&store);
+                after = before.clone();
+            }
+        }
+        disk.tear(seed);
+        let store = open(&disk);
+        let found = Held::of(&store);
+        prop_assert!(is_between(&before, &found, &after), "{before:?}\n{found:?}\n{after:?}");
+        let identity = store.identity();
+        drop(store);
+        disk.crash();
+        let again = open(&disk);
+        prop_assert_eq!(Held::of(&again), found, "what was found must stay");
+        prop_assert_eq!(again.identity(), identity);
+    }
+}
+
+/// A copy of a store on a disk without faults.
+struct Copy(Store<FakeDisk>);
+
+fn replay(store: &Store<FakeDisk>) -> Copy {
+    let mut copy = open(&FakeDisk::new());
+    if let Some((index, bytes)) = store.snapshot() {
+        copy.save_snapshot(index, &bytes).unwrap();
+    }
+    copy.append(store.records(0)).unwrap();
+    copy.save_local(store.local()).unwrap();
+    Copy(copy)
+}
+
+impl Copy {
+    fn after(mut self, step: &Step) -> Held {
+        step.run(&mut self.0).unwrap();
+        Held::of(&self.0)
+    }
+}
+
+fn filled(disk: &FakeDisk) -> Held {
+    let mut store = open(disk);
+    store.append(&[record(1, 10), record(2, 20)]).unwrap();
+    store.save_snapshot(1, b"one").unwrap();
+    store.save_local(b"term 3").unwrap();
+    store.append(&[record(3, 30)]).unwrap();
+    Held::of(&store)
+}
+
+/// Guards against damage that is taken for a torn tail, also in the last synced record.
+#[test]
+fn every_flipped_bit_is_named() {
+    let pristine = FakeDisk::new();
+    filled(&pristine);
+    for name in ["log", "snapshot", "identity"] {
+        let length = pristine.read(&Path::new("data").join(name)).unwrap().len();
+        let mut named = 0;
+        for offset in 0..length {
+            let disk = FakeDisk::new();
+            let held = filled(&disk);
+            disk.flip(Path::new("data").join(name), offset, (offset % 8) as u8);
+            match Store::open(disk, "data") {
+                // The padding and the older seal carry nothing.
+                Ok(store) => assert_eq!(Held::of(&store), held, "{name} {offset}"),
+                Err(e) => {
+                    assert_eq!(e.category(), Category::Corrupt, "{name} {offset}: {e}");
+                    named += 1;
+                }
+            }
+        }
+        assert!(named > 0, "{name}");
+        println!("{name}: {named} of {length} flips named");
+    }
+    let disk = FakeDisk::new();
+    filled(&disk);
+    let length = disk.read("data/log".as_ref()).unwrap().len();
+    disk.flip("data/log", length - 1, 0);
+    let error = Store::open(disk, "data").expect_err("the last record is damaged");
+    assert_eq!(error.category(), Category::Corrupt);
+}
+
+/// Guards against a replica that forgets its votes because a file is gone.
+#[test]
+fn lost_files_are_named() {
+    for name in ["log", "identity"] {
+        let disk = FakeDisk::new();
+        filled(&disk);
+        disk.lose(Path::new("data").join(name));
+        let error = Store::open(disk, "data").expect_err("a file is lost");
+        assert_eq!(error.category(), Category::Corrupt);
+        assert!(error.to_string().contains(name), "{error}");
+    }
+}
+
+/// Guards against a full disk that damages the log or stops reads.
+#[test]
+fn full_disk_refuses_and_reads() {
+    let disk = FakeDisk::new();
+    let held = filled(&disk);
+    let mut store = open(&disk);
+    for room in [0, 1, 16, 17, 500, 1_000] {
+        disk.set_room(Some(room));
+        let error = store
+            .append(&[record(4, 2_000)])
+            .expect_err("the disk is full");
+        assert!(error.is_disk_full(), "{error}");
+        assert_eq!(Held::of(&store), held);
+        assert!(
+            store
+                .save_snapshot(3, &[0; 4_000])
+                .unwrap_err()
+                .is_disk_full()
+        );
+        assert_eq!(Held::of(&store), held);
+    }
+    disk.set_room(None);
+    store.append(&[record(4, 2_000)]).unwrap();
+    drop(store);
+    disk.crash();
+    let store = open(&disk);
+    assert_eq!(store.records(4), [record(4, 2_000)]);
+    assert_eq!(store.records(0).len(), 3);
+}
+
+/// Guards against an acknowledgement after a failed sync, which the kernel may not repeat.
+#[test]
+fn failed_sync_stops_writes() {
+    let disk = FakeDisk::new();
+    let held = filled(&disk);
+    let mut store = open(&disk);
+    disk.set_sync_fails(true);
+    assert!(store.append(&[record(4, 10)]).is_err());
+    disk.set_sync_fails(false);
+    let error = store
+        .append(&[record(4, 10)])
+        .expect_err("the store is broken");
+    assert_eq!(error.category(), Category::Unavailable);
+    assert_eq!(Held::of(&store), held);
+    drop(store);
+    disk.crash();
+    let mut store = open(&disk);
+    assert_eq!(Held::of(&store), held);
+    store.append(&[record(4, 10)]).unwrap();
+}
+
+/// Guards against a log that grows for ever.
+#[test]
+fn snapshot_trims_log() {
+    let disk = FakeDisk::new();
+    let mut store = open(&disk);
+    for index in 1..=100 {
+        store.append(&[record(index, 1_000)]).unwrap();
+    }
+    let long = disk.read("data/log".as_ref()).unwrap().len();
+    store.save_snapshot(98, b"state").unwrap();
+    let short = disk.read("data/log".as_ref()).unwrap().len();
+    assert!(long > 100_000 && short < 5_000, "{long} {short}");
+    assert_eq!(store.records(0), [record(99, 1_000), record(100, 1_000)]);
+    assert!(store.truncate_from(98).is_err());
+    assert!(store.save_snapshot(97, b"old").is_err());
+    store.save_snapshot(300, b"from the leader").unwrap();
+    assert_eq!((store.first(), store.last()), (301, 300));
+    assert!(store.append(&[record(300, 1)]).is_err());
+    store.append(&[record(301, 1)]).unwrap();
+    drop(store);
+    disk.crash();
+    let store = open(&disk);
+    assert_eq!(store.records(0), [record(301, 1)]);
+    assert_eq!(store.snapshot(), Some((300, b"from the leader".to_vec())));
+}
+
+/// Guards against two processes on one folder.
+#[test]
+fn folder_has_one_user() {
+    let disk = FakeDisk::new();
+    let store = open(&disk);
+    let error = Store::open(disk.clone(), "data").expect_err("the folder is in use");
+    assert_eq!(error.category(), Category::Conflict);
+    drop(store);
+    open(&disk);
+}
+
+#[test]
+fn real_disk_keeps_state() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("deep").join("data");
+    let mut store = Store::open(RealDisk, &path).unwrap();
+    let error = Store::open(RealDisk, &path).expect_err("the folder is in use");
+    assert_eq!(error.category(), Category::Conflict);
+    let steps = [
+        Step::Append(3, 100),
+        Step::Local(7),
+        Step::Truncate(0),
+        Step::Snapshot(1),
+        Step::Append(2, 5_000),
+    ];
+    for step in steps {
+        step.run(&mut store).unwrap();
+    }
+    let (held, identity) = (Held::of(&store), store.identity());
+    drop(store);
+    let store = Store::open(RealDisk, &path).unwrap();
+    assert_eq!(Held::of(&store), held);
+    assert_eq!(store.identity(), identity);
+}
