--- a/tests/durable_log.rs
+++ b/tests/durable_log.rs
@@ -232,6 +232,41 @@
     assert_eq!(store.records(0).len(), 3);
 }
 
+/// Guards against whole frames behind a torn one that follow a later record of the same size.
+#[test]
+fn torn_batch_never_returns() {
+    for seed in 0..200 {
+        let disk = FakeDisk::new();
+        let mut store = open(&disk);
+        disk.cut_power_after(2);
+        let batch: Vec<_> = (1..5).map(|i| record(i, 1_007)).collect();
+        store
+            .append(&batch)
+            .expect_err("the power fails at the sync");
+        drop(store);
+        disk.tear(seed);
+        let mut store = open(&disk);
+        let next = store.last() + 1;
+        store.append(&[record(next, 1_007)]).unwrap();
+        drop(store);
+        disk.crash();
+        assert_eq!(open(&disk).last(), next, "seed {seed}");
+    }
+}
+
+/// Guards against whole frames of a refused batch that follow a later record of the same size.
+#[test]
+fn refused_batch_never_returns() {
+    let disk = FakeDisk::new();
+    let mut store = open(&disk);
+    disk.set_room(Some(350));
+    let batch: Vec<_> = (1..5).map(|i| record(i, 100)).collect();
+    assert!(store.append(&batch).unwrap_err().is_disk_full());
+    store.append(&[record(1, 100)]).unwrap();
+    drop(store);
+    assert_eq!(open(&disk).last(), 1);
+}
+
 /// Guards against an acknowledgement after a failed sync, which the kernel may not repeat.
 #[test]
 fn failed_sync_stops_writes() {
