Guard caller connections and add a stand-in target

A strict reader in front of the server passes on only requests with one reading. hyper alone drops a content-length that follows transfer-encoding and answers other faults without a body, so both could not be refused by reason. The drain step and the running count share one value, so that a drain can't miss a request that is being taken.

--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -179,6 +179,11 @@
         self.empty || self.lock().body.is_some()
     }
 
+    /// Returns true if the request has no body.
+    pub fn is_empty(&self) -> bool {
+        self.empty
+    }
+
     /// Takes the untouched body, to be read to its end after a refusal.
     pub fn take_rest(&self) -> Option<Paced> {
         self.lock().body.take()
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,10 +1,14 @@
 //! Rules for headers and bodies, and refusals as HTTP answers.
 
 pub mod body;
+pub mod chunks;
+pub mod framing;
+pub mod guard;
 pub mod headers;
 pub mod path;
 pub mod refusal;
 
 pub use body::{BodyError, Upload, UploadSlot};
+pub use guard::{FAULT_METHOD, Guard, GuardLimits};
 pub use headers::{strip_answer, strip_request};
 pub use refusal::refusal_response;
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HeaderValue};
@@ -11,6 +10,7 @@
 use hyper::body::Incoming;
 
 use crate::metrics::Metrics;
+use crate::node::flight::{Flight, Step};
 use crate::node::local::{Announcement, Local};
 use crate::node::plug::{Freshness, Policy};
 
@@ -24,7 +24,7 @@
     policy: Arc<Policy>,
     freshness: Arc<F>,
     metrics: Metrics,
-    leaving: AtomicBool,
+    flight: Flight,
 }
 
 impl<F: Freshness> Admin<F> {
@@ -34,21 +34,17 @@
         policy: Arc<Policy>,
         freshness: Arc<F>,
         metrics: Metrics,
+        flight: Flight,
     ) -> Admin<F> {
         Admin {
             local,
             policy,
             freshness,
             metrics,
-            leaving: AtomicBool::new(false),
+            flight,
         }
     }
 
-    /// Turns readiness off for good.
-    pub fn leave(&self) {
-        self.leaving.store(true, Ordering::SeqCst);
-    }
-
     /// Serves one request.
     ///
     /// # Errors
@@ -74,7 +70,7 @@
 
     fn ready(&self) -> Response<Full<Bytes>> {
         let unready = StatusCode::SERVICE_UNAVAILABLE;
-        if self.leaving.load(Ordering::SeqCst) {
+        if self.flight.step() != Step::Stay {
             text(unready, "draining\n")
         } else if self.policy.load().is_none() {
             text(unready, "starting\n")
--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -4,7 +4,6 @@
 use std::pin::Pin;
 use std::str::FromStr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -22,7 +21,7 @@
 use crate::http::headers;
 use crate::http::refusal::{ANSWER, NOT_RUN, UNKNOWN, id_value};
 use crate::ids::{AccountName, AttemptId, RequestId, TargetName};
-use crate::node::flight::{Flight, Ticket};
+use crate::node::flight::{Flight, Step, Ticket};
 use crate::node::local::{Local, LocalTarget};
 use crate::node::pool::Sender;
 use crate::node::settings::Limits;
@@ -43,7 +42,6 @@
     local: Arc<Local>,
     clock: Monotonic,
     flight: Flight,
-    draining: AtomicBool,
     body_time: Duration,
     answer_time: Duration,
 }
@@ -66,17 +64,11 @@
             local,
             clock,
             flight,
-            draining: AtomicBool::new(false),
             body_time: limits.body_time,
             answer_time: limits.answer_time,
         }
     }
 
-    /// Refuses every request from now on; what runs goes on.
-    pub fn drain(&self) {
-        self.draining.store(true, Ordering::SeqCst);
-    }
-
     /// Serves one request of an ingress.
     ///
     /// # Errors
@@ -142,7 +134,7 @@
     }
 
     fn target(&self, job: &Job) -> std::result::Result<Arc<LocalTarget>, Refusal> {
-        if self.draining.load(Ordering::SeqCst) {
+        if self.flight.step() == Step::Gone {
             return Err(Refusal::after(Reason::Draining, RETRY_LATER));
         }
         let target = self.local.get(&job.target);
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,14 +12,14 @@
 
 use crate::config::{Account, Config, Route, RouteMatch};
 use crate::http::body::{Paced, UploadSlot};
-use crate::http::headers;
 use crate::http::path::{is_safe, resolve};
 use crate::http::refusal::{ANSWER, id_value, refusal_response};
+use crate::http::{FAULT_METHOD, headers};
 use crate::ids::{KeyDigest, RequestId};
 use crate::metrics::Metrics;
 use crate::node::answer::Download;
 use crate::node::call::{Call, Identity, reason_of};
-use crate::node::flight::Flight;
+use crate::node::flight::{Flight, Step, Ticket};
 use crate::node::forward::Forwarder;
 use crate::node::open::OpenLimit;
 use crate::node::plug::{Admission, Freshness, Parts};
@@ -51,8 +50,6 @@
     flight: Flight,
     metrics: Metrics,
     body_time: Duration,
-    closing: AtomicBool,
-    draining: AtomicBool,
 }
 
 impl<F: Freshness, A: Admission> Ingress<F, A> {
@@ -74,21 +71,9 @@
             flight,
             metrics,
             body_time: limits.body_time,
-            closing: AtomicBool::new(false),
-            draining: AtomicBool::new(false),
         }
     }
 
-    /// Announces the end of each connection with its next answer.
-    pub fn close_connections(&self) {
-        self.closing.store(true, Ordering::SeqCst);
-    }
-
-    /// Refuses every request from now on; what runs goes on.
-    pub fn drain(&self) {
-        self.draining.store(true, Ordering::SeqCst);
-    }
-
     /// Ends open requests whose key has been withdrawn, or all if the configuration is stale.
     pub fn sweep(&self) {
         let fresh = self.parts.freshness.is_fresh();
@@ -119,7 +104,7 @@
             Ok(response) => response.map(Either::Left),
             Err(outcome) => self.refuse(id, &outcome, &slot),
         };
-        if self.closing.load(Ordering::Relaxed) {
+        if self.flight.step() != Step::Stay {
             close(&mut response);
         }
         Ok(response)
@@ -132,10 +117,10 @@
         slot: &Arc<UploadSlot>,
     ) -> Result<Response<Download>, Outcome> {
         let ticket = self.flight.enter();
-        if self.draining.load(Ordering::SeqCst) {
+        check_form(&head).map_err(refused)?;
+        if self.flight.step() == Step::Gone {
             return Err(later(Reason::Draining));
         }
-        check_form(&head).map_err(refused)?;
         let config = self.parts.policy.load().ok_or(later(Reason::Starting))?;
         let route = find_route(&config, &head).map_err(refused)?;
         check_length(&head.headers, route).map_err(refused)?;
@@ -216,7 +201,7 @@
         call: &Call<'_>,
         response: Response<Incoming>,
         session: Option<Session>,
-        ticket: crate::node::flight::Ticket,
+        ticket: Ticket,
     ) -> Response<Download> {
         self.metrics.count("answered");
         log::debug!(
@@ -249,8 +234,11 @@
         }
         let response = refusal_response(outcome, id).expect("an answer is not refused");
         let mut response = response.map(Either::Right);
-        if let Some(rest) = slot.take_rest() {
+        // After a fault or within a body, it is not certain where the next request begins.
+        if !slot.is_empty() || reason_of(outcome) == Some(Reason::BadRequest) {
             close(&mut response);
+        }
+        if let Some(rest) = slot.take_rest() {
             tokio::spawn(read_rest(rest));
         }
         response
@@ -288,8 +276,9 @@
 }
 
 fn check_form(head: &http::request::Parts) -> Result<(), Refusal> {
-    if head.method == http::Method::CONNECT {
-        return Err(Refusal::new(Reason::MethodNotAllowed));
+    if head.method.as_str() == FAULT_METHOD {
+        let reason = head.uri.path().trim_start_matches('/').parse();
+        return Err(Refusal::new(reason.unwrap_or(Reason::BadRequest)));
     }
     if !is_safe(head.uri.path()) {
         return Err(Refusal::new(Reason::BadRequest));
--- a/src/node/listen.rs
+++ b/src/node/listen.rs
@@ -16,6 +16,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::error::{Error, Result};
+use crate::http::Guard;
 use crate::ids::NodeId;
 use crate::node::admin::Admin;
 use crate::node::egress::Egress;
@@ -124,11 +125,13 @@
     closing: CancellationToken,
 ) {
     let service = service_fn(move |request| Box::pin(ingress.clone().serve(request)));
+    let guard = Guard::new(stream, limits.guard());
+    // The guard bounds the time for a head, so the server's own timer is left with idle time.
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.header_time)
+        .header_read_timeout(limits.idle_time)
         .max_headers(limits.header_count)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(guard), service);
     let mut closing = pin!(closing.cancelled());
     let mut told = false;
     let ended = poll_fn(|cx| {
@@ -141,7 +144,8 @@
     if let Err(e) = ended.await {
         log::debug!(event = "caller-connection", error:% = e; "connection of a caller ended");
     }
-    linger(connection.into_parts().io.into_inner()).await;
+    let guard = connection.into_parts().io.into_inner();
+    linger(guard.into_inner()).await;
 }
 
 /// Ends a connection so that the other side can read all that was written.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -45,7 +45,7 @@
 use crate::wire::{Channel, Handler, Hello};
 use admin::Admin;
 use egress::Egress;
-use flight::Flight;
+use flight::{Flight, Step};
 use forward::Forwarder;
 use ingress::Ingress;
 use links::Links;
@@ -73,21 +73,10 @@
     flight: Flight,
     ending: Ending,
     stop: CancellationToken,
-    leave: watch::Sender<Leaving>,
+    gone: CancellationToken,
     limits: Limits,
 }
 
-/// How far a drain has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Leaving {
-    /// The node works.
-    No,
-    /// It still takes new work but says that it leaves.
-    Soon,
-    /// It takes no new work.
-    Now,
-}
-
 /// A node that is never fresh; stands in until config sync is connected.
 #[derive(Debug, Default)]
 pub struct Unsynced;
@@ -167,7 +156,13 @@
     );
     let ingress = Arc::new(ingress);
     let egress = Arc::new(Egress::new(local.clone(), clock, flight.clone(), &limits));
-    let admin = Admin::new(local.clone(), policy.clone(), freshness, metrics.clone());
+    let admin = Admin::new(
+        local.clone(),
+        policy.clone(),
+        freshness,
+        metrics.clone(),
+        flight.clone(),
+    );
     let admin = Arc::new(admin);
     let handle = Handle {
         caller_addr: callers.local_addr()?,
@@ -182,7 +177,7 @@
         flight,
         ending: ending.clone(),
         stop: CancellationToken::new(),
-        leave: watch::Sender::new(Leaving::No),
+        gone: CancellationToken::new(),
         limits: limits.clone(),
     };
     let side = LinkSide {
@@ -202,12 +197,6 @@
     let sweep = keep_swept(ingress.clone(), targets.clone(), policy);
     handle.watch(sweep);
     handle.watch(keep_local(local, targets, link_addr));
-    handle.watch(follow_leave(
-        handle.leave.subscribe(),
-        ingress,
-        egress,
-        admin,
-    ));
     log::info!(
         event = "node-started", node:% = me, caller:% = handle.caller_addr,
         link:% = link_addr, admin:% = handle.admin_addr; "node started"
@@ -256,26 +245,6 @@
     }
 }
 
-/// Passes the steps of a drain on.
-async fn follow_leave<F: Freshness, A: Admission>(
-    mut leave: watch::Receiver<Leaving>,
-    ingress: Arc<Ingress<F, A>>,
-    egress: Arc<Egress>,
-    admin: Arc<Admin<F>>,
-) {
-    while leave.changed().await.is_ok() {
-        let step = *leave.borrow_and_update();
-        if step != Leaving::No {
-            admin.leave();
-            ingress.close_connections();
-        }
-        if step == Leaving::Now {
-            ingress.drain();
-            egress.drain();
-        }
-    }
-}
-
 impl Handle {
     /// Returns the identity of this run of the node.
     pub fn id(&self) -> NodeId {
@@ -328,13 +297,28 @@
         self.links.forget(node);
     }
 
-    /// Leaves the fleet: takes no new work after a grace time, finishes what runs, then ends.
-    pub async fn drain(self) {
+    /// Turns readiness off at once and starts the grace time of [`Handle::drain`].
+    ///
+    /// New work is refused once the grace time has passed.
+    pub fn begin_drain(&self) {
+        if !self.flight.advance(Step::Leaving) {
+            return;
+        }
         log::info!(event = "drain-started", running = self.flight.running(); "drain started");
         self.local.leave();
-        self.leave.send_replace(Leaving::Soon);
-        tokio::time::sleep(self.limits.drain_grace).await;
-        self.leave.send_replace(Leaving::Now);
+        let (flight, gone) = (self.flight.clone(), self.gone.clone());
+        let grace = self.limits.drain_grace;
+        tokio::spawn(async move {
+            tokio::time::sleep(grace).await;
+            flight.advance(Step::Gone);
+            gone.cancel();
+        });
+    }
+
+    /// Leaves the fleet: takes no new work after a grace time, finishes what runs, then ends.
+    pub async fn drain(self) {
+        self.begin_drain();
+        self.gone.cancelled().await;
         let finished = timeout(self.limits.drain_max, self.flight.idle()).await;
         self.ending.closing.cancel();
         let closed = timeout(CLOSE_TIME, self.ending.connections.idle()).await;
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use crate::error::{Error, Result};
+use crate::http::GuardLimits;
+use crate::http::framing::HEADER_COUNT_MAX;
 use crate::ids::ZoneName;
 use crate::wire::Secret;
 
@@ -105,6 +107,16 @@
 const CONTROL_MAX: usize = 7;
 
 impl Limits {
+    /// Returns the limits on a connection of a caller.
+    pub fn guard(&self) -> GuardLimits {
+        GuardLimits {
+            header_count: self.header_count,
+            header_bytes: self.header_bytes,
+            header_time: self.header_time,
+            write_time: self.write_time,
+        }
+    }
+
     fn check(&self) -> Result<()> {
         let times = [
             ("header time", self.header_time),
@@ -121,6 +133,11 @@
         ];
         let zero_time = times.iter().find(|(_, t)| t.is_zero()).map(|(n, _)| n);
         let zero_count = counts.iter().find(|(_, c)| *c == 0).map(|(n, _)| n);
+        if self.header_count > HEADER_COUNT_MAX {
+            return Err(Error::invalid(format!(
+                "header count must be at most {HEADER_COUNT_MAX}"
+            )));
+        }
         match zero_time.or(zero_count) {
             Some(name) => Err(Error::invalid(format!("{name} must not be zero"))),
             None => Ok(()),
--- /dev/null
+++ b/tests/data_path/body_limits.rs
@@ -0,0 +1,140 @@
+//! Bodies stream with backpressure and within limits.
+
+use std::convert::Infallible;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use http::Request;
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Incoming;
+use hyper_util::rt::TokioIo;
+use laburnumtide::node::Limits;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::site::{KEY, PATIENCE, Site, eventually};
+
+const MIB: u64 = 1024 * 1024;
+
+/// Starts a request and returns its answer's head with the body unread.
+async fn start<B>(site: &Site, request: Request<B>) -> http::Response<Incoming>
+where
+    B: http_body::Body<Data = Bytes, Error = Infallible> + Send + 'static,
+{
+    let stream = TcpStream::connect(site.front.caller_addr()).await.unwrap();
+    let io = TokioIo::new(stream);
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(io).await.unwrap();
+    tokio::spawn(connection);
+    sender.send_request(request).await.unwrap()
+}
+
+fn request(method: &str, path: &str) -> http::request::Builder {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", "front")
+        .header("authorization", format!("Bearer {KEY}"))
+}
+
+/// Returns the most memory that this process has used so far, in bytes.
+fn peak_memory() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap();
+    let line = status.lines().find(|l| l.starts_with("VmHWM:")).unwrap();
+    let kib: u64 = line.split_whitespace().nth(1).unwrap().parse().unwrap();
+    kib * 1024
+}
+
+/// Guards against a node that keeps a whole body in memory, in either direction.
+#[tokio::test]
+async fn large_bodies_stream() {
+    let site = Site::open().await;
+    let before = peak_memory();
+    let parts = futures::stream::iter(0..256 * 16)
+        .map(|_| Ok::<_, Infallible>(Frame::data(Bytes::from(vec![b'b'; 64 * 1024]))));
+    let path = format!("/bulk?bytes={}", 256 * MIB);
+    let request = request("POST", &path).body(StreamBody::new(parts)).unwrap();
+    let mut body = start(&site, request).await.into_body();
+    let mut read = 0;
+    while let Some(frame) = body.frame().await {
+        read += frame.unwrap().data_ref().map_or(0, Bytes::len) as u64;
+    }
+    assert_eq!(read, 256 * MIB);
+    assert_eq!(site.runs()[0].bytes, 256 * MIB);
+    let grown = peak_memory() - before;
+    assert!(grown < 64 * MIB, "memory grew by {} MiB", grown / MIB);
+}
+
+/// Guards against a slow reader for whom the node reads on from the target.
+#[tokio::test]
+async fn slow_reader_holds_the_target_back() {
+    let site = Site::open().await;
+    let path = format!("/bulk?bytes={}", 256 * MIB);
+    let request = request("GET", &path)
+        .body(http_body_util::Empty::new())
+        .unwrap();
+    let mut response = start(&site, request).await;
+    response.body_mut().frame().await.unwrap().unwrap();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert!(!site.runs()[0].finished);
+    assert!(!site.runs()[0].cancelled);
+    drop(response);
+    eventually("the run is cancelled", || site.runs()[0].cancelled).await;
+}
+
+fn raw_head(lines: &str) -> String {
+    format!("POST /bake HTTP/1.1\r\nhost: front\r\nauthorization: Bearer {KEY}\r\n{lines}\r\n\r\n")
+}
+
+#[tokio::test]
+async fn declared_size_is_refused_before_running() {
+    let site = Site::open().await;
+    let answer = site
+        .raw(raw_head("content-length: 100001").as_bytes())
+        .await;
+    assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+    assert!(answer.contains("laburnum-outcome: not-run"), "{answer}");
+    assert_eq!(site.runs().len(), 0);
+    assert_eq!(site.admitted(), 0);
+}
+
+/// Guards against a body without a declared size that exceeds the limit of its route.
+#[tokio::test]
+async fn streamed_size_is_cut_off() {
+    let site = Site::open().await;
+    let mut text = raw_head("transfer-encoding: chunked");
+    let chunk = format!("{:x}\r\n{}\r\n", 10_000, "c".repeat(10_000));
+    text.push_str(&chunk.repeat(11));
+    text.push_str("0\r\n\r\n");
+    let answer = site.raw(text.as_bytes()).await;
+    assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+    assert!(
+        answer.contains("laburnum-reason: body-too-large"),
+        "{answer}"
+    );
+    assert!(answer.contains("laburnum-outcome: unknown"), "{answer}");
+    eventually("the run is cancelled", || {
+        site.runs().iter().all(|run| run.cancelled)
+    })
+    .await;
+}
+
+/// Guards against a caller that holds a slot by sending its body a byte at a time.
+#[tokio::test]
+async fn slow_body_times_out() {
+    let limits = Limits {
+        body_time: Duration::from_millis(200),
+        ..Limits::default()
+    };
+    let site = Site::with(limits, 1, Duration::ZERO).await;
+    let mut stream = TcpStream::connect(site.front.caller_addr()).await.unwrap();
+    let text = raw_head("content-length: 10") + "abc";
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    let read = stream.read_to_string(&mut answer);
+    tokio::time::timeout(PATIENCE, read).await.unwrap().unwrap();
+    assert!(answer.starts_with("HTTP/1.1 504"), "{answer}");
+    assert!(answer.contains("laburnum-outcome: unknown"), "{answer}");
+    eventually("the slot is free", || site.target.running().0 == 0).await;
+}
--- /dev/null
+++ b/tests/data_path/cut_answers.rs
@@ -0,0 +1,111 @@
+//! Answers that are cut, late or crossed never look whole.
+
+use std::time::{Duration, Instant};
+
+use http::Request;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+use crate::site::{KEY, Site, header, outcome};
+use crate::standin::client::post;
+
+/// Splits a raw answer into its head and its body.
+fn parts(answer: &str) -> (&str, &str) {
+    answer.split_once("\r\n\r\n").unwrap()
+}
+
+fn get(path: &str) -> String {
+    format!(
+        "GET {path} HTTP/1.1\r\nhost: front\r\nauthorization: Bearer {KEY}\r\n\
+         connection: close\r\n\r\n"
+    )
+}
+
+/// Guards against a cut answer that the caller takes for a whole one.
+#[tokio::test]
+async fn cut_answer_stays_short() {
+    let site = Site::open().await;
+    for fault in ["cut", "wrong-length"] {
+        let path = format!("/bulk?fault={fault}&bytes=200000&gap_ms=1");
+        let answer = site.raw(get(&path).as_bytes()).await;
+        let (head, body) = parts(&answer);
+        assert!(head.contains("content-length: 200000"), "{head}");
+        assert!(body.len() < 200_000, "{fault}: {}", body.len());
+    }
+}
+
+#[tokio::test]
+async fn cut_chunks_lack_their_end() {
+    let site = Site::open().await;
+    let path = "/bulk?fault=cut&bytes=200000&chunked=1&gap_ms=1";
+    let answer = site.raw(get(path).as_bytes()).await;
+    let (head, body) = parts(&answer);
+    assert!(head.contains("transfer-encoding: chunked"), "{head}");
+    assert!(!body.ends_with("0\r\n\r\n"));
+    let whole = site
+        .raw(get("/bulk?bytes=200000&chunked=1").as_bytes())
+        .await;
+    assert!(whole.ends_with("0\r\n\r\n"));
+}
+
+/// Guards against an answer that reaches another request than its own.
+#[tokio::test]
+async fn crossed_answer_is_dropped() {
+    let site = Site::open().await;
+    let response = site.send(Request::post("/bake?fault=crossed")).await;
+    assert_eq!(outcome(&response), ("unknown", "crossed"));
+    assert_eq!(response.status(), 502);
+}
+
+/// Guards against a late answer that arrives on a connection that serves the next request.
+#[tokio::test]
+async fn late_answer_reaches_nobody() {
+    let site = Site::open().await;
+    let start = Instant::now();
+    let response = site
+        .send(Request::post("/brief?fault=late&bytes=777"))
+        .await;
+    assert_eq!(outcome(&response), ("unknown", "timeout"));
+    assert!(start.elapsed() < Duration::from_millis(450));
+    for bytes in 1..20 {
+        let response = site.get(&format!("/bake?bytes={bytes}")).await;
+        assert_eq!(response.body().len(), bytes);
+        let id = header(response.headers(), "laburnum-request-id").to_owned();
+        let runs = site.runs();
+        assert_eq!(runs.iter().filter(|run| run.request == id).count(), 1);
+    }
+}
+
+/// Guards against an answer whose end can't be told from a lost connection.
+#[tokio::test]
+async fn undelimited_answer_is_refused() {
+    let site = Site::open().await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buffer = [0; 4_096];
+            let _ = stream.read(&mut buffer).await;
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nhalf").await;
+        }
+    });
+    let announcement = serde_json::json!({
+        "name": "oven-2", "service": "ovens", "address": addr, "slots": 4,
+        "connections": 10, "started_ms_ago": 60_000,
+    });
+    let admin = site.back.admin_addr();
+    let said = post(admin, "/announce", announcement.to_string())
+        .await
+        .unwrap();
+    assert_eq!(said.status(), 200);
+    site.target.drain();
+    let mut records = site.back.records();
+    let record = records.wait_for(|r| {
+        use laburnumtide::fleet::TargetState::Draining;
+        r.targets.len() == 2 && r.targets.iter().any(|t| t.state == Draining)
+    });
+    let record = record.await.unwrap().clone();
+    site.front.learn(site.back.link_addr(), &record);
+    let response = site.send(Request::post("/bake")).await;
+    assert_eq!(outcome(&response), ("unknown", "target-error"));
+}
--- /dev/null
+++ b/tests/data_path/request_path.rs
@@ -0,0 +1,160 @@
+//! A request reaches a target beside another node, and its answer comes back.
+
+use std::time::Duration;
+
+use http::{Request, StatusCode};
+use http_body_util::Full;
+
+use crate::site::{self, Site, echoed, eventually, header, outcome};
+use crate::standin::client::call;
+
+#[tokio::test]
+async fn keyed_request_is_answered() {
+    let site = Site::open().await;
+    let response = site.get("/bake/bread?bytes=5").await;
+    assert_eq!(response.status(), StatusCode::OK);
+    assert_eq!(&response.body()[..], b"aaaaa");
+    assert_eq!(outcome(&response), ("answer", ""));
+    let runs = site.runs();
+    assert_eq!(runs.len(), 1);
+    assert_eq!(runs[0].path, "/bake/bread?bytes=5");
+    let id = header(response.headers(), "laburnum-request-id");
+    assert_eq!(runs[0].request, id);
+}
+
+/// Guards against a key that reaches a target, and against headers that callers forge.
+#[tokio::test]
+async fn target_sees_no_key() {
+    let site = Site::open().await;
+    let request = Request::get("/bake?echo=1")
+        .header("proxy-authorization", "Basic c2VjcmV0")
+        .header("laburnum-account", "mill")
+        .header("laburnum-request-id", "1")
+        .header("x-color", "brown");
+    let seen = echoed(site.send(request).await.body());
+    assert_eq!(seen["x-color"], "brown");
+    assert_eq!(seen["host"], "front");
+    assert!(seen["laburnum-deadline-ms"].parse::<u64>().unwrap() <= 3_000);
+    assert_ne!(seen["laburnum-request-id"], "1");
+    let text = format!("{seen:?}");
+    for secret in [site::KEY, "c2VjcmV0", "laburnum-account"] {
+        assert!(!text.contains(secret), "{secret} in {text}");
+    }
+}
+
+#[tokio::test]
+async fn refusals_name_their_reason() {
+    let site = Site::open().await;
+    let addr = site.front.caller_addr();
+    let send = async |path: &str, auth: &str| {
+        let request = Request::get(path).header("host", "front");
+        let request = match auth {
+            "" => request,
+            auth => request.header("authorization", auth),
+        };
+        call(addr, request.body(Full::default()).unwrap())
+            .await
+            .unwrap()
+    };
+    let wrong = "Bearer wrong-key-0123456789";
+    for (path, auth, status, reason) in [
+        ("/bake", "", 401, "no-key"),
+        ("/bake", "Basic YTpi", 401, "no-key"),
+        ("/bake", wrong, 401, "unknown-key"),
+        ("/none", wrong, 404, "no-route"),
+        ("/menu/../bake", "", 400, "bad-request"),
+        ("/menu/%2e%2e/bake", "", 400, "bad-request"),
+        ("/menu/..%2fbake", "", 400, "bad-request"),
+        ("/menu/..;x/bake", "", 400, "bad-request"),
+        // A target that decodes once would serve the keyed route.
+        ("/menu/price%73", "", 400, "bad-request"),
+        ("/menu//prices", "", 400, "bad-request"),
+    ] {
+        let response = send(path, auth).await;
+        assert_eq!(response.status(), status, "{path}");
+        assert_eq!(outcome(&response), ("not-run", reason), "{path}");
+        let body: serde_json::Value = serde_json::from_slice(response.body()).unwrap();
+        assert_eq!(body["reason"], reason);
+        let id = header(response.headers(), "laburnum-request-id");
+        assert_eq!(body["request_id"], id);
+    }
+    assert_eq!(site.runs().len(), 0);
+    assert_eq!(site.admitted(), 0);
+    let metrics = site.front.metrics().render();
+    assert!(metrics.contains("reason:unknown-key} 1"), "{metrics}");
+}
+
+#[tokio::test]
+async fn open_route_has_its_own_limit() {
+    let site = Site::open().await;
+    let addr = site.front.caller_addr();
+    let mut outcomes = Vec::new();
+    for _ in 0..3 {
+        let request = Request::get("/menu").header("host", "front");
+        let request = request.body(Full::default()).unwrap();
+        let response = call(addr, request).await.unwrap();
+        let retry = header(response.headers(), "retry-after").to_owned();
+        outcomes.push((outcome(&response).1.to_owned(), retry));
+    }
+    let none = (String::new(), String::new());
+    let limited = ("open-limit".to_owned(), "1".to_owned());
+    assert_eq!(outcomes, [none.clone(), none, limited]);
+    assert_eq!(site.admitted(), 0);
+}
+
+/// Guards against a key that works after the proof that it is current has run out.
+#[tokio::test]
+async fn stale_node_refuses_keys() {
+    let site = Site::open().await;
+    site.fresh.set(false);
+    let response = site.get("/bake").await;
+    assert_eq!(outcome(&response), ("not-run", "stale-config"));
+    assert_eq!(header(response.headers(), "retry-after"), "1");
+    assert_eq!(site.runs().len(), 0);
+}
+
+/// Guards against work that goes on for a caller that has gone, while others wait for the slot.
+#[tokio::test]
+async fn cancelled_caller_frees_its_slot() {
+    let site = Site::with(Default::default(), 1, Duration::ZERO).await;
+    let hang = tokio::time::timeout(Duration::from_millis(200), site.get("/bulk?fault=hang"));
+    hang.await.unwrap_err();
+    eventually("the run is cancelled", || {
+        site.runs().first().is_some_and(|run| run.cancelled)
+    })
+    .await;
+    let response = site.get("/bake").await;
+    assert_eq!(outcome(&response).0, "answer");
+    eventually("nothing runs", || site.back.running() == 0).await;
+    assert_eq!(site.front.running(), 0);
+}
+
+/// Guards against a queued request that runs although its caller has gone.
+#[tokio::test]
+async fn cancelled_caller_leaves_the_queue() {
+    let site = Site::with(Default::default(), 1, Duration::ZERO).await;
+    let held = site.get("/bulk/held?delay_ms=600");
+    let queued = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let wait = Duration::from_millis(200);
+        tokio::time::timeout(wait, site.get("/bulk/queued")).await
+    };
+    let (held, queued) = tokio::join!(held, queued);
+    assert_eq!(outcome(&held).0, "answer");
+    queued.unwrap_err();
+    assert_eq!(outcome(&site.get("/bake/after").await).0, "answer");
+    let paths: Vec<String> = site.runs().into_iter().map(|run| run.path).collect();
+    assert_eq!(paths, ["/bulk/held?delay_ms=600", "/bake/after"]);
+}
+
+/// Guards against more requests at a target than its slots.
+#[tokio::test]
+async fn slots_bound_the_work() {
+    let site = Site::with(Default::default(), 2, Duration::from_millis(50)).await;
+    let all = (0..8).map(|_| site.get("/bake"));
+    let answers = futures::future::join_all(all).await;
+    let answered = answers.iter().filter(|a| outcome(a).0 == "answer").count();
+    assert_eq!(site.target.running().1, 2);
+    assert_eq!(site.runs().len(), answered);
+    assert!(answered >= 2);
+}
--- /dev/null
+++ b/tests/data_path/site.rs
@@ -0,0 +1,278 @@
+//! Two nodes on loopback, a stand-in target beside one of them, and a caller at the other.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response};
+use http_body_util::Full;
+use laburnumtide::config::{Account, Config, Note};
+use laburnumtide::node::{self, Admission, Freshness, Handle, Limits, Parts, Settings, Unsynced};
+use laburnumtide::outcome::Refusal;
+use laburnumtide::prelude::*;
+use laburnumtide::wire::Secret;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::standin::client::call;
+use crate::standin::{Options, Run, Target};
+
+/// Generous limit for a condition on a busy machine.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// The key of the only account.
+pub const KEY: &str = "bakery-key-0123456789";
+
+/// Freshness that a test switches.
+pub struct Switch(AtomicBool);
+
+impl Switch {
+    pub fn set(&self, fresh: bool) {
+        self.0.store(fresh, Ordering::SeqCst);
+    }
+}
+
+impl Freshness for Switch {
+    fn is_fresh(&self) -> bool {
+        self.0.load(Ordering::SeqCst)
+    }
+}
+
+/// Admits everything, and counts.
+#[derive(Default)]
+pub struct Admits(std::sync::atomic::AtomicU32);
+
+impl Admission for Admits {
+    async fn admit(&self, _: &Account, _: Duration) -> std::result::Result<(), Refusal> {
+        self.0.fetch_add(1, Ordering::SeqCst);
+        Ok(())
+    }
+}
+
+pub struct Site {
+    /// Where the caller connects.
+    pub front: Handle,
+    /// Beside the target.
+    pub back: Handle,
+    pub target: Arc<Target>,
+    pub fresh: Arc<Switch>,
+    pub admits: Arc<Admits>,
+}
+
+impl Site {
+    pub async fn open() -> Site {
+        Site::with(Limits::default(), 7, Duration::ZERO).await
+    }
+
+    pub async fn with(limits: Limits, slots: u32, delay: Duration) -> Site {
+        let fresh = Arc::new(Switch(AtomicBool::new(true)));
+        let admits = Arc::new(Admits::default());
+        let front = node(&limits, &fresh, &admits).await;
+        let back = node(&limits, &fresh, &admits).await;
+        let target = target(&back, "oven-1", slots, delay).await;
+        let site = Site {
+            front,
+            back,
+            target,
+            fresh,
+            admits,
+        };
+        site.connect(1).await;
+        site
+    }
+
+    /// Waits for `targets` announced targets and tells the front node of them.
+    pub async fn connect(&self, targets: usize) {
+        let mut records = self.back.records();
+        let announced = records.wait_for(|r| r.targets.len() == targets);
+        let record = announced.await.unwrap().clone();
+        self.front.learn(self.back.link_addr(), &record);
+    }
+
+    /// Sends a request with the key.
+    pub async fn get(&self, path: &str) -> Response<Bytes> {
+        self.send(Request::get(path)).await
+    }
+
+    pub async fn send(&self, request: http::request::Builder) -> Response<Bytes> {
+        let request = request
+            .header("host", "front")
+            .header("authorization", format!("Bearer {KEY}"));
+        let request = request.body(Full::default()).unwrap();
+        call(self.front.caller_addr(), request).await.unwrap()
+    }
+
+    /// Sends `bytes` as they are and returns what comes until the connection closes.
+    pub async fn raw(&self, bytes: &[u8]) -> String {
+        raw(self.front.caller_addr(), bytes).await
+    }
+
+    /// Returns the runs that reached the target, without the fields that differ each time.
+    pub fn runs(&self) -> Vec<Run> {
+        self.target.runs()
+    }
+
+    pub fn admitted(&self) -> u32 {
+        self.admits.0.load(Ordering::SeqCst)
+    }
+}
+
+pub async fn raw(addr: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(addr).await.unwrap();
+    // The node may refuse and close before it has read everything.
+    let _ = stream.write_all(bytes).await;
+    let mut answer = Vec::new();
+    let read = stream.read_to_end(&mut answer);
+    let _ = tokio::time::timeout(PATIENCE, read).await.unwrap();
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+pub fn settings(limits: &Limits) -> Settings {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    Settings {
+        caller_listen: any,
+        link_listen: any,
+        link_public: None,
+        admin_listen: any,
+        admin_public: false,
+        control: Vec::new(),
+        zone: "zone-a".parse().unwrap(),
+        secret: Secret::new(b"fleet-secret-0123456789").unwrap(),
+        statsd: None,
+        limits: limits.clone(),
+    }
+}
+
+pub async fn node(limits: &Limits, fresh: &Arc<Switch>, admits: &Arc<Admits>) -> Handle {
+    let parts = Parts {
+        policy: Arc::default(),
+        freshness: fresh.clone(),
+        admission: admits.clone(),
+    };
+    parts.policy.store(config());
+    let me = NodeId::random();
+    node::spawn_with(settings(limits), me, parts, Arc::new(Unsynced))
+        .await
+        .unwrap()
+}
+
+pub async fn target(node: &Handle, name: &str, slots: u32, delay: Duration) -> Arc<Target> {
+    Target::spawn(Options {
+        listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+        node: Some(node.admin_addr()),
+        name: name.to_owned(),
+        service: "ovens".to_owned(),
+        slots,
+        connections: 360,
+        delay,
+        age: Duration::from_secs(60),
+    })
+    .await
+    .unwrap()
+}
+
+/// The configuration of every node: one account, one keyed and one open route.
+pub fn config() -> Config {
+    let mut config = Config::new();
+    config.apply(&Note::parse(&note()).unwrap()).unwrap();
+    config
+}
+
+/// The configuration after the only key was withdrawn.
+pub fn config_without_key() -> Config {
+    let mut config = config();
+    let note = "number = 2\n[withdrawn]\nkeys = [\"bakery-1\"]\n";
+    config.apply(&Note::parse(note).unwrap()).unwrap();
+    config
+}
+
+fn note() -> String {
+    format!(
+        r#"number = 1
+[[added.accounts]]
+name = "bakery"
+rate = "1000/s"
+burst = 1000
+[[added.keys]]
+name = "bakery-1"
+account = "bakery"
+digest = "{}"
+[[added.services]]
+name = "ovens"
+floor = 50
+open_rate = "1/s"
+open_burst = 2
+[[added.routes]]
+name = "bake"
+path = "/bake"
+methods = ["GET", "HEAD", "POST", "PUT"]
+service = "ovens"
+deadline = "3s"
+body_max = 100000
+idempotent = ["GET", "HEAD"]
+[[added.routes]]
+name = "bulk"
+path = "/bulk"
+methods = ["GET", "POST"]
+service = "ovens"
+deadline = "20s"
+body_max = 1073741824
+[[added.routes]]
+name = "brief"
+path = "/brief"
+methods = ["GET", "POST"]
+service = "ovens"
+deadline = "300ms"
+[[added.routes]]
+name = "menu"
+path = "/menu"
+methods = ["GET"]
+service = "ovens"
+open = true
+deadline = "3s"
+[[added.routes]]
+name = "menu-prices"
+path = "/menu/prices"
+methods = ["GET"]
+service = "ovens"
+deadline = "3s"
+"#,
+        KeyDigest::of(KEY.as_bytes())
+    )
+}
+
+/// Returns a header as text; empty if it is missing.
+pub fn header<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    headers.get(name).map_or("", |v| v.to_str().unwrap())
+}
+
+/// Returns the outcome and the reason of an answer.
+pub fn outcome(response: &Response<Bytes>) -> (&str, &str) {
+    let headers = response.headers();
+    (
+        header(headers, "laburnum-outcome"),
+        header(headers, "laburnum-reason"),
+    )
+}
+
+/// Reads an answer in which the target echoed the headers that it saw.
+pub fn echoed(body: &[u8]) -> HashMap<String, String> {
+    let text = String::from_utf8(body.to_vec()).unwrap();
+    let pair = |line: &str| {
+        let (name, value) = line.split_once(": ").unwrap();
+        (name.to_owned(), value.to_owned())
+    };
+    text.lines().map(pair).collect()
+}
+
+/// Waits until `condition` holds.
+pub async fn eventually(what: &str, mut condition: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !condition() {
+        assert!(start.elapsed() < PATIENCE, "{what} did not come true");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
