--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -1,4 +1,4 @@
 //! Tests with real processes on loopback.
 
-mod fleet;
+mod notes;
 mod operator_client;
--- a/tests/processes/operator_client.rs
+++ b/tests/processes/operator_client.rs
@@ -5,7 +5,7 @@
 use laburnumtide::prelude::*;
 use tempfile::TempDir;
 
-use crate::fleet;
+use crate::notes::sample_note;
 
 fn ctl(args: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_laburnumctl"))
@@ -24,10 +24,10 @@
 fn check_note() {
     let dir = TempDir::new().unwrap();
     let path = dir.path().join("note.toml").display().to_string();
-    std::fs::write(&path, fleet::sample_note()).unwrap();
+    std::fs::write(&path, sample_note()).unwrap();
     assert_eq!(ctl(&["check", &path]).status.code(), Some(0));
 
-    let broken = fleet::sample_note().replace("account = \"yard\"", "account = \"yarn\"");
+    let broken = sample_note().replace("account = \"yard\"", "account = \"yarn\"");
     std::fs::write(&path, broken).unwrap();
     let output = ctl(&["check", &path]);
     assert_eq!(output.status.code(), Some(3));
@@ -75,7 +75,7 @@
 fn nobody_answers() {
     let dir = TempDir::new().unwrap();
     let path = dir.path().join("note.toml").display().to_string();
-    std::fs::write(&path, fleet::sample_note()).unwrap();
+    std::fs::write(&path, sample_note()).unwrap();
     let output = Command::new(env!("CARGO_BIN_EXE_laburnumctl"))
         .args(["submit", &path, "--wait", "1s"])
         .env("LABURNUM_CONTROLS", "127.0.0.1:1")
