Measure targets at the egress and add the load generator

Each hand-over is measured by the meter of its target; the published health goes into the node record. A request whose own body broke says nothing about the target and counts as withdrawn.

--- /dev/null
+++ b/examples/added_latency.rs
@@ -0,0 +1,192 @@
+//! Measures what two nodes add to the latency of calling a target directly.
+//!
+//! Direct and proxied load take turns within one run, at the same rate. The target serves as many
+//! requests at a time as its slots and takes the same time for each.
+//!
+//! Example: `cargo run --release --example added_latency`.
+
+mod loadgen;
+mod standin;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use argh::FromArgs;
+use laburnumtide::config::{Account, Config, Note};
+use laburnumtide::node::{self, Admission, Freshness, Handle, Limits, Parts, Settings, Unsynced};
+use laburnumtide::outcome::Refusal;
+use laburnumtide::prelude::*;
+use laburnumtide::wire::Secret;
+
+use loadgen::{Generator, Load, Results, Summary};
+use standin::{Options, Target};
+
+/// The key of the only account.
+const KEY: &str = "latency-key-0123456789";
+
+/// Time for the first link and the first connections.
+const WARM_UP: Duration = Duration::from_secs(1);
+
+/// Added latency of two nodes at a share of the target's capacity.
+#[derive(FromArgs)]
+struct Args {
+    /// slots of the target (default 7)
+    #[argh(option, default = "7")]
+    slots: u32,
+    /// time of each request in milliseconds (default 5)
+    #[argh(option, default = "5")]
+    delay_ms: u64,
+    /// share of the capacity (default 0.5)
+    #[argh(option, default = "0.5")]
+    share: f64,
+    /// targets, each beside the second node (default 1)
+    #[argh(option, default = "1")]
+    targets: usize,
+    /// rounds of direct and proxied load (default 5)
+    #[argh(option, default = "5")]
+    rounds: u32,
+    /// seconds of each half of a round (default 4)
+    #[argh(option, default = "4")]
+    secs: u64,
+}
+
+/// Freshness that always holds.
+struct Fresh;
+
+impl Freshness for Fresh {
+    fn is_fresh(&self) -> bool {
+        true
+    }
+}
+
+impl Admission for Fresh {
+    async fn admit(&self, _: &Account, _: Duration) -> std::result::Result<(), Refusal> {
+        Ok(())
+    }
+}
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    let args: Args = argh::from_env();
+    let front = node().await?;
+    let back = node().await?;
+    let mut targets = Vec::new();
+    for i in 0..args.targets {
+        targets.push(target(&args, i, &back).await?);
+    }
+    let mut records = back.records();
+    let record = records
+        .wait_for(|r| r.targets.len() == args.targets)
+        .await?;
+    let record = record.clone();
+    front.learn(back.link_addr(), &record);
+    let delay = Duration::from_millis(args.delay_ms);
+    let capacity = f64::from(args.slots) * args.targets as f64 / delay.as_secs_f64();
+    let load = |addrs: Vec<SocketAddr>, duration: Duration| Load {
+        addrs,
+        keys: vec![KEY.to_owned()],
+        method: "GET".to_owned(),
+        path: "/work?bytes=1000".to_owned(),
+        rate: capacity * args.share,
+        duration,
+        body_bytes: 0,
+    };
+    let direct: Vec<SocketAddr> = targets.iter().map(|t| t.addr()).collect();
+    let proxied = vec![front.caller_addr()];
+    let secs = Duration::from_secs(args.secs);
+    Generator::run(load(direct.clone(), WARM_UP), Results::new()).await;
+    Generator::run(load(proxied.clone(), WARM_UP), Results::new()).await;
+    let (mut through, mut around) = (Results::new(), Results::new());
+    for _ in 0..args.rounds {
+        around = Generator::run(load(direct.clone(), secs), around).await;
+        through = Generator::run(load(proxied.clone(), secs), through).await;
+    }
+    targets.iter().for_each(|target| target.stop());
+    report(capacity * args.share, &around.summary(), &through.summary())
+}
+
+fn report(rate: f64, direct: &Summary, proxied: &Summary) -> anyhow::Result<()> {
+    println!("{rate:.0} requests/s; latency in us from the intended send time");
+    for (name, s) in [("direct", direct), ("proxied", proxied)] {
+        println!(
+            "{name:>8}: p50 {} p99 {} results {:?}",
+            s.p50_us, s.p99_us, s.results
+        );
+    }
+    let added = |a: u64, b: u64| b as i64 - a as i64;
+    println!(
+        "   added: p50 {} p99 {}",
+        added(direct.p50_us, proxied.p50_us),
+        added(direct.p99_us, proxied.p99_us)
+    );
+    println!("{}", serde_json::to_string(&[direct, proxied])?);
+    Ok(())
+}
+
+async fn node() -> anyhow::Result<Handle> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let parts = Parts {
+        policy: Arc::default(),
+        freshness: Arc::new(Fresh),
+        admission: Arc::new(Fresh),
+    };
+    parts.policy.store(config()?);
+    let settings = Settings {
+        caller_listen: any,
+        link_listen: any,
+        link_public: None,
+        admin_listen: any,
+        admin_public: false,
+        control: Vec::new(),
+        zone: "zone-a".parse()?,
+        secret: Secret::new(b"fleet-secret-0123456789")?,
+        statsd: None,
+        limits: Limits::default(),
+    };
+    Ok(node::spawn_with(settings, NodeId::random(), parts, Arc::new(Unsynced)).await?)
+}
+
+async fn target(args: &Args, i: usize, node: &Handle) -> anyhow::Result<Arc<Target>> {
+    let target = Target::spawn(Options {
+        listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+        node: Some(node.admin_addr()),
+        name: format!("target-{i}"),
+        service: "work".to_owned(),
+        slots: args.slots,
+        connections: 360,
+        delay: Duration::from_millis(args.delay_ms),
+        age: Duration::from_secs(60),
+    });
+    Ok(target.await?)
+}
+
+fn config() -> anyhow::Result<Config> {
+    let text = format!(
+        r#"number = 1
+[[added.accounts]]
+name = "load"
+rate = "1000000/s"
+burst = 100000
+[[added.keys]]
+name = "load-1"
+account = "load"
+digest = "{}"
+[[added.services]]
+name = "work"
+floor = 50
+[[added.routes]]
+name = "work"
+path = "/work"
+methods = ["GET"]
+service = "work"
+deadline = "5s"
+"#,
+        KeyDigest::of(KEY.as_bytes())
+    );
+    let failed = |errors: Vec<_>| anyhow::anyhow!("{errors:?}");
+    let note = Note::parse(&text).map_err(failed)?;
+    let mut config = Config::new();
+    config.apply(&note).map_err(failed)?;
+    Ok(config)
+}
--- a/examples/standin/mod.rs
+++ b/examples/standin/mod.rs
@@ -176,6 +176,7 @@
     running: AtomicU32,
     peak: AtomicU32,
     connections: AtomicU32,
+    slots: tokio::sync::Semaphore,
     draining: AtomicBool,
     stopped: AtomicBool,
     changed: tokio::sync::Notify,
@@ -187,6 +188,7 @@
         let listener = TcpListener::bind(options.listen).await?;
         let target = Arc::new(Target {
             addr: listener.local_addr()?,
+            slots: tokio::sync::Semaphore::new(options.slots as usize),
             options,
             started: Instant::now(),
             behaviour: Mutex::default(),
@@ -301,6 +303,7 @@
             let frame = frame.map_err(std::io::Error::other)?;
             run.add(frame.data_ref().map_or(0, Bytes::len));
         }
+        let _slot = self.slots.acquire().await.map_err(std::io::Error::other)?;
         let factor = self.behaviour().slow_factor;
         let delay = plan.delay.unwrap_or(self.options.delay);
         let delay = delay.mul_f64(if factor > 0.0 { factor } else { 1.0 });
--- a/src/http/headers.rs
+++ b/src/http/headers.rs
@@ -25,6 +25,8 @@
 pub const DEADLINE_MS: HeaderName = HeaderName::from_static("laburnum-deadline-ms");
 /// Name of the target, between nodes only.
 pub const TARGET: HeaderName = HeaderName::from_static("laburnum-target");
+/// Kind of request, for the measurement of targets, between nodes only.
+pub const KIND: HeaderName = HeaderName::from_static("laburnum-kind");
 /// Load of the target's gate, between nodes only.
 pub const LOAD: HeaderName = HeaderName::from_static("laburnum-load");
 /// Time until a refused request may be sent again, in milliseconds, between nodes only.
--- a/src/node/call.rs
+++ b/src/node/call.rs
@@ -11,6 +11,7 @@
 use crate::http::UploadSlot;
 use crate::ids::{KeyDigest, RequestId};
 use crate::outcome::{Outcome, Reason, Refusal};
+use crate::units::Rate;
 
 /// The key that came with a request and the account that it stands for.
 #[derive(Clone, Debug)]
@@ -41,6 +42,8 @@
     pub route: &'a Route,
     /// Who sent it; none on open routes.
     pub identity: Option<Identity>,
+    /// Weight in the queue of a target.
+    pub weight: Rate,
     /// Time by which the answer must have started.
     pub deadline: Instant,
     /// Body, as far as it is unread.
@@ -56,6 +59,7 @@
         head: Parts,
         route: &'a Route,
         identity: Option<Identity>,
+        weight: Rate,
         body: Arc<UploadSlot>,
     ) -> Call<'a> {
         Call {
@@ -63,6 +67,7 @@
             head,
             route,
             identity,
+            weight,
             deadline: Instant::now() + route.deadline,
             body,
             exposed: AtomicBool::new(false),
--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -23,10 +23,12 @@
 use crate::ids::{AccountName, AttemptId, RequestId, TargetName};
 use crate::node::flight::{Flight, Step, Ticket};
 use crate::node::local::{Local, LocalTarget};
+use crate::node::measure::Measured;
 use crate::node::pool::Sender;
 use crate::node::settings::Limits;
 use crate::node::slots::Lease;
 use crate::outcome::{Outcome, Reason, Refusal};
+use crate::route::Verdict;
 use crate::time::{Clock, Monotonic};
 use crate::units::Rate;
 
@@ -53,6 +55,7 @@
     request: RequestId,
     account: Option<AccountName>,
     weight: Rate,
+    kind: String,
     deadline: Instant,
     target: TargetName,
 }
@@ -110,13 +113,15 @@
         };
         let lease = target.gate.enter(offer).await.map_err(not_run)?;
         let request = self.prepare(job, request);
-        let reply = timeout_at(job.deadline, target.pool.send(request))
-            .await
-            .unwrap_or(Err(Outcome::Unknown(Reason::Timeout)))?;
-        check(job, &reply.response)?;
+        let mut measured = target.measure.start(job.attempt, &job.kind);
+        let sent = timeout_at(job.deadline, target.pool.send(request)).await;
+        let reply = sent.unwrap_or(Err(Outcome::Unknown(Reason::Timeout)));
+        let checked = reply.and_then(|reply| check(job, &reply.response).map(|()| reply));
+        let reply = checked.inspect_err(|outcome| measured.set_outcome(outcome))?;
         let hold = Hold {
             target,
             sender: Some(reply.sender),
+            measured,
             _lease: lease,
             _ticket: ticket,
         };
@@ -171,7 +176,9 @@
         head.headers.insert(headers::OUTCOME, ANSWER);
         let load = hold.target.gate.load();
         mark(&mut head.headers, job.attempt, Some(load));
-        let body = TargetBody::new(Paced::new(body, self.answer_time), hold, job.request);
+        let body = Paced::new(body, self.answer_time);
+        let is_error = head.status.is_server_error();
+        let body = TargetBody::new(body, hold, job.request, is_error);
         Response::from_parts(head, Either::Left(body))
     }
 }
@@ -187,6 +194,7 @@
                 false => None,
             },
             weight: Rate::from_millis(field(from, &headers::WEIGHT)?),
+            kind: field(from, &headers::KIND)?,
             deadline: Instant::now() + Duration::from_millis(left),
             target: field(from, &headers::TARGET)?,
         })
@@ -305,6 +313,7 @@
 struct Hold {
     target: Arc<LocalTarget>,
     sender: Option<Sender>,
+    measured: Measured,
     _lease: Lease,
     _ticket: Ticket,
 }
@@ -314,14 +323,16 @@
 pub struct TargetBody {
     body: Paced,
     request: RequestId,
+    is_error: bool,
     hold: Option<Hold>,
 }
 
 impl TargetBody {
-    fn new(body: Paced, hold: Hold, request: RequestId) -> TargetBody {
+    fn new(body: Paced, hold: Hold, request: RequestId, is_error: bool) -> TargetBody {
         let mut this = TargetBody {
             body,
             request,
+            is_error,
             hold: Some(hold),
         };
         this.release_if_done();
@@ -338,6 +349,10 @@
         let Some(mut hold) = self.hold.take() else {
             return;
         };
+        hold.measured.set(match self.is_error {
+            true => Verdict::Failed,
+            false => Verdict::Whole,
+        });
         if let Some(sender) = hold.sender.take() {
             hold.target.pool.keep(sender);
         }
@@ -368,6 +383,9 @@
             }
             Some(Err(e)) => {
                 let request = this.request;
+                if let Some(mut hold) = this.hold.take() {
+                    hold.measured.set(Verdict::Cut);
+                }
                 log::warn!(event = "answer-cut", request:% = request, error:% = e; "answer cut");
                 Some(Err(e))
             }
--- a/src/node/forward.rs
+++ b/src/node/forward.rs
@@ -26,9 +26,6 @@
 /// The egress gives up this much earlier, so that its exact outcome arrives in time.
 const EGRESS_MARGIN: Duration = Duration::from_millis(10);
 
-/// When a caller may come back after a refusal whose end is not known.
-const RETRY_LATER: Duration = Duration::from_secs(1);
-
 /// Authority of requests on links; the target is named by internal headers.
 const EGRESS_AUTHORITY: &str = "egress";
 
@@ -69,13 +66,13 @@
     ) -> Result<Response<Incoming>, Outcome> {
         self.budget().deposit();
         let mut tried = Vec::new();
-        let mut last = Refusal::after(Reason::NoTarget, RETRY_LATER);
+        let mut last = None;
         loop {
             let Some(pick) = self.pick(call, &tried) else {
-                return Err(call.give_up(last));
+                return Err(call.give_up(last.unwrap_or_else(|| self.no_target(call))));
             };
             let Some(upload) = call.body.take(call.route.body_max.0) else {
-                return Err(call.give_up(last));
+                return Err(call.give_up(last.unwrap_or(Refusal::new(Reason::BadRequest))));
             };
             let outcome = match self.attempt(call, &pick, upload, &authorize).await {
                 Ok(response) => return Ok(response),
@@ -88,10 +85,15 @@
             let Some(refusal) = self.retry(call, &outcome, tried.len()) else {
                 return Err(outcome);
             };
-            last = refusal;
+            last = Some(refusal);
         }
     }
 
+    fn no_target(&self, call: &Call<'_>) -> Refusal {
+        let delay = self.targets.retry_after(&call.route.service);
+        Refusal::after(Reason::NoTarget, delay)
+    }
+
     fn pick(&self, call: &Call<'_>, tried: &[TargetId]) -> Option<Pick> {
         self.targets.pick(&route::Request {
             service: &call.route.service,
@@ -227,15 +229,13 @@
     fields.insert(headers::REQUEST_ID, id_value(call.id));
     fields.insert(headers::ATTEMPT, attempt_value(attempt));
     fields.insert(headers::TARGET, name_value(pick.id.name.as_str()));
-    let weight = match &call.identity {
-        Some(identity) => {
-            let account = name_value(identity.account.name.as_str());
-            fields.insert(headers::ACCOUNT, account);
-            identity.account.rate.as_millis()
-        }
-        None => 0,
-    };
-    fields.insert(headers::WEIGHT, HeaderValue::from(weight));
+    if let Some(identity) = &call.identity {
+        let account = name_value(identity.account.name.as_str());
+        fields.insert(headers::ACCOUNT, account);
+    }
+    let weight = HeaderValue::from(call.weight.as_millis());
+    fields.insert(headers::WEIGHT, weight);
+    fields.insert(headers::KIND, name_value(call.route.name.as_str()));
     *request.headers_mut() = fields;
     request
 }
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -27,6 +27,7 @@
 use crate::node::settings::Limits;
 use crate::outcome::{Outcome, Reason, Refusal};
 use crate::time::{Clock, Monotonic};
+use crate::units::Rate;
 
 /// When a caller may come back after a refusal whose end is not known.
 const RETRY_LATER: Duration = Duration::from_secs(1);
@@ -130,7 +131,8 @@
         };
         let session = identity.as_ref().map(|i| self.enter(i));
         headers::strip_request(&mut head.headers);
-        let call = Call::new(id, head, route, identity, slot.clone());
+        let weight = weight(&config, route, identity.as_ref());
+        let call = Call::new(id, head, route, identity, weight, slot.clone());
         let response = self.run(&call, &config, session.as_ref()).await?;
         Ok(self.answer(&call, response, session, ticket))
     }
@@ -301,6 +303,16 @@
     }
 }
 
+/// Returns the weight of a request in the queues of targets.
+fn weight(config: &Config, route: &Route, identity: Option<&Identity>) -> Rate {
+    match identity {
+        Some(identity) => identity.account.rate,
+        None => config
+            .service(&route.service)
+            .map_or(Rate::default(), |service| service.open_rate),
+    }
+}
+
 fn check_length(headers: &HeaderMap, route: &Route) -> Result<(), Refusal> {
     let Some(length) = headers.get(CONTENT_LENGTH) else {
         return Ok(());
--- a/src/node/local.rs
+++ b/src/node/local.rs
@@ -9,9 +9,10 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::fleet::{Health, NodeRecord, TargetRecord, TargetState};
+use crate::fleet::{NodeRecord, TargetRecord, TargetState};
 use crate::gate::Limits;
 use crate::ids::{NodeId, ServiceName, TargetName, ZoneName};
+use crate::node::measure::Measure;
 use crate::node::pool::Pool;
 use crate::node::slots::TargetGate;
 use crate::time::Monotonic;
@@ -60,6 +61,8 @@
 pub struct LocalTarget {
     /// Its slots and queue.
     pub gate: Arc<TargetGate>,
+    /// What its requests show.
+    pub measure: Arc<Measure>,
     /// Connections to it.
     pub pool: Pool,
     origin: Origin,
@@ -88,6 +91,7 @@
         let limits = said.limits();
         LocalTarget {
             gate: TargetGate::new(clock, limits, age < COLD_TIME),
+            measure: Measure::new(clock),
             pool: Pool::new(said.address, said.connections, patience),
             origin: Origin::of(said),
             said: Mutex::new(Said {
@@ -144,7 +148,7 @@
             slots: said.limits.slots,
             connections: said.limits.connections,
             state,
-            health: Health::default(),
+            health: self.measure.published(),
         }
     }
 }
--- /dev/null
+++ b/src/node/measure.rs
@@ -0,0 +1,99 @@
+//! Measurement of the attempts at one target.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use crate::fleet::Health;
+use crate::ids::AttemptId;
+use crate::outcome::{Outcome, Reason};
+use crate::route::{Meter, Verdict};
+use crate::time::{Clock, Monotonic};
+
+/// The meter of one target, shared by the tasks of its requests.
+#[derive(Debug)]
+pub struct Measure {
+    clock: Monotonic,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    meter: Meter,
+    published: Health,
+}
+
+/// An attempt that was handed over; its end is measured when this is dropped.
+#[derive(Debug)]
+pub struct Measured {
+    measure: Arc<Measure>,
+    attempt: AttemptId,
+    kind: String,
+    verdict: Verdict,
+}
+
+impl Measure {
+    /// Creates a meter without samples.
+    pub fn new(clock: Monotonic) -> Arc<Measure> {
+        let state = State {
+            meter: Meter::new(clock.now()),
+            published: Health::default(),
+        };
+        Arc::new(Measure {
+            clock,
+            state: Mutex::new(state),
+        })
+    }
+
+    /// Counts an attempt of the given kind that is handed over now.
+    ///
+    /// Until it is told otherwise, it counts as withdrawn by the caller.
+    pub fn start(self: &Arc<Self>, attempt: AttemptId, kind: &str) -> Measured {
+        self.lock().meter.start(self.clock.now(), attempt);
+        Measured {
+            measure: self.clone(),
+            attempt,
+            kind: kind.to_owned(),
+            verdict: Verdict::Withdrawn,
+        }
+    }
+
+    /// Returns the health to publish; it changes only in steps that are worth telling.
+    pub fn published(&self) -> Health {
+        let mut state = self.lock();
+        if let Some(health) = state.meter.publish(self.clock.now()) {
+            state.published = health;
+        }
+        state.published.clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Measured {
+    /// Sets how the attempt ends.
+    pub fn set(&mut self, verdict: Verdict) {
+        self.verdict = verdict;
+    }
+
+    /// Sets the end of an attempt without an answer.
+    pub fn set_outcome(&mut self, outcome: &Outcome) {
+        self.verdict = match outcome {
+            Outcome::Answer => Verdict::Whole,
+            Outcome::NotRun(refusal) if refusal.reason == Reason::Connect => Verdict::Failed,
+            Outcome::NotRun(_) => Verdict::Withdrawn,
+            Outcome::Unknown(Reason::Timeout) => Verdict::TimedOut,
+            // The caller's own body broke.
+            Outcome::Unknown(Reason::BadRequest) => Verdict::Withdrawn,
+            Outcome::Unknown(_) => Verdict::Failed,
+        };
+    }
+}
+
+impl Drop for Measured {
+    fn drop(&mut self) {
+        let now = self.measure.clock.now();
+        let mut state = self.measure.lock();
+        state.meter.end(now, self.attempt, &self.kind, self.verdict);
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -15,6 +15,7 @@
 pub mod links;
 pub mod listen;
 pub mod local;
+pub mod measure;
 pub mod open;
 pub mod plug;
 pub mod pool;
@@ -173,7 +174,7 @@
         targets: targets.clone(),
         links,
         local: local.clone(),
-        metrics,
+        metrics: metrics.clone(),
         flight,
         ending: ending.clone(),
         stop: CancellationToken::new(),
@@ -194,7 +195,7 @@
         limits,
         ending,
     ));
-    let sweep = keep_swept(ingress.clone(), targets.clone(), policy);
+    let sweep = keep_swept(ingress.clone(), targets.clone(), policy, metrics);
     handle.watch(sweep);
     handle.watch(keep_local(local, targets, link_addr));
     log::info!(
@@ -204,11 +205,13 @@
     Ok(handle)
 }
 
-/// Ends open requests at each change of the configuration and when the evidence runs out.
+/// Ends open requests at each change of the configuration and when the evidence runs out, and
+/// reviews the targets.
 async fn keep_swept<F: Freshness, A: Admission>(
     ingress: Arc<Ingress<F, A>>,
     targets: Arc<Targets>,
     policy: Arc<Policy>,
+    metrics: Metrics,
 ) {
     let mut changes = policy.changes();
     changes.mark_changed();
@@ -224,7 +227,7 @@
                     targets.set_floors(&config);
                 }
             }
-            _ = ticks.tick() => {}
+            _ = ticks.tick() => targets.tick(&metrics),
         }
         ingress.sweep();
     }
--- a/src/node/pool.rs
+++ b/src/node/pool.rs
@@ -190,7 +190,10 @@
 }
 
 fn unknown(error: &hyper::Error) -> Outcome {
-    Outcome::Unknown(if error.is_parse() {
+    Outcome::Unknown(if error.is_user() {
+        // The caller's body failed while it was being sent.
+        Reason::BadRequest
+    } else if error.is_parse() {
         Reason::TargetError
     } else {
         Reason::LostLink
--- a/src/node/targets.rs
+++ b/src/node/targets.rs
@@ -3,12 +3,14 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use crate::config::Config;
 use crate::fleet::NodeRecord;
 use crate::gate::Load;
-use crate::ids::{NodeId, TargetId, ZoneName};
-use crate::route::{Balancer, Request, Sample};
+use crate::ids::{NodeId, ServiceName, TargetId, ZoneName};
+use crate::metrics::Metrics;
+use crate::route::{Balancer, Event, Request, Sample};
 use crate::time::{Clock, Monotonic};
 
 /// A chosen target.
@@ -89,7 +91,54 @@
         self.lock().balancer.observe(now, id, load, None);
     }
 
+    /// Reviews the targets and tells what was decided since the last call.
+    pub fn tick(&self, metrics: &Metrics) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.balancer.tick(now);
+        let events = state.balancer.take_events();
+        drop(state);
+        events.iter().for_each(|event| tell(event, metrics));
+    }
+
+    /// Returns when a service without targets may have one again.
+    pub fn retry_after(&self, service: &ServiceName) -> Duration {
+        let now = self.clock.now();
+        self.lock().balancer.retry_after(now, service)
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+fn tell(event: &Event, metrics: &Metrics) {
+    match event {
+        Event::Ejected {
+            target,
+            cause,
+            severity,
+        } => {
+            metrics.count("ejected");
+            log::warn!(
+                event = "ejected", target:% = target, cause:? = cause, severity = *severity;
+                "target ejected"
+            );
+        }
+        Event::Returned(target) => {
+            metrics.count("returned");
+            log::info!(event = "returned", target:% = target; "target is back");
+        }
+        Event::KeptByFloor(target) => {
+            metrics.count("kept-by-floor");
+            log::warn!(event = "kept-by-floor", target:% = target; "floor keeps a bad target");
+        }
+        Event::KindAvoided { target, kind } => {
+            metrics.count("kind-avoided");
+            log::warn!(
+                event = "kind-avoided", target:% = target, kind:% = kind;
+                "target fails for one kind of request"
+            );
+        }
+    }
+}
