--- a/examples/loadgen/mod.rs
+++ b/examples/loadgen/mod.rs
@@ -17,6 +17,9 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep_until};
 
+/// Longest latency that is told apart, in microseconds.
+const LATENCY_MAX_US: u64 = 600_000_000;
+
 /// What to send.
 #[derive(Clone, Debug)]
 pub struct Load {
@@ -74,7 +77,8 @@
     /// Creates results of nothing.
     pub fn new() -> Results {
         Results {
-            histogram: Histogram::new(3).expect("three digits are supported"),
+            histogram: Histogram::new_with_bounds(1, LATENCY_MAX_US, 3)
+                .expect("the bounds are in order"),
             sent: 0,
             counts: BTreeMap::new(),
         }
