Add the registry, gossip and evidence of freshness

The first simulation found a fleet that never accepted again: a new leader knew only the latest registry, so processes of older versions that had restarted were never proved dead.

--- /dev/null
+++ b/src/fleet/gossip.rs
@@ -0,0 +1,248 @@
+//! Exchanges between nodes: evidence, changed records and missing entries.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::Rng;
+use rand::seq::IndexedRandom;
+
+use super::registry::{Member, Registry, RegistryChange, RegistryLog};
+use super::table::{Known, Published, Records};
+use crate::error::Result;
+use crate::freshness::{Ages, Evidence};
+use crate::ids::NodeId;
+use crate::time::Time;
+use crate::units::Position;
+
+/// Time between the exchanges that a node begins.
+pub const GOSSIP_INTERVAL: Duration = Duration::from_millis(400);
+
+/// How many peers a node asks each time.
+pub const GOSSIP_PEERS: usize = 4;
+
+/// Shortest time between two digests that a node sends, since one takes about 6 kB.
+pub const DIGEST_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Names a question, so that its answer can be dated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Question {
+    /// Who asks; answers to an earlier process on the same address don't count.
+    pub from: NodeId,
+    /// When, by the clock of the one who asks.
+    pub sent: Time,
+}
+
+/// What a node sends to a peer to begin an exchange.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// The question.
+    pub question: Question,
+    /// The last entry that the sender holds.
+    pub position: Position,
+    /// The hash of the sender's records.
+    pub hash: u64,
+    /// Records that changed lately.
+    pub records: Vec<Arc<Published>>,
+    /// The versions of all records, if the last exchanges showed a difference.
+    pub digest: Option<Vec<Known>>,
+}
+
+/// An encoded log entry on its way between nodes; only committed entries travel.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Relayed {
+    /// The position.
+    pub position: Position,
+    /// The encoded entry.
+    pub entry: Bytes,
+}
+
+/// What the peer answers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// The question.
+    pub question: Question,
+    /// Who answers.
+    pub node: NodeId,
+    /// The evidence that the peer holds; its position is the last entry that the peer holds.
+    pub ages: Ages,
+    /// The age of the peer's evidence from the control group; 255 for none.
+    pub group: u8,
+    /// The hash of the peer's records.
+    pub hash: u64,
+    /// Records that changed lately, or that are newer than the digest.
+    pub records: Vec<Arc<Published>>,
+    /// Records that the peer would like to have.
+    pub wanted: Vec<NodeId>,
+    /// Entries that the asker misses; the caller, who stores entries, puts them in.
+    pub entries: Vec<Relayed>,
+}
+
+/// Records that a peer wanted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Push {
+    /// The records.
+    pub records: Vec<Arc<Published>>,
+}
+
+/// One node's part in the gossip.
+#[derive(Clone, Debug)]
+pub struct Gossip {
+    me: NodeId,
+    registry: RegistryLog,
+    evidence: Evidence,
+    records: Records,
+    differs: bool,
+    last_digest: Option<Time>,
+}
+
+impl Gossip {
+    /// Creates the state of a node that holds nothing.
+    pub fn new(me: NodeId) -> Self {
+        Gossip {
+            me,
+            registry: RegistryLog::default(),
+            evidence: Evidence::new(me),
+            records: Records::new(me),
+            differs: false,
+            last_digest: None,
+        }
+    }
+
+    /// Returns the evidence.
+    pub fn evidence(&self) -> &Evidence {
+        &self.evidence
+    }
+
+    /// Returns the evidence, to add answers of control replicas to it.
+    pub fn evidence_mut(&mut self) -> &mut Evidence {
+        &mut self.evidence
+    }
+
+    /// Returns the registry in force.
+    pub fn registry(&self) -> &Registry {
+        self.registry.latest()
+    }
+
+    /// Returns the records.
+    pub fn records(&self) -> &Records {
+        &self.records
+    }
+
+    /// Replaces the own record.
+    pub fn publish(&mut self, published: Published) {
+        self.records.publish(published);
+    }
+
+    /// Takes in that the entry at `position` is applied, and the registry change in it.
+    ///
+    /// # Errors
+    ///
+    /// As for [`RegistryLog::apply`]; nothing is changed then.
+    pub fn apply(&mut self, position: Position, change: Option<&RegistryChange>) -> Result<()> {
+        let Some(change) = change else {
+            self.evidence.advance(position);
+            return Ok(());
+        };
+        self.registry.apply(position, change)?;
+        self.registry.forget_before(position);
+        self.adopt(position);
+        Ok(())
+    }
+
+    /// Takes in a snapshot at `position`, whose registry is in force since `changed`.
+    pub fn restore(&mut self, position: Position, changed: Position, registry: Registry) {
+        self.registry = RegistryLog::new(changed, registry);
+        self.adopt(changed);
+        self.evidence.advance(position);
+    }
+
+    fn adopt(&mut self, position: Position) {
+        let registry = self.registry.latest();
+        self.evidence.set_nodes(position, &registry.ids());
+        self.records.set_registry(registry);
+    }
+
+    /// Chooses peers at random among the registered nodes.
+    pub fn peers(&self, rng: &mut impl Rng) -> Vec<Member> {
+        let others = self.registry().members().iter();
+        let others: Vec<&Member> = others.filter(|m| m.id != self.me).collect();
+        others
+            .sample(rng, GOSSIP_PEERS)
+            .map(|m| (*m).clone())
+            .collect()
+    }
+
+    /// Begins an exchange with one peer.
+    pub fn ask(&mut self, now: Time) -> Ask {
+        let is_due = |last: Time| now.since(last) >= DIGEST_INTERVAL;
+        let with_digest = self.differs && self.last_digest.is_none_or(is_due);
+        if with_digest {
+            self.last_digest = Some(now);
+            self.differs = false;
+        }
+        Ask {
+            question: Question {
+                from: self.me,
+                sent: now,
+            },
+            position: self.evidence.position(),
+            hash: self.records.hash(),
+            records: self.records.rumors(),
+            digest: with_digest.then(|| self.records.digest()),
+        }
+    }
+
+    /// Answers a peer.
+    pub fn answer(&mut self, now: Time, ask: &Ask) -> Answer {
+        self.merge(&ask.records);
+        let mut records = self.records.rumors();
+        let mut wanted = Vec::new();
+        if let Some(digest) = &ask.digest {
+            records = self.records.newer_than(digest);
+            wanted = self.records.older_than(digest);
+        }
+        Answer {
+            question: ask.question,
+            node: self.me,
+            ages: self.evidence.ages(now),
+            group: self.evidence.group_age(now),
+            hash: self.records.hash(),
+            records,
+            wanted,
+            entries: Vec::new(),
+        }
+    }
+
+    /// Takes in an answer and returns what the peer wants to have.
+    ///
+    /// A caller applies the entries of the answer first.
+    pub fn hear(&mut self, now: Time, answer: &Answer) -> Option<Push> {
+        let Question { from, sent } = answer.question;
+        self.merge(&answer.records);
+        if from != self.me {
+            return None;
+        }
+        self.differs |= answer.hash != self.records.hash();
+        let position = answer.ages.position;
+        self.evidence.hear_node(now, sent, answer.node, position);
+        self.evidence.hear_ages(now, sent, &answer.ages);
+        self.evidence.hear_group(now, sent, position, answer.group);
+        if answer.wanted.is_empty() {
+            return None;
+        }
+        let records = self.records.pick(&answer.wanted);
+        Some(Push { records })
+    }
+
+    /// Takes in records that this node wanted.
+    pub fn take(&mut self, push: &Push) {
+        self.merge(&push.records);
+    }
+
+    fn merge(&mut self, records: &[Arc<Published>]) {
+        for published in records {
+            self.records.merge((**published).clone());
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/registry.rs
@@ -0,0 +1,175 @@
+//! The registered nodes and how log entries change them.
+
+use std::net::SocketAddr;
+
+use crate::error::{Error, Result};
+use crate::ids::{NodeId, ZoneName};
+use crate::units::Position;
+
+/// Most registered nodes; the planned size is 560.
+pub const MEMBERS_MAX: usize = 1_024;
+
+/// A registered node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// The run of the node process.
+    pub id: NodeId,
+    /// The address on which it accepts links.
+    pub addr: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+}
+
+/// The registered nodes at one position of the log, sorted by id, with one node on an address.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Registry {
+    members: Vec<Member>,
+}
+
+/// What one log entry does to the registry; both lists are sorted by id.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RegistryChange {
+    /// Nodes that are registered.
+    pub joined: Vec<Member>,
+    /// Nodes that are removed.
+    pub left: Vec<NodeId>,
+}
+
+impl RegistryChange {
+    /// Returns true if nothing changes.
+    pub fn is_empty(&self) -> bool {
+        self.joined.is_empty() && self.left.is_empty()
+    }
+}
+
+impl Registry {
+    /// Creates the empty registry before the first change.
+    pub fn new() -> Self {
+        Registry::default()
+    }
+
+    /// Returns the members, sorted by id.
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    /// Returns the ids of the members, sorted.
+    pub fn ids(&self) -> Vec<NodeId> {
+        self.members.iter().map(|m| m.id).collect()
+    }
+
+    /// Returns the member with `id`.
+    pub fn get(&self, id: NodeId) -> Option<&Member> {
+        let i = self.members.binary_search_by_key(&id, |m| m.id).ok()?;
+        Some(&self.members[i])
+    }
+
+    /// Returns the member on `addr`.
+    pub fn on_addr(&self, addr: SocketAddr) -> Option<&Member> {
+        self.members.iter().find(|m| m.addr == addr)
+    }
+
+    /// Returns true if more than half of the members satisfy `test`, or if there are none.
+    pub fn is_majority(&self, test: impl Fn(NodeId) -> bool) -> bool {
+        let count = self.members.iter().filter(|m| test(m.id)).count();
+        self.members.is_empty() || count > self.members.len() / 2
+    }
+
+    /// Returns the registry after `change`.
+    ///
+    /// # Errors
+    ///
+    /// [`Category::Invalid`](crate::error::Category::Invalid) if a node that leaves is absent, one
+    /// that joins is present, an address has two nodes, or there are too many.
+    pub fn changed(&self, change: &RegistryChange) -> Result<Registry> {
+        let mut members = self.members.clone();
+        for id in &change.left {
+            let i = members.binary_search_by_key(id, |m| m.id);
+            let i = i.map_err(|_| Error::invalid(format!("node {id} is not registered")))?;
+            members.remove(i);
+        }
+        for member in &change.joined {
+            match members.binary_search_by_key(&member.id, |m| m.id) {
+                Err(i) => members.insert(i, member.clone()),
+                Ok(_) => {
+                    let message = format!("node {} is registered already", member.id);
+                    return Err(Error::invalid(message));
+                }
+            }
+        }
+        let mut addrs: Vec<_> = members.iter().map(|m| m.addr).collect();
+        addrs.sort();
+        if let Some(pair) = addrs.windows(2).find(|p| p[0] == p[1]) {
+            return Err(Error::invalid(format!("two nodes on {}", pair[0])));
+        }
+        if members.len() > MEMBERS_MAX {
+            return Err(Error::invalid(format!("more than {MEMBERS_MAX} nodes")));
+        }
+        Ok(Registry { members })
+    }
+}
+
+/// The registry by position, back to the last accepted entry.
+#[derive(Clone, Debug, Default)]
+pub struct RegistryLog {
+    /// The first version holds from its position on; others follow.
+    versions: Vec<(Position, Registry)>,
+}
+
+impl RegistryLog {
+    /// Creates a log that starts with `registry`, which the entry at `position` put in force.
+    pub fn new(position: Position, registry: Registry) -> Self {
+        RegistryLog {
+            versions: vec![(position, registry)],
+        }
+    }
+
+    /// Returns the registry after the entry at `position`.
+    pub fn at(&self, position: Position) -> &Registry {
+        static EMPTY: Registry = Registry {
+            members: Vec::new(),
+        };
+        let after = self.versions.partition_point(|(p, _)| *p <= position);
+        after.checked_sub(1).map_or(&EMPTY, |i| &self.versions[i].1)
+    }
+
+    /// Returns the registry before the entry at `position`.
+    pub fn before(&self, position: Position) -> &Registry {
+        self.at(Position(position.0.saturating_sub(1)))
+    }
+
+    /// Lists the versions, oldest first.
+    pub fn versions(&self) -> impl Iterator<Item = &Registry> {
+        self.versions.iter().map(|(_, registry)| registry)
+    }
+
+    /// Returns the latest registry.
+    pub fn latest(&self) -> &Registry {
+        self.at(Position(u64::MAX))
+    }
+
+    /// Returns the position of the latest change.
+    pub fn changed_at(&self) -> Position {
+        self.versions.last().map_or(Position(0), |(p, _)| *p)
+    }
+
+    /// Applies the change at `position`.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Registry::changed`], and if a change at this position or later was applied.
+    pub fn apply(&mut self, position: Position, change: &RegistryChange) -> Result<()> {
+        if !self.versions.is_empty() && position <= self.changed_at() {
+            return Err(Error::invalid(format!("change {position} is out of order")));
+        }
+        let next = self.latest().changed(change)?;
+        self.versions.push((position, next));
+        Ok(())
+    }
+
+    /// Drops the versions that no entry after `accepted` refers to.
+    pub fn forget_before(&mut self, accepted: Position) {
+        let after = self.versions.partition_point(|(p, _)| *p <= accepted);
+        self.versions.drain(..after.saturating_sub(1));
+    }
+}
--- /dev/null
+++ b/src/fleet/roll.rs
@@ -0,0 +1,129 @@
+//! The control leader's list of who was seen alive.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::registry::{Member, Registry, RegistryChange};
+use crate::ids::NodeId;
+use crate::time::Time;
+
+/// Shortest time between two registry changes.
+///
+/// Each change is an entry that a majority of the nodes must hold, so 1,200 restarts a day must not
+/// become as many rounds when they come in waves.
+pub const CHANGE_INTERVAL: Duration = Duration::from_secs(5);
+
+/// How long a registered node may be silent before it is removed.
+///
+/// A rack that loses power for longer would otherwise weigh on every majority.
+pub const SILENCE_MAX: Duration = Duration::from_secs(60);
+
+/// A link that the leader itself opened and that a node answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Sighting {
+    /// When the leader began to connect.
+    pub asked: Time,
+    /// Who answered.
+    pub member: Member,
+}
+
+#[derive(Clone, Debug)]
+struct Seen {
+    member: Member,
+    /// The start of the latest contact.
+    alive: Time,
+    /// When the member was first known; a contact that began earlier proves no successor.
+    since: Time,
+    /// Whether this leader itself had contact; only then the member may join.
+    sighted: bool,
+}
+
+/// Who runs on each address.
+#[derive(Clone, Debug, Default)]
+pub struct Roll {
+    seen: BTreeMap<SocketAddr, Seen>,
+    last_change: Option<Time>,
+}
+
+impl Roll {
+    /// Takes in a registry and returns the processes that it proves dead.
+    ///
+    /// A new leader takes in every version since the last accepted entry, oldest first, before it
+    /// opens a link, and later each version that commits. A member that takes the address of an
+    /// earlier one was seen there later by the leader that registered it.
+    pub fn learn(&mut self, now: Time, registry: &Registry) -> Vec<NodeId> {
+        let mut dead = Vec::new();
+        for member in registry.members() {
+            let known = self.seen.get(&member.addr).map(|s| s.member.id);
+            if known != Some(member.id) {
+                dead.extend(known);
+                self.enter(now, member.clone(), false);
+            }
+        }
+        dead
+    }
+
+    fn enter(&mut self, now: Time, member: Member, sighted: bool) {
+        let seen = Seen {
+            alive: now,
+            since: now,
+            sighted,
+            member,
+        };
+        self.seen.insert(seen.member.addr, seen);
+    }
+
+    /// Takes in that a node answered on its address, and returns the process that this proves dead.
+    ///
+    /// Two processes can't listen on one address, so a process that answers a contact which began
+    /// after another was known there is its successor. A late answer to an earlier contact proves
+    /// nothing.
+    pub fn sight(&mut self, now: Time, sighting: Sighting) -> Option<NodeId> {
+        let Some(seen) = self.seen.get_mut(&sighting.member.addr) else {
+            self.enter(now, sighting.member, true);
+            return None;
+        };
+        if seen.member.id == sighting.member.id {
+            seen.alive = seen.alive.max(sighting.asked);
+            seen.sighted = true;
+            return None;
+        }
+        if sighting.asked <= seen.since {
+            return None;
+        }
+        let dead = seen.member.id;
+        self.enter(now, sighting.member, true);
+        Some(dead)
+    }
+
+    /// Returns the next registry change, if one is due and there is anything to change.
+    ///
+    /// A caller proposes nothing more before the change is committed.
+    pub fn propose(&mut self, now: Time, registry: &Registry) -> Option<RegistryChange> {
+        let is_due = |last: Time| now.since(last) >= CHANGE_INTERVAL;
+        if !self.last_change.is_none_or(is_due) {
+            return None;
+        }
+        let is_alive = |seen: &&Seen| now.since(seen.alive) < SILENCE_MAX;
+        let joined = self.seen.values().filter(|s| s.sighted && is_alive(s));
+        let mut joined: Vec<Member> = joined
+            .map(|seen| &seen.member)
+            .filter(|m| registry.get(m.id).is_none())
+            .cloned()
+            .collect();
+        joined.sort_by_key(|m| m.id);
+        let stays = |m: &&Member| {
+            let seen = self.seen.get(&m.addr);
+            seen.is_some_and(|s| s.member.id == m.id && is_alive(&s))
+        };
+        let left = registry.members().iter().filter(|m| !stays(m));
+        let left = left.map(|m| m.id).collect();
+        let change = RegistryChange { joined, left };
+        if change.is_empty() {
+            return None;
+        }
+        self.last_change = Some(now);
+        Some(change)
+    }
+}
--- /dev/null
+++ b/src/freshness/evidence.rs
@@ -0,0 +1,188 @@
+//! The evidence that one process holds.
+
+use super::EVIDENCE_LIFETIME;
+use super::ages::{self, Ages};
+use super::quorum::{Quorum, Seen};
+use crate::ids::{NodeId, ReplicaId};
+use crate::replica::Vouch;
+use crate::time::Time;
+use crate::units::Position;
+
+/// What a control replica said in answer to a question.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Heard {
+    /// When the question was sent.
+    pub sent: Time,
+    /// Who answered.
+    pub replica: ReplicaId,
+    /// Its committed position.
+    pub position: Position,
+    /// What it can say about newer entries.
+    pub vouch: Vouch,
+}
+
+/// Evidence that nothing newer than the own position was accepted.
+///
+/// The position is that of the last entry that this process applied. Times are those of its own
+/// clock, which must go on while the process is paused.
+#[derive(Clone, Debug)]
+pub struct Evidence {
+    me: NodeId,
+    position: Position,
+    /// The position of the last registry change that was applied.
+    registry: Position,
+    nodes: Quorum<NodeId>,
+    replicas: Quorum<ReplicaId>,
+    /// Statements of a leader, or of others that relay them, for the whole control group.
+    group: Seen,
+    expires: Time,
+}
+
+impl Evidence {
+    /// Creates evidence of a process that has applied nothing.
+    pub fn new(me: NodeId) -> Self {
+        Evidence {
+            me,
+            position: Position(0),
+            registry: Position(0),
+            nodes: Quorum::default(),
+            replicas: Quorum::default(),
+            group: Seen::default(),
+            expires: Time::ZERO,
+        }
+    }
+
+    /// Returns the position of the last entry that was applied.
+    pub fn position(&self) -> Position {
+        self.position
+    }
+
+    /// Returns the position of the registry in force.
+    pub fn registry(&self) -> Position {
+        self.registry
+    }
+
+    /// Returns true if the configuration is proved current.
+    ///
+    /// A caller asks again just before it hands a request over, since the process may have been
+    /// paused after the first check.
+    pub fn is_fresh(&self, now: Time) -> bool {
+        now < self.expires
+    }
+
+    /// Returns the time from which the evidence no longer counts.
+    ///
+    /// The request path can compare it with the clock without a lock on the evidence.
+    pub fn expires(&self) -> Time {
+        self.expires
+    }
+
+    /// Takes in that every entry up to `position` is applied.
+    pub fn advance(&mut self, position: Position) {
+        if position <= self.position {
+            return;
+        }
+        self.position = position;
+        self.nodes.advance(position);
+        self.replicas.advance(position);
+        self.group.advance(position);
+        self.update();
+    }
+
+    /// Takes in the registry that the entry at `position` put in force.
+    pub fn set_nodes(&mut self, position: Position, nodes: &[NodeId]) {
+        self.registry = position;
+        self.nodes.replace(nodes);
+        self.advance(position);
+        self.update();
+    }
+
+    /// Takes in the voters of the control group that the entry at `position` put in force.
+    pub fn set_replicas(&mut self, position: Position, voters: &[ReplicaId]) {
+        self.replicas.replace(voters);
+        self.advance(position);
+        self.update();
+    }
+
+    /// Takes in the answer of a control replica.
+    pub fn hear_replica(&mut self, now: Time, heard: Heard) {
+        if heard.sent > now {
+            return;
+        }
+        match heard.vouch {
+            Vouch::None => {}
+            Vouch::Group => self.group.hear(self.position, heard.position, heard.sent),
+            Vouch::Voter => {
+                if let Some(seen) = self.replicas.get_mut(heard.replica) {
+                    seen.hear(self.position, heard.position, heard.sent);
+                }
+            }
+        }
+        self.update();
+    }
+
+    /// Takes in that `node` answered a question that was sent at `sent` with its position.
+    pub fn hear_node(&mut self, now: Time, sent: Time, node: NodeId, position: Position) {
+        if sent > now {
+            return;
+        }
+        if let Some(seen) = self.nodes.get_mut(node) {
+            seen.hear(self.position, position, sent);
+        }
+        self.update();
+    }
+
+    /// Takes in the evidence that another node holds itself.
+    ///
+    /// Ages by another registry are left out, since their order names other nodes.
+    pub fn hear_ages(&mut self, now: Time, sent: Time, ages: &Ages) {
+        let is_same = ages.registry == self.registry && ages.bytes.len() == self.nodes.len();
+        if sent > now || !is_same {
+            return;
+        }
+        for (seen, byte) in self.nodes.iter_mut().zip(&ages.bytes) {
+            if let Some(age) = ages::decode(*byte) {
+                seen.hear(self.position, ages.position, sent - age);
+            }
+        }
+        self.update();
+    }
+
+    /// Takes in the age of another node's evidence from the control group.
+    pub fn hear_group(&mut self, now: Time, sent: Time, position: Position, age: u8) {
+        if let Some(age) = ages::decode(age).filter(|_| sent <= now) {
+            self.group.hear(self.position, position, sent - age);
+            self.update();
+        }
+    }
+
+    /// Returns the ages of the evidence from each registered node.
+    pub fn ages(&self, now: Time) -> Ages {
+        let age = |(id, seen): &(NodeId, Seen)| match seen.as_of {
+            _ if *id == self.me => 0,
+            Some(as_of) => ages::encode(now.since(as_of)),
+            None => u8::MAX,
+        };
+        Ages {
+            position: self.position,
+            registry: self.registry,
+            bytes: self.nodes.members().iter().map(age).collect(),
+        }
+    }
+
+    /// Returns the age of the evidence from the control group; 255 for none.
+    pub fn group_age(&self, now: Time) -> u8 {
+        let as_of = self.group.as_of.max(self.replicas.as_of(None));
+        as_of.map_or(u8::MAX, |time| ages::encode(now.since(time)))
+    }
+
+    fn update(&mut self) {
+        let group = self.group.as_of.max(self.replicas.as_of(None));
+        let nodes = self.nodes.as_of(Some(self.me));
+        let as_of = group.max(nodes).unwrap_or(Time::ZERO);
+        self.expires = match as_of {
+            Time::ZERO => Time::ZERO,
+            as_of => as_of + EVIDENCE_LIFETIME,
+        };
+    }
+}
--- /dev/null
+++ b/src/freshness/quorum.rs
@@ -0,0 +1,102 @@
+//! Evidence from the members of one group.
+
+use crate::time::Time;
+use crate::units::Position;
+
+/// What is known of one member.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Seen {
+    /// The latest time at which the member is known to have held nothing newer.
+    pub(super) as_of: Option<Time>,
+    /// A later statement that counts once this process holds the position too.
+    ahead: Option<(Position, Time)>,
+}
+
+impl Seen {
+    /// Takes in that the member held nothing after `position` at time `as_of`.
+    pub(super) fn hear(&mut self, mine: Position, position: Position, as_of: Time) {
+        if position <= mine {
+            self.as_of = self.as_of.max(Some(as_of));
+        } else if self.ahead.is_none_or(|(_, time)| time < as_of) {
+            self.ahead = Some((position, as_of));
+        }
+    }
+
+    /// Counts the statement that waited for `mine`.
+    pub(super) fn advance(&mut self, mine: Position) {
+        if let Some((position, as_of)) = self.ahead
+            && position <= mine
+        {
+            self.as_of = self.as_of.max(Some(as_of));
+            self.ahead = None;
+        }
+    }
+}
+
+/// Members of one group, sorted by identity, with what is known of each.
+#[derive(Clone, Debug)]
+pub(super) struct Quorum<I> {
+    members: Vec<(I, Seen)>,
+}
+
+impl<I> Default for Quorum<I> {
+    fn default() -> Self {
+        Quorum {
+            members: Vec::new(),
+        }
+    }
+}
+
+impl<I: Copy + Ord> Quorum<I> {
+    /// Replaces the members and keeps what is known of those that stay.
+    pub(super) fn replace(&mut self, members: &[I]) {
+        let mut next: Vec<_> = members.iter().map(|id| (*id, self.seen(*id))).collect();
+        next.sort_by_key(|(id, _)| *id);
+        self.members = next;
+    }
+
+    fn seen(&self, id: I) -> Seen {
+        self.find(id).map_or(Seen::default(), |i| self.members[i].1)
+    }
+
+    fn find(&self, id: I) -> Option<usize> {
+        self.members.binary_search_by_key(&id, |(id, _)| *id).ok()
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    pub(super) fn members(&self) -> &[(I, Seen)] {
+        &self.members
+    }
+
+    /// Returns what is known of a member, to add to it; `None` for others.
+    pub(super) fn get_mut(&mut self, id: I) -> Option<&mut Seen> {
+        self.find(id).map(|i| &mut self.members[i].1)
+    }
+
+    /// Iterates over what is known, in the order of the members.
+    pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Seen> {
+        self.members.iter_mut().map(|(_, seen)| seen)
+    }
+
+    pub(super) fn advance(&mut self, mine: Position) {
+        self.members.iter_mut().for_each(|(_, s)| s.advance(mine));
+    }
+
+    /// Returns the latest time at which a majority held nothing newer.
+    ///
+    /// `me` counts at every time, as this process knows its own position.
+    pub(super) fn as_of(&self, me: Option<I>) -> Option<Time> {
+        let majority = self.members.len() / 2 + 1;
+        let own = |id: I| (me == Some(id)).then_some(Time(u64::MAX));
+        let times = self.members.iter().map(|(id, s)| own(*id).max(s.as_of));
+        let mut times: Vec<Option<Time>> = times.collect();
+        if times.len() < majority {
+            return None;
+        }
+        let place = times.len() - majority;
+        *times.select_nth_unstable(place).1
+    }
+}
--- /dev/null
+++ b/tests/fleet_sim/mod.rs
@@ -0,0 +1,572 @@
+//! Nodes and one control leader in virtual time, over a network that delays, loses, repeats and cuts.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use laburnumtide::fleet::{
+    Acceptance, Answer, Ask, Gossip, Member, Push, RegistryChange, RegistryLog, Relayed, Roll,
+    Sighting,
+};
+use laburnumtide::freshness::{EVIDENCE_LIFETIME, Heard};
+use laburnumtide::ids::{NodeId, ReplicaId};
+use laburnumtide::replica::Vouch;
+use laburnumtide::time::Time;
+use laburnumtide::units::Position;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+/// Real time for which a claim may outlive an acceptance: the lifetime on a clock that is 1 % slow.
+pub const CLAIM_MAX: Duration =
+    Duration::from_micros(EVIDENCE_LIFETIME.as_micros() as u64 * 100 / 99 + 1);
+
+const GOSSIP_EVERY: Duration = Duration::from_millis(400);
+const SYNC_EVERY: Duration = Duration::from_millis(500);
+const CONTROL_EVERY: Duration = Duration::from_millis(200);
+const CONTROL: usize = usize::MAX;
+
+/// What happens in a run.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    pub nodes: usize,
+    /// Share of messages that are lost, and that come twice.
+    pub loss: f64,
+    pub slowest: Duration,
+    /// Time between faults; none for a quiet run.
+    pub fault_every: Option<Duration>,
+    pub note_every: Option<Duration>,
+}
+
+#[derive(Clone, Debug)]
+enum Entry {
+    Note,
+    Nodes(RegistryChange),
+}
+
+#[derive(Clone, Debug)]
+enum Message {
+    Ask(usize, Ask),
+    Answer(Answer, Vec<Entry>),
+    Push(Push),
+    Sync(usize, NodeId, Time, Position),
+    Synced(NodeId, Time, Position, Vec<Entry>),
+    Dial(Time),
+    Dialed(Time, Member),
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Deliver(usize, Message),
+    Gossip(usize, u64),
+    Sync(usize, u64),
+    Control,
+    Note,
+    Fault,
+    Thaw(usize, u64),
+}
+
+/// A clock with a rate error of up to 1 % and any offset.
+#[derive(Clone, Copy, Debug)]
+struct Clock {
+    offset: u64,
+    parts: u64,
+}
+
+impl Clock {
+    fn new(rng: &mut StdRng) -> Clock {
+        Clock {
+            offset: rng.random_range(3_600_000_000..9_000_000_000),
+            parts: rng.random_range(990_000..=1_010_000),
+        }
+    }
+
+    fn read(self, now: u64) -> Time {
+        Time(self.offset + (u128::from(now) * u128::from(self.parts) / 1_000_000) as u64)
+    }
+}
+
+pub struct Process {
+    pub gossip: Gossip,
+    id: NodeId,
+    clock: Clock,
+    log: Vec<Entry>,
+    frozen: bool,
+    inbox: VecDeque<Message>,
+}
+
+struct Control {
+    clock: Clock,
+    roll: Roll,
+    acceptance: Acceptance,
+    registry: RegistryLog,
+    away: bool,
+    inbox: VecDeque<Message>,
+}
+
+pub struct Sim {
+    plan: Plan,
+    rng: StdRng,
+    pub now: u64,
+    order: u64,
+    events: BTreeMap<(u64, u64), Event>,
+    pub vms: Vec<Option<Process>>,
+    boots: u64,
+    control: Control,
+    log: Vec<Entry>,
+    /// Real times of acceptance, by position less one.
+    pub accepted_at: Vec<u64>,
+    /// Cuts in one direction, by sender and receiver; the control leader is the last.
+    cuts: Vec<Vec<bool>>,
+    /// Claims that were checked against an accepted successor.
+    pub tested: u64,
+    pub asks: u64,
+}
+
+impl Sim {
+    pub fn new(seed: u64, plan: Plan) -> Sim {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let control = Control {
+            clock: Clock::new(&mut rng),
+            roll: Roll::default(),
+            acceptance: Acceptance::new(Position(0)),
+            registry: RegistryLog::default(),
+            away: false,
+            inbox: VecDeque::new(),
+        };
+        let mut sim = Sim {
+            plan,
+            rng,
+            now: 0,
+            order: 0,
+            events: BTreeMap::new(),
+            vms: (0..plan.nodes).map(|_| None).collect(),
+            boots: 0,
+            control,
+            log: vec![Entry::Note],
+            accepted_at: Vec::new(),
+            cuts: vec![vec![false; plan.nodes + 1]; plan.nodes + 1],
+            tested: 0,
+            asks: 0,
+        };
+        for vm in 0..plan.nodes {
+            sim.start(vm);
+        }
+        sim.after(Duration::ZERO, Event::Control);
+        if let Some(every) = plan.note_every {
+            sim.after(every, Event::Note);
+        }
+        if let Some(every) = plan.fault_every {
+            sim.after(every, Event::Fault);
+        }
+        sim
+    }
+
+    fn after(&mut self, delay: Duration, event: Event) {
+        self.order += 1;
+        let at = self.now + delay.as_micros() as u64;
+        self.events.insert((at, self.order), event);
+    }
+
+    fn start(&mut self, vm: usize) {
+        self.boots += 1;
+        let id = NodeId(self.rng.random_range(1..u64::MAX));
+        self.vms[vm] = Some(Process {
+            gossip: Gossip::new(id),
+            id,
+            clock: Clock::new(&mut self.rng),
+            log: Vec::new(),
+            frozen: false,
+            inbox: VecDeque::new(),
+        });
+        let first = self.rng.random_range(0..400);
+        self.after(Duration::from_millis(first), Event::Gossip(vm, id.0));
+        self.after(Duration::from_millis(first / 2), Event::Sync(vm, id.0));
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message) {
+        let copies = if self.rng.random_bool(self.plan.loss) {
+            2
+        } else {
+            1
+        };
+        for _ in 0..copies {
+            let place = |at: usize| at.min(self.plan.nodes);
+            let is_cut = self.cuts[place(from)][place(to)];
+            if is_cut || self.rng.random_bool(self.plan.loss) {
+                continue;
+            }
+            let slow = self.rng.random_bool(self.plan.loss);
+            let most = if slow {
+                self.plan.slowest.as_micros() as u64
+            } else {
+                5_000
+            };
+            let delay = Duration::from_micros(self.rng.random_range(200..=most));
+            self.after(delay, Event::Deliver(to, message.clone()));
+        }
+    }
+
+    /// Runs until `end` and checks every claim after every event.
+    pub fn run(&mut self, length: Duration) {
+        let end = self.now + length.as_micros() as u64;
+        while let Some(first) = self.events.first_entry() {
+            let (at, _) = *first.key();
+            if at > end {
+                break;
+            }
+            let event = first.remove();
+            self.now = at;
+            self.step(event);
+            self.check();
+        }
+        self.now = end;
+    }
+
+    fn step(&mut self, event: Event) {
+        match event {
+            Event::Deliver(CONTROL, message) if self.control.away => {
+                self.control.inbox.push_back(message);
+            }
+            Event::Deliver(CONTROL, message) => self.at_control(message),
+            Event::Deliver(vm, message) => match &mut self.vms[vm] {
+                Some(process) if process.frozen => process.inbox.push_back(message),
+                Some(_) => self.at_node(vm, message),
+                None => {}
+            },
+            Event::Gossip(vm, id) if self.is_running(vm, id) => self.gossip(vm, id),
+            Event::Sync(vm, id) if self.is_running(vm, id) => self.sync(vm, id),
+            Event::Gossip(..) | Event::Sync(..) => {}
+            Event::Control => self.control_tick(),
+            Event::Note => self.note(),
+            Event::Fault => self.fault(),
+            Event::Thaw(vm, id) => self.thaw(vm, id),
+        }
+    }
+
+    fn is_running(&self, vm: usize, id: u64) -> bool {
+        self.vms[vm]
+            .as_ref()
+            .is_some_and(|p| p.id.0 == id && !p.frozen)
+    }
+
+    fn gossip(&mut self, vm: usize, id: u64) {
+        self.after(GOSSIP_EVERY, Event::Gossip(vm, id));
+        let now = self.now;
+        let Some(process) = &mut self.vms[vm] else {
+            return;
+        };
+        let peers = process.gossip.peers(&mut self.rng);
+        let local = process.clock.read(now);
+        let asks: Vec<_> = peers
+            .iter()
+            .map(|p| (p.addr.port(), process.gossip.ask(local)))
+            .collect();
+        for (port, ask) in asks {
+            self.asks += 1;
+            self.send(vm, usize::from(port) - 1, Message::Ask(vm, ask));
+        }
+    }
+
+    fn sync(&mut self, vm: usize, id: u64) {
+        self.after(SYNC_EVERY, Event::Sync(vm, id));
+        let now = self.now;
+        let Some(process) = &self.vms[vm] else { return };
+        let position = process.gossip.evidence().position();
+        let message = Message::Sync(vm, process.id, process.clock.read(now), position);
+        self.send(vm, CONTROL, message);
+    }
+
+    fn at_node(&mut self, vm: usize, message: Message) {
+        let now = self.now;
+        let Some(process) = &mut self.vms[vm] else {
+            return;
+        };
+        let local = process.clock.read(now);
+        match message {
+            Message::Ask(from, ask) => {
+                let mut answer = process.gossip.answer(local, &ask);
+                let entries = after(&process.log, ask.position);
+                answer.entries = vec![Relayed {
+                    position: ask.position,
+                    entry: Default::default(),
+                }];
+                self.send(vm, from, Message::Answer(answer, entries));
+            }
+            Message::Answer(answer, entries) => {
+                process.apply(answer.entries[0].position, entries);
+                if let Some(push) = process.gossip.hear(local, &answer) {
+                    let to = self.vm_of(answer.node);
+                    if let Some(to) = to {
+                        self.send(vm, to, Message::Push(push));
+                    }
+                }
+            }
+            Message::Push(push) => process.gossip.take(&push),
+            Message::Synced(id, sent, position, entries) if id == process.id => {
+                let from = Position(position.0 - entries.len() as u64);
+                process.apply(from, entries);
+                let heard = Heard {
+                    sent,
+                    replica: ReplicaId(1),
+                    position,
+                    vouch: Vouch::Group,
+                };
+                process.gossip.evidence_mut().hear_replica(local, heard);
+            }
+            Message::Dial(asked) => {
+                let member = member(process.id, vm);
+                self.send(vm, CONTROL, Message::Dialed(asked, member));
+            }
+            _ => {}
+        }
+    }
+
+    fn vm_of(&self, id: NodeId) -> Option<usize> {
+        self.vms
+            .iter()
+            .position(|p| p.as_ref().is_some_and(|p| p.id == id))
+    }
+
+    fn at_control(&mut self, message: Message) {
+        let local = self.control.clock.read(self.now);
+        match message {
+            Message::Sync(vm, id, sent, position) => {
+                self.control.acceptance.report(id, position);
+                let entries = after(&self.log, position);
+                let last = Position(self.log.len() as u64);
+                self.send(CONTROL, vm, Message::Synced(id, sent, last, entries));
+                self.accept();
+            }
+            Message::Dialed(asked, member) => {
+                let sighting = Sighting { asked, member };
+                if let Some(dead) = self.control.roll.sight(local, sighting) {
+                    self.control.acceptance.bury(local, dead);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn control_tick(&mut self) {
+        self.after(CONTROL_EVERY, Event::Control);
+        if self.control.away {
+            return;
+        }
+        let local = self.control.clock.read(self.now);
+        for vm in 0..self.plan.nodes {
+            self.send(CONTROL, vm, Message::Dial(local));
+        }
+        let registry = self.control.registry.latest().clone();
+        if let Some(change) = self.control.roll.propose(local, &registry) {
+            self.log.push(Entry::Nodes(change.clone()));
+            let position = Position(self.log.len() as u64);
+            self.control
+                .registry
+                .apply(position, &change)
+                .expect("the change fits");
+            let registry = self.control.registry.latest();
+            self.control.roll.learn(local, registry);
+        }
+        self.accept();
+    }
+
+    fn accept(&mut self) {
+        let local = self.control.clock.read(self.now);
+        let last = Position(self.log.len() as u64);
+        let control = &mut self.control;
+        let accepted = control.acceptance.advance(local, &control.registry, last);
+        while self.accepted_at.len() < accepted.0 as usize {
+            self.accepted_at.push(self.now);
+        }
+    }
+
+    fn note(&mut self) {
+        let every = self.plan.note_every.expect("notes are planned");
+        let delay = every.mul_f64(self.rng.random_range(0.1..2.0));
+        self.after(delay, Event::Note);
+        if !self.control.away {
+            self.log.push(Entry::Note);
+        }
+    }
+
+    /// Ends the faults, heals the network and starts every node that is down.
+    pub fn calm(&mut self) {
+        self.plan.fault_every = None;
+        self.heal();
+        self.control_new();
+        for vm in 0..self.plan.nodes {
+            if self.vms[vm].is_none() {
+                self.start(vm);
+            }
+        }
+    }
+
+    fn fault(&mut self) {
+        let Some(every) = self.plan.fault_every else {
+            return;
+        };
+        let delay = every.mul_f64(self.rng.random_range(0.1..2.0));
+        self.after(delay, Event::Fault);
+        let vm = self.rng.random_range(0..self.plan.nodes);
+        match self.rng.random_range(0..12) {
+            0 => self.vms[vm] = None,
+            1 | 2 if self.vms[vm].is_none() => self.start(vm),
+            // A fast restart, so that the control leader may miss the end of the old process.
+            1 => self.start(vm),
+            3 | 4 => self.freeze(vm),
+            5 | 6 => {
+                let from = self.rng.random_range(0..=self.plan.nodes);
+                let to = self.rng.random_range(0..=self.plan.nodes);
+                self.cuts[from][to] = true;
+            }
+            7 => self.split(),
+            8 | 9 => self.heal(),
+            10 => self.control_away(),
+            _ => self.control_new(),
+        }
+    }
+
+    fn freeze(&mut self, vm: usize) {
+        let pause = Duration::from_millis(self.rng.random_range(50..8_000));
+        let Some(process) = &mut self.vms[vm] else {
+            return;
+        };
+        process.frozen = true;
+        let id = process.id.0;
+        self.after(pause, Event::Thaw(vm, id));
+    }
+
+    fn thaw(&mut self, vm: usize, id: u64) {
+        let Some(process) = &mut self.vms[vm] else {
+            return;
+        };
+        if process.id.0 != id || !process.frozen {
+            return;
+        }
+        process.frozen = false;
+        let inbox = std::mem::take(&mut process.inbox);
+        // The first claim after the pause is checked before any message is read.
+        self.check();
+        for message in inbox {
+            self.at_node(vm, message);
+        }
+        self.after(Duration::ZERO, Event::Gossip(vm, id));
+        self.after(Duration::ZERO, Event::Sync(vm, id));
+    }
+
+    /// Cuts the nodes in two, each direction by its own choice; the leader is on one side.
+    fn split(&mut self) {
+        let count = self.plan.nodes + 1;
+        let side: Vec<bool> = (0..count).map(|_| self.rng.random_bool(0.5)).collect();
+        let both = self.rng.random_bool(0.7);
+        for from in 0..count {
+            for to in 0..count {
+                let is_cut = side[from] != side[to] && (both || side[from]);
+                self.cuts[from][to] |= is_cut;
+            }
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.cuts.iter_mut().for_each(|row| row.fill(false));
+    }
+
+    pub fn control_away(&mut self) {
+        self.control.away = true;
+    }
+
+    /// Brings back the leader, or another that knows the log alone.
+    pub fn control_new(&mut self) {
+        self.control.away = false;
+        let inbox = std::mem::take(&mut self.control.inbox);
+        if self.rng.random_bool(0.5) {
+            inbox.into_iter().for_each(|m| self.at_control(m));
+            return;
+        }
+        self.control.clock = Clock::new(&mut self.rng);
+        let local = self.control.clock.read(self.now);
+        self.control.roll = Roll::default();
+        self.control.acceptance = Acceptance::new(Position(0));
+        let log = std::mem::take(&mut self.log);
+        self.control.registry = RegistryLog::default();
+        for (entry, position) in log.iter().zip(1..) {
+            if let Entry::Nodes(change) = entry {
+                self.control
+                    .registry
+                    .apply(Position(position), change)
+                    .expect("the log is sound");
+            }
+        }
+        self.log = log;
+        for registry in self.control.registry.versions() {
+            for dead in self.control.roll.learn(local, registry) {
+                self.control.acceptance.bury(local, dead);
+            }
+        }
+    }
+
+    /// Kills a node for good.
+    pub fn kill(&mut self, vm: usize) {
+        self.vms[vm] = None;
+    }
+
+    /// Returns how long each running process still claims to be fresh.
+    pub fn claims(&self) -> impl Iterator<Item = Duration> {
+        let now = self.now;
+        let running = self.vms.iter().flatten().filter(|p| !p.frozen);
+        running.map(move |p| p.gossip.evidence().expires().since(p.clock.read(now)))
+    }
+
+    /// Checks that nobody claims freshness for too long after its successor entry was accepted.
+    fn check(&mut self) {
+        for process in self.vms.iter().flatten().filter(|p| !p.frozen) {
+            let evidence = process.gossip.evidence();
+            let next = evidence.position().0 as usize;
+            let Some(accepted) = self.accepted_at.get(next) else {
+                continue;
+            };
+            if !evidence.is_fresh(process.clock.read(self.now)) {
+                continue;
+            }
+            self.tested += 1;
+            let late = Duration::from_micros(self.now - accepted);
+            assert!(
+                late <= CLAIM_MAX,
+                "at {} us node {} claims position {next} although {} was accepted {late:?} ago",
+                self.now,
+                process.id,
+                next + 1
+            );
+        }
+    }
+}
+
+impl Process {
+    /// Applies the entries that follow those it has; `from` is the position before the first.
+    fn apply(&mut self, from: Position, entries: Vec<Entry>) {
+        for (entry, position) in entries.into_iter().zip(from.0 + 1..) {
+            if position != self.log.len() as u64 + 1 {
+                continue;
+            }
+            let change = match &entry {
+                Entry::Nodes(change) => Some(change),
+                Entry::Note => None,
+            };
+            self.gossip
+                .apply(Position(position), change)
+                .expect("committed entries apply");
+            self.log.push(entry);
+        }
+    }
+}
+
+fn after(log: &[Entry], position: Position) -> Vec<Entry> {
+    log.get(position.0 as usize..).unwrap_or_default().to_vec()
+}
+
+fn member(id: NodeId, vm: usize) -> Member {
+    Member {
+        id,
+        addr: format!("127.0.0.1:{}", vm + 1).parse().expect("an address"),
+        zone: format!("zone-{}", vm % 3).parse().expect("a zone"),
+    }
+}
--- /dev/null
+++ b/tests/fresh_evidence.rs
@@ -0,0 +1,113 @@
+//! Claims of freshness under random kills, freezes, cuts, restarts and a bad network.
+
+mod fleet_sim;
+
+use std::time::Duration;
+
+use fleet_sim::{Plan, Sim};
+
+/// Seeds in a usual run; `FRESH_SEEDS=first..end` chooses others.
+const SEEDS: std::ops::Range<u64> = 0..150;
+
+fn seeds() -> std::ops::Range<u64> {
+    let Ok(text) = std::env::var("FRESH_SEEDS") else {
+        return SEEDS;
+    };
+    let (first, end) = text.split_once("..").expect("first..end");
+    first.parse().unwrap()..end.parse().unwrap()
+}
+
+/// Guards against a node that honours a revoked key for longer than the lifetime of evidence.
+#[test]
+fn no_stale_claim() {
+    let (mut tested, mut accepted, mut failed) = (0, 0, Vec::new());
+    for seed in seeds() {
+        let run = std::panic::catch_unwind(|| {
+            let plan = Plan {
+                nodes: 3 + (seed % 5) as usize,
+                loss: [0.0, 0.05, 0.2][(seed % 3) as usize],
+                slowest: Duration::from_secs(6),
+                fault_every: Some(Duration::from_millis(700)),
+                note_every: Some(Duration::from_millis(1_500)),
+            };
+            let mut sim = Sim::new(seed, plan);
+            sim.run(Duration::from_secs(90));
+            (sim.tested, sim.accepted_at.len())
+        });
+        match run {
+            Ok((t, a)) => (tested, accepted) = (tested + t, accepted + a),
+            Err(_) => failed.push(seed),
+        }
+    }
+    println!("seeds={:?} claims={tested} accepted={accepted}", seeds());
+    assert!(failed.is_empty(), "seeds {failed:?} failed");
+    assert!(
+        tested > 1_000 && accepted > 1_000,
+        "the run tests too little"
+    );
+}
+
+fn quiet(nodes: usize) -> Plan {
+    Plan {
+        nodes,
+        loss: 0.02,
+        slowest: Duration::from_millis(500),
+        fault_every: None,
+        note_every: None,
+    }
+}
+
+/// Guards against traffic that stops although a majority of the nodes can vouch for each other.
+#[test]
+fn traffic_goes_on_without_control() {
+    let mut sim = Sim::new(1, quiet(30));
+    sim.run(Duration::from_secs(20));
+    sim.control_away();
+    for vm in 0..12 {
+        sim.kill(vm);
+    }
+    for second in 0..3_600 {
+        sim.run(Duration::from_secs(1));
+        let lapsed = sim.claims().filter(Duration::is_zero).count();
+        assert_eq!(lapsed, 0, "after {second} s");
+    }
+}
+
+/// Guards against peers too few for evidence from a majority of a large fleet.
+#[test]
+fn large_fleet_stays_fresh() {
+    let mut sim = Sim::new(2, quiet(560));
+    sim.run(Duration::from_secs(8));
+    sim.control_away();
+    sim.run(Duration::from_secs(4));
+    let mut least = Duration::MAX;
+    for _ in 0..40 {
+        sim.run(Duration::from_millis(100));
+        least = sim.claims().min().unwrap().min(least);
+    }
+    println!("least rest of the lifetime: {least:?}");
+    assert!(!least.is_zero());
+}
+
+/// Guards against a fleet that never accepts again after every process restarted.
+#[test]
+fn acceptance_recovers() {
+    let plan = Plan {
+        fault_every: Some(Duration::from_millis(500)),
+        ..quiet(6)
+    };
+    for seed in 0..20 {
+        let mut sim = Sim::new(
+            seed,
+            Plan {
+                note_every: Some(Duration::from_secs(1)),
+                ..plan
+            },
+        );
+        sim.run(Duration::from_secs(60));
+        let before = sim.accepted_at.len();
+        sim.calm();
+        sim.run(Duration::from_secs(180));
+        assert!(sim.accepted_at.len() > before + 50, "seed {seed}");
+    }
+}
