Commit registry changes after a delay in the simulation

A process that was met after its predecessor was proposed would have counted as dead once the proposal committed; the list of a leader now knows whom it met itself.

--- a/src/fleet/acceptance.rs
+++ b/src/fleet/acceptance.rs
@@ -68,11 +68,10 @@
         self.accepted
     }
 
-    /// Drops what is known of nodes that no registry from the last accepted one on names.
-    pub fn forget(&mut self, log: &RegistryLog) {
-        let accepted = self.accepted;
-        let is_named =
-            |id: &NodeId| log.at(accepted).get(*id).is_some() || log.latest().get(*id).is_some();
+    /// Drops what is known of nodes that no registry since the last accepted entry names.
+    pub fn forget(&mut self, log: &mut RegistryLog) {
+        log.forget_before(self.accepted);
+        let is_named = |id: &NodeId| log.versions().any(|r| r.get(*id).is_some());
         self.held.retain(|id, _| is_named(id));
         self.dead.retain(|id, _| is_named(id));
     }
--- a/src/fleet/roll.rs
+++ b/src/fleet/roll.rs
@@ -39,7 +39,7 @@
     sighted: bool,
 }
 
-/// Who runs on each address.
+/// Who runs on each address, as one leader knows it in its time; the next one starts anew.
 #[derive(Clone, Debug, Default)]
 pub struct Roll {
     seen: BTreeMap<SocketAddr, Seen>,
@@ -50,15 +50,20 @@
     /// Takes in a registry and returns the processes that it proves dead.
     ///
     /// A new leader takes in every version since the last accepted entry, oldest first, before it
-    /// opens a link, and later each version that commits. A member that takes the address of an
-    /// earlier one was seen there later by the leader that registered it.
+    /// opens a link, and later each version that commits. Whoever registered a member had contact
+    /// with it before this leader had any of its own, or was this leader. So a member that differs
+    /// from the process that this leader met on the address is an earlier one, and otherwise it is
+    /// later than the one of an older version.
     pub fn learn(&mut self, now: Time, registry: &Registry) -> Vec<NodeId> {
         let mut dead = Vec::new();
         for member in registry.members() {
-            let known = self.seen.get(&member.addr).map(|s| s.member.id);
-            if known != Some(member.id) {
-                dead.extend(known);
-                self.enter(now, member.clone(), false);
+            match self.seen.get(&member.addr) {
+                Some(seen) if seen.member.id == member.id => {}
+                Some(seen) if seen.sighted => dead.push(member.id),
+                earlier => {
+                    dead.extend(earlier.map(|seen| seen.member.id));
+                    self.enter(now, member.clone(), false);
+                }
             }
         }
         dead
--- a/tests/fleet_sim/mod.rs
+++ b/tests/fleet_sim/mod.rs
@@ -59,6 +59,7 @@
     Gossip(usize, u64),
     Sync(usize, u64),
     Control,
+    Commit(u64),
     Note,
     Fault,
     Thaw(usize, u64),
@@ -100,6 +101,24 @@
     registry: RegistryLog,
     away: bool,
     inbox: VecDeque<Message>,
+    /// A change that is proposed and not committed, and how many were proposed.
+    pending: Option<RegistryChange>,
+    proposals: u64,
+}
+
+impl Control {
+    fn new(rng: &mut StdRng) -> Control {
+        Control {
+            clock: Clock::new(rng),
+            roll: Roll::default(),
+            acceptance: Acceptance::new(Position(0)),
+            registry: RegistryLog::default(),
+            away: false,
+            inbox: VecDeque::new(),
+            pending: None,
+            proposals: 0,
+        }
+    }
 }
 
 pub struct Sim {
@@ -124,14 +143,7 @@
 impl Sim {
     pub fn new(seed: u64, plan: Plan) -> Sim {
         let mut rng = StdRng::seed_from_u64(seed);
-        let control = Control {
-            clock: Clock::new(&mut rng),
-            roll: Roll::default(),
-            acceptance: Acceptance::new(Position(0)),
-            registry: RegistryLog::default(),
-            away: false,
-            inbox: VecDeque::new(),
-        };
+        let control = Control::new(&mut rng);
         let mut sim = Sim {
             plan,
             rng,
@@ -236,6 +248,8 @@
             Event::Sync(vm, id) if self.is_running(vm, id) => self.sync(vm, id),
             Event::Gossip(..) | Event::Sync(..) => {}
             Event::Control => self.control_tick(),
+            Event::Commit(number) if number == self.control.proposals => self.commit(),
+            Event::Commit(_) => {}
             Event::Note => self.note(),
             Event::Fault => self.fault(),
             Event::Thaw(vm, id) => self.thaw(vm, id),
@@ -355,25 +369,42 @@
         for vm in 0..self.plan.nodes {
             self.send(CONTROL, vm, Message::Dial(local));
         }
-        let registry = self.control.registry.latest().clone();
-        if let Some(change) = self.control.roll.propose(local, &registry) {
-            self.log.push(Entry::Nodes(change.clone()));
-            let position = Position(self.log.len() as u64);
-            self.control
-                .registry
-                .apply(position, &change)
-                .expect("the change fits");
-            let registry = self.control.registry.latest();
-            self.control.roll.learn(local, registry);
+        let registry = self.control.registry.latest();
+        if self.control.pending.is_none() {
+            self.control.pending = self.control.roll.propose(local, registry);
+            if self.control.pending.is_some() {
+                self.control.proposals += 1;
+                let delay = Duration::from_millis(self.rng.random_range(1..3_000));
+                self.after(delay, Event::Commit(self.control.proposals));
+            }
         }
         self.accept();
     }
 
+    /// Commits the proposed registry change.
+    fn commit(&mut self) {
+        let Some(change) = self.control.pending.take() else {
+            return;
+        };
+        let local = self.control.clock.read(self.now);
+        self.log.push(Entry::Nodes(change.clone()));
+        let position = Position(self.log.len() as u64);
+        let control = &mut self.control;
+        control
+            .registry
+            .apply(position, &change)
+            .expect("the change fits");
+        for dead in control.roll.learn(local, control.registry.latest()) {
+            control.acceptance.bury(local, dead);
+        }
+    }
+
     fn accept(&mut self) {
         let local = self.control.clock.read(self.now);
         let last = Position(self.log.len() as u64);
         let control = &mut self.control;
         let accepted = control.acceptance.advance(local, &control.registry, last);
+        control.acceptance.forget(&mut control.registry);
         while self.accepted_at.len() < accepted.0 as usize {
             self.accepted_at.push(self.now);
         }
@@ -482,26 +513,31 @@
             inbox.into_iter().for_each(|m| self.at_control(m));
             return;
         }
-        self.control.clock = Clock::new(&mut self.rng);
-        let local = self.control.clock.read(self.now);
-        self.control.roll = Roll::default();
-        self.control.acceptance = Acceptance::new(Position(0));
-        let log = std::mem::take(&mut self.log);
-        self.control.registry = RegistryLog::default();
-        for (entry, position) in log.iter().zip(1..) {
+        let left_over = self.control.pending.take();
+        let known = self.rng.random_range(0..=self.accepted_at.len());
+        let mut control = Control {
+            acceptance: Acceptance::new(Position(known as u64)),
+            proposals: self.control.proposals,
+            ..Control::new(&mut self.rng)
+        };
+        for (entry, position) in self.log.iter().zip(1..) {
             if let Entry::Nodes(change) = entry {
-                self.control
-                    .registry
-                    .apply(Position(position), change)
-                    .expect("the log is sound");
+                let applied = control.registry.apply(Position(position), change);
+                applied.expect("the log is sound");
             }
         }
-        self.log = log;
-        for registry in self.control.registry.versions() {
-            for dead in self.control.roll.learn(local, registry) {
-                self.control.acceptance.bury(local, dead);
+        let local = control.clock.read(self.now);
+        control.registry.forget_before(Position(known as u64));
+        for registry in control.registry.versions() {
+            for dead in control.roll.learn(local, registry) {
+                control.acceptance.bury(local, dead);
             }
         }
+        self.control = control;
+        // An entry of the old leader can survive and commit with the first one of the new leader.
+        self.control.pending = left_over.filter(|_| self.rng.random_bool(0.5));
+        let delay = Duration::from_millis(self.rng.random_range(1..1_000));
+        self.after(delay, Event::Commit(self.control.proposals));
     }
 
     /// Kills a node for good.
