--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -21,6 +21,7 @@
 use crate::replica::{Action, Entry, Logged, Message, Replica, Role};
 use crate::time::{Clock, Monotonic, Time};
 use crate::units::{Position, Term};
+use crate::wire::registry::encode_change;
 use crate::wire::replica::{Envelope, encode_entry};
 
 /// Longest time between two ticks of the replica.
@@ -382,14 +383,14 @@
             return;
         }
         let change = self.nodes.due_change(now, since, &self.state.registry());
-        if change.added.is_empty() && change.removed.is_empty() {
+        if change.is_empty() {
             return;
         }
-        let entry = Entry::Nodes(change.encode().into());
+        let entry = Entry::Nodes(encode_change(&change).into());
         if self.replica.propose(now, entry).is_ok() {
             self.registry_changed = Some(now);
-            let (added, removed) = (change.added.len(), change.removed.len());
-            info!(event = "registry-changed", added = added, removed = removed; "node registry changed");
+            let (joined, left) = (change.joined.len(), change.left.len());
+            info!(event = "registry-changed", joined = joined, left = left; "node registry changed");
         }
     }
 
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -8,10 +8,11 @@
 
 use crate::config::{Config, Note};
 use crate::error::{Error, Result};
-use crate::fleet::{Registry, RegistryChange};
+use crate::fleet::Registry;
 use crate::ids::ReplicaId;
 use crate::replica::{Entry, Logged};
 use crate::units::{NoteNumber, Position};
+use crate::wire::registry::{decode_change, decode_registry, encode_registry};
 
 /// Notes whose digest is remembered, so that a resent one gets the first answer.
 const NOTES_KEPT: usize = 1_024;
@@ -72,6 +73,11 @@
             .map_or_else(Arc::default, |(_, r)| r.clone())
     }
 
+    /// Returns the position of the entry that put the registry in force.
+    pub fn registry_position(&self) -> Position {
+        self.registries.last().map_or(Position(0), |(p, _)| *p)
+    }
+
     /// Returns the voting replicas, sorted; a majority of them proves what is committed.
     pub fn voters(&self) -> &[ReplicaId] {
         &self.voters
@@ -99,10 +105,13 @@
             Entry::Empty => {}
             Entry::Note(bytes) => self.apply_note(logged.position, bytes)?,
             Entry::Nodes(bytes) => {
-                let change = RegistryChange::decode(bytes)?;
-                let next = Arc::new(self.registry().changed(&change));
-                self.registries.push((logged.position, next));
-                self.waiting.push_back(logged.position);
+                let change = decode_change(bytes)?;
+                // A change that was proposed against an older registry may not fit any more. It is
+                // void then, on every replica and node alike.
+                if let Ok(next) = self.registry().changed(&change) {
+                    self.registries.push((logged.position, Arc::new(next)));
+                    self.waiting.push_back(logged.position);
+                }
             }
             Entry::Replicas(group) => self.voters = group.voters().collect(),
             Entry::Accepted(position) => self.accept(*position),
@@ -158,7 +167,7 @@
             .iter()
             .map(|(position, registry)| RegistryRecord {
                 position: position.0,
-                members: RegistryChange::all(registry).encode().into(),
+                members: encode_registry(registry).into(),
             });
         let notes = self.notes.iter().map(|n| NoteRecord {
             number: n.number.0,
@@ -188,7 +197,7 @@
         let record = StateRecord::decode(bytes).map_err(|_| bad())?;
         let mut registries = Vec::with_capacity(record.registries.len());
         for r in record.registries {
-            let registry = Registry::new(RegistryChange::decode(&r.members)?.added);
+            let registry = decode_registry(&r.members)?;
             registries.push((Position(r.position), Arc::new(registry)));
         }
         let mut notes = VecDeque::with_capacity(record.notes.len());
