--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -12,6 +12,7 @@
 pub mod flight;
 pub mod forward;
 pub mod ingress;
+pub mod join;
 pub mod links;
 pub mod listen;
 pub mod local;
@@ -22,7 +23,9 @@
 pub mod sessions;
 pub mod settings;
 pub mod slots;
+pub mod sync;
 pub mod targets;
+pub mod view;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -33,6 +36,7 @@
 use tokio::time::{MissedTickBehavior, interval, timeout};
 use tokio_util::sync::CancellationToken;
 
+pub use join::spawn;
 pub use plug::{Admission, Freshness, Parts, Policy};
 pub use settings::{Limits, Settings};
 
@@ -105,7 +109,7 @@
 /// # Errors
 ///
 /// Fails if a setting breaks a rule or an address can't be bound.
-pub async fn spawn(settings: Settings) -> Result<Handle> {
+pub async fn spawn_unsynced(settings: Settings) -> Result<Handle> {
     let parts = Parts {
         policy: Arc::default(),
         freshness: Arc::new(Unsynced),
--- /dev/null
+++ b/src/node/sync.rs
@@ -0,0 +1,196 @@
+//! Keeps a node's view in step with control processes and other nodes.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::join_all;
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+use crate::error::{Error, Result};
+use crate::fleet::gossip::GOSSIP_INTERVAL;
+use crate::fleet::{Ask, Member};
+use crate::ids::NodeId;
+use crate::node::view::View;
+use crate::replica::Vouch;
+use crate::wire::fleet::GossipMessage;
+use crate::wire::sync::{Answer, SYNC_INTERVAL, WAIT_MAX};
+use crate::wire::{Channel, Hello, Peer, Secret};
+
+/// Longest time for an answer that is not held back.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Pause after a control process did not answer a question that may be held back.
+const RETRY_DELAY: Duration = Duration::from_millis(250);
+
+/// Calls to the control processes.
+#[derive(Debug)]
+pub struct Controls {
+    view: Arc<View>,
+    peers: Vec<Peer>,
+}
+
+impl Controls {
+    /// Creates the calls to the control processes at `addrs`.
+    pub fn new(view: Arc<View>, addrs: &[SocketAddr], secret: &Secret, hello: Hello) -> Controls {
+        let peer = |addr: &SocketAddr| Peer::new(*addr, secret.clone(), hello);
+        Controls {
+            view,
+            peers: addrs.iter().map(peer).collect(),
+        }
+    }
+
+    /// Asks regularly how current the node is.
+    ///
+    /// One answer of a leader with its lease is proof enough; only without it are the others asked,
+    /// which keeps the usual cost at one call an interval.
+    pub async fn prove(&self) {
+        let mut ticks = interval(SYNC_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut leader = 0;
+        loop {
+            ticks.tick().await;
+            if let Ok(answer) = self.ask(&self.peers[leader]).await {
+                if answer.vouch == Vouch::Group {
+                    continue;
+                }
+                let named = |p: &Peer| Some(p.addr()) == answer.leader;
+                if let Some(i) = self.peers.iter().position(named) {
+                    leader = i;
+                }
+            }
+            let others = self.peers.iter().map(|p| self.ask(p));
+            let answers = join_all(others).await;
+            let speaks = |a: &Result<Answer>| a.as_ref().is_ok_and(|a| a.vouch == Vouch::Group);
+            if let Some(i) = answers.iter().position(speaks) {
+                leader = i;
+            }
+        }
+    }
+
+    async fn ask(&self, peer: &Peer) -> Result<Answer> {
+        self.exchange(peer, Duration::ZERO).await
+    }
+
+    /// Waits for changes at one control process after the other.
+    pub async fn wait_for_changes(&self) {
+        // Nodes begin with different control processes, so that each feeds a share of them.
+        let mut next = rand::random_range(0..self.peers.len());
+        loop {
+            if let Err(e) = self.exchange(&self.peers[next], WAIT_MAX).await {
+                log::debug!(event = "sync-failed", error:% = e; "control process did not answer");
+                next = (next + 1) % self.peers.len();
+                sleep(RETRY_DELAY).await;
+            }
+        }
+    }
+
+    async fn exchange(&self, peer: &Peer, wait: Duration) -> Result<Answer> {
+        let request = self.view.sync_request(wait);
+        let asked = request.asked;
+        let limit = wait + ANSWER_TIMEOUT;
+        let bytes = peer.call(Channel::Sync, request.encode(), limit).await?;
+        let answer = Answer::decode(bytes)?;
+        // The date of the evidence is this node's own; an answer that repeats another is dropped.
+        if answer.asked != asked {
+            return Err(Error::invalid("a sync answer names another question"));
+        }
+        self.view.hear_control(&answer)?;
+        Ok(answer)
+    }
+}
+
+/// Exchanges gossip with other nodes.
+#[derive(Debug)]
+pub struct Gossiper {
+    view: Arc<View>,
+    secret: Secret,
+    hello: Hello,
+    /// Links to nodes, sorted by identity.
+    peers: Mutex<Vec<(NodeId, Peer)>>,
+}
+
+impl Gossiper {
+    /// Creates the gossip of a node.
+    pub fn new(view: Arc<View>, secret: Secret, hello: Hello) -> Gossiper {
+        Gossiper {
+            view,
+            secret,
+            hello,
+            peers: Mutex::default(),
+        }
+    }
+
+    /// Begins exchanges with random peers at each interval.
+    pub async fn run(self: Arc<Self>) {
+        let mut ticks = interval(GOSSIP_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.forget_removed();
+            for (member, ask) in self.view.gossip_round() {
+                let this = self.clone();
+                tokio::spawn(async move {
+                    if let Err(e) = this.exchange(&member, ask).await {
+                        log::debug!(
+                            event = "gossip-failed", node:% = member.id, error:% = e;
+                            "no gossip with a node"
+                        );
+                    }
+                });
+            }
+        }
+    }
+
+    async fn exchange(&self, member: &Member, ask: Ask) -> Result<()> {
+        let peer = self.peer(member);
+        let bytes = GossipMessage::Ask(ask).encode();
+        let bytes = peer.call(Channel::Gossip, bytes, ANSWER_TIMEOUT).await?;
+        let GossipMessage::Answer(answer) = GossipMessage::decode(bytes)? else {
+            return Err(Error::invalid("a peer answered gossip with something else"));
+        };
+        if let Some(push) = self.view.hear_gossip(&answer)? {
+            let bytes = GossipMessage::Push(push).encode();
+            peer.call(Channel::Gossip, bytes, ANSWER_TIMEOUT).await?;
+        }
+        Ok(())
+    }
+
+    fn peer(&self, member: &Member) -> Peer {
+        let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        match peers.binary_search_by_key(&member.id, |p| p.0) {
+            Ok(i) => peers[i].1.clone(),
+            Err(i) => {
+                let peer = Peer::new(member.addr, self.secret.clone(), self.hello);
+                peers.insert(i, (member.id, peer.clone()));
+                peer
+            }
+        }
+    }
+
+    fn forget_removed(&self) {
+        let registry = self.view.registry();
+        let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        peers.retain(|(id, _)| registry.get(*id).is_some());
+    }
+}
+
+/// Answers the gossip of another node.
+///
+/// # Errors
+///
+/// Fails if the message is malformed or is not one that begins an exchange.
+pub fn serve_gossip(view: &View, payload: Bytes) -> Result<Bytes> {
+    match GossipMessage::decode(payload)? {
+        GossipMessage::Ask(ask) => {
+            let answer = view.answer_gossip(&ask);
+            Ok(GossipMessage::Answer(answer).encode())
+        }
+        GossipMessage::Push(push) => {
+            view.hear_push(&push);
+            Ok(Bytes::new())
+        }
+        GossipMessage::Answer(_) => Err(Error::invalid("an answer without a question")),
+    }
+}
--- /dev/null
+++ b/src/node/view.rs
@@ -0,0 +1,276 @@
+//! What a node holds of the fleet: configuration, registry, records of other nodes and evidence.
+
+use std::collections::VecDeque;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::watch;
+
+use crate::error::Result;
+use crate::fleet::{Answer, Ask, Gossip, Member, NodeRecord, Published, Push, Registry, Relayed};
+use crate::freshness::Heard;
+use crate::node::plug::{Freshness, Policy};
+use crate::replica::Entry;
+use crate::time::{Clock, Monotonic, Time};
+use crate::units::{NoteNumber, Position};
+use crate::wire::registry::decode_change;
+use crate::wire::replica::decode_entry;
+use crate::wire::sync::{self, Update};
+
+/// Entries kept for peers that are behind while no control process answers.
+const KEPT_ENTRIES: usize = 1_024;
+
+/// Bytes of entries in one answer to a peer.
+const RELAYED_MAX_BYTES: usize = 256 * 1024;
+
+/// The node's view of the fleet; every method takes the lock only for a short computation.
+#[derive(Debug)]
+pub struct View {
+    me: Member,
+    clock: Monotonic,
+    policy: Arc<Policy>,
+    /// When the evidence runs out, in microseconds; kept apart so that requests need no lock.
+    expires: AtomicU64,
+    changes: watch::Sender<u64>,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    client: sync::Client,
+    gossip: Gossip,
+    entries: VecDeque<Relayed>,
+    /// Number of the note in force; none before the first proof that it is current.
+    in_force: Option<NoteNumber>,
+}
+
+impl Freshness for View {
+    fn is_fresh(&self) -> bool {
+        self.clock.now() < Time(self.expires.load(Ordering::Acquire))
+    }
+}
+
+impl View {
+    /// Creates the view of a node that holds nothing.
+    pub fn new(me: Member, clock: Monotonic, policy: Arc<Policy>) -> View {
+        let gossip = Gossip::new(me.id);
+        View {
+            me,
+            clock,
+            policy,
+            expires: AtomicU64::new(0),
+            changes: watch::Sender::new(0),
+            inner: Mutex::new(Inner {
+                client: sync::Client::new(),
+                gossip,
+                entries: VecDeque::new(),
+                in_force: None,
+            }),
+        }
+    }
+
+    /// Returns a receiver that is notified when registry or records may have changed.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// Returns the position that the node holds.
+    pub fn position(&self) -> Position {
+        self.lock().client.state().position()
+    }
+
+    /// Returns the registry in force.
+    pub fn registry(&self) -> Registry {
+        self.lock().gossip.registry().clone()
+    }
+
+    /// Returns the records of all nodes.
+    pub fn records(&self) -> Vec<Arc<Published>> {
+        self.lock().gossip.records().iter().cloned().collect()
+    }
+
+    /// Publishes the node's own record.
+    pub fn publish(&self, record: NodeRecord, started: u64) {
+        let published = Published {
+            addr: self.me.addr,
+            started,
+            record,
+        };
+        self.lock().gossip.publish(published);
+        self.notify();
+    }
+
+    /// Returns the question to a control process.
+    pub fn sync_request(&self, wait: Duration) -> sync::Request {
+        let now = self.clock.now();
+        self.lock().client.request(now, self.me.clone(), wait)
+    }
+
+    /// Takes in the answer of a control process; returns true if there is more to fetch.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the answer is malformed.
+    pub fn hear_control(&self, answer: &sync::Answer) -> Result<bool> {
+        let mut inner = self.lock();
+        match &answer.update {
+            Update::Entries(entries) => inner.apply_entries(entries)?,
+            Update::Chunk(_) => {
+                let applied = inner.client.apply(answer)?;
+                if applied.changed {
+                    inner.restore();
+                }
+            }
+        }
+        let heard = Heard {
+            sent: answer.asked,
+            replica: answer.replica,
+            position: answer.committed,
+            vouch: answer.vouch,
+        };
+        let now = self.clock.now();
+        inner.gossip.evidence_mut().hear_replica(now, heard);
+        let more = inner.client.state().position() < answer.committed;
+        self.settle(inner);
+        Ok(more)
+    }
+
+    /// Returns peers to exchange gossip with, and the question to each.
+    pub fn gossip_round(&self) -> Vec<(Member, Ask)> {
+        let mut inner = self.lock();
+        let peers = inner.gossip.peers(&mut rand::rng());
+        let now = self.clock.now();
+        let ask = |member: Member| (member, inner.gossip.ask(now));
+        peers.into_iter().map(ask).collect()
+    }
+
+    /// Answers the gossip of a peer.
+    pub fn answer_gossip(&self, ask: &Ask) -> Answer {
+        let mut inner = self.lock();
+        let mut answer = inner.gossip.answer(self.clock.now(), ask);
+        answer.entries = inner.entries_after(ask.position);
+        self.settle(inner);
+        answer
+    }
+
+    /// Takes in a peer's answer and returns the records that it wants.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an entry in the answer is malformed.
+    pub fn hear_gossip(&self, answer: &Answer) -> Result<Option<Push>> {
+        let mut inner = self.lock();
+        let entries: Vec<Bytes> = answer.entries.iter().map(|e| e.entry.clone()).collect();
+        inner.apply_entries(&entries)?;
+        let push = inner.gossip.hear(self.clock.now(), answer);
+        self.settle(inner);
+        Ok(push)
+    }
+
+    /// Takes in records that this node asked for.
+    pub fn hear_push(&self, push: &Push) {
+        let mut inner = self.lock();
+        inner.gossip.take(push);
+        self.settle(inner);
+    }
+
+    /// Updates what others read after a change.
+    fn settle(&self, mut inner: MutexGuard<'_, Inner>) {
+        let expires = inner.gossip.evidence().expires();
+        self.expires.store(expires.0, Ordering::Release);
+        let number = inner.client.state().config().number();
+        // The first configuration goes into force only once it is proved current, so that a node
+        // that has just started is not ready before.
+        let is_due = inner.in_force.is_some() || self.clock.now() < expires;
+        let config = (is_due && inner.in_force != Some(number)).then(|| {
+            inner.in_force = Some(number);
+            inner.client.state().config().clone()
+        });
+        drop(inner);
+        if let Some(config) = config {
+            log::info!(event = "config-in-force", number:% = number; "configuration in force");
+            self.policy.store(config);
+        }
+        self.notify();
+    }
+
+    fn notify(&self) {
+        self.changes.send_modify(|n| *n += 1);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn apply_entries(&mut self, entries: &[Bytes]) -> Result<()> {
+        for bytes in entries {
+            let logged = decode_entry(bytes.clone())?;
+            let position = logged.position;
+            if position <= self.client.state().position() {
+                continue;
+            }
+            let change = match &logged.entry {
+                Entry::Nodes(bytes) => Some(decode_change(bytes)?),
+                _ => None,
+            };
+            self.client.apply_entries(std::slice::from_ref(bytes))?;
+            // A change that did not fit the registry is void.
+            let is_valid = self.client.state().registry_position() == position;
+            self.gossip
+                .apply(position, change.as_ref().filter(|_| is_valid))?;
+            if matches!(logged.entry, Entry::Replicas(_)) {
+                self.set_replicas(position);
+            }
+            self.keep(position, bytes.clone());
+        }
+        Ok(())
+    }
+
+    fn keep(&mut self, position: Position, bytes: Bytes) {
+        if self.entries.len() == KEPT_ENTRIES {
+            self.entries.pop_front();
+        }
+        self.entries.push_back(Relayed {
+            position,
+            entry: bytes,
+        });
+    }
+
+    fn restore(&mut self) {
+        let state = self.client.state();
+        let (position, changed) = (state.position(), state.registry_position());
+        let registry = (*state.registry()).clone();
+        self.gossip.restore(position, changed, registry);
+        self.entries.clear();
+        self.set_replicas(position);
+    }
+
+    fn set_replicas(&mut self, position: Position) {
+        let voters = self.client.state().voters().to_vec();
+        self.gossip.evidence_mut().set_replicas(position, &voters);
+    }
+
+    /// Returns kept entries that follow `position` without a gap, up to a size.
+    fn entries_after(&self, position: Position) -> Vec<Relayed> {
+        let first = match self.entries.front() {
+            Some(first) if first.position <= position.next() => first.position,
+            _ => return Vec::new(),
+        };
+        let skip = (position.0 + 1 - first.0) as usize;
+        let mut size = 0;
+        let fits = |e: &&Relayed| {
+            size += e.entry.len();
+            size <= RELAYED_MAX_BYTES
+        };
+        self.entries
+            .iter()
+            .skip(skip)
+            .take_while(fits)
+            .cloned()
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/settings/control.rs
@@ -0,0 +1,105 @@
+//! Settings of `laburnum-control`.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+use super::{Checker, Errors};
+use crate::control::Settings;
+
+/// A control process: keeps the replicated log of release notes and feeds the nodes.
+#[derive(FromArgs, Clone, Debug, Default)]
+#[argh(
+    note = "Every option --some-name can also be given as LABURNUM_SOME_NAME.",
+    error_code(0, "ended by SIGTERM or SIGINT"),
+    error_code(1, "could not start or go on"),
+    error_code(2, "wrong options or settings; all are listed")
+)]
+pub struct ControlArgs {
+    /// address for links from nodes and other control processes (required)
+    #[argh(option)]
+    pub link_listen: Option<String>,
+
+    /// address for operators, probes and metrics (required)
+    #[argh(option)]
+    pub operator_listen: Option<String>,
+
+    /// link addresses of the other control processes, separated by commas
+    #[argh(option)]
+    pub peers: Option<String>,
+
+    /// data folder (required)
+    #[argh(option)]
+    pub data: Option<String>,
+
+    /// file with the fleet secret (else LABURNUM_FLEET_SECRET)
+    #[argh(option)]
+    pub fleet_secret_file: Option<String>,
+
+    /// file with the operator secret (else LABURNUM_OPERATOR_SECRET)
+    #[argh(option)]
+    pub operator_secret_file: Option<String>,
+
+    /// address for metrics as statsd lines by UDP
+    #[argh(option)]
+    pub statsd: Option<String>,
+
+    /// log filter (default info)
+    #[argh(option)]
+    pub log: Option<String>,
+
+    /// print the version and exit
+    #[argh(switch)]
+    pub version: bool,
+}
+
+/// Checked settings of a control process.
+#[derive(Clone, Debug)]
+pub struct ControlSettings {
+    /// Settings of the control process itself.
+    pub control: Settings,
+    /// The log filter.
+    pub log: String,
+}
+
+impl ControlArgs {
+    /// Checks the settings as a whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns every error.
+    pub fn check<E>(self, mut checker: Checker<E>) -> Result<ControlSettings, Errors>
+    where
+        E: Fn(&str) -> Option<String>,
+    {
+        let log = checker.default("log", self.log, "info".to_owned());
+        let link = checker.required("link-listen", self.link_listen);
+        let operator = checker.required("operator-listen", self.operator_listen);
+        let peers = checker.list("peers", self.peers);
+        let data = checker.required::<PathBuf>("data", self.data);
+        let fleet_secret = checker.secret("fleet-secret", self.fleet_secret_file);
+        let operator_secret = checker.secret("operator-secret", self.operator_secret_file);
+        let statsd = checker.optional("statsd", self.statsd);
+        let (Some(link), Some(operator), Some(data), Some(fleet_secret), Some(operator_secret)) =
+            (link, operator, data, fleet_secret, operator_secret)
+        else {
+            return Err(checker.into_errors());
+        };
+        if fleet_secret == operator_secret {
+            checker.reject("the fleet secret and the operator secret must differ");
+        }
+        let control = Settings {
+            link,
+            operator,
+            peers,
+            data,
+            fleet_secret,
+            operator_secret,
+            statsd,
+        };
+        for error in control.check() {
+            checker.reject(error);
+        }
+        checker.finish().map(|()| ControlSettings { control, log })
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -4,6 +4,7 @@
 //! errors of a start are reported together. Secrets come from a file or from the environment and
 //! never from a flag, since flags are visible to every user of a VM.
 
+mod control;
 mod node;
 
 use std::fmt;
@@ -15,6 +16,7 @@
 use crate::error::{Error, Result};
 use crate::wire::Secret;
 
+pub use control::{ControlArgs, ControlSettings};
 pub use node::{NodeArgs, NodeSettings};
 
 /// Prefix of every environment variable.
--- a/tests/data_path/admin_listener.rs
+++ b/tests/data_path/admin_listener.rs
@@ -83,7 +83,9 @@
 /// Guards against a node that takes keyed requests before it holds any configuration.
 #[tokio::test]
 async fn unsynced_node_is_not_ready() {
-    let node = node::spawn(settings(&Limits::default())).await.unwrap();
+    let node = node::spawn_unsynced(settings(&Limits::default()))
+        .await
+        .unwrap();
     let get = "GET /ready HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
     let answer = raw(node.admin_addr(), get.as_bytes()).await;
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
--- a/tests/docs_match.rs
+++ b/tests/docs_match.rs
@@ -41,3 +41,22 @@
         config.apply(&note).unwrap();
     }
 }
+
+/// Guards against a proof table that names a test which does not exist.
+#[test]
+fn proofs_exist() {
+    let text = page("docs/proofs.md");
+    let named = text
+        .split('`')
+        .skip(1)
+        .step_by(2)
+        .filter(|t| t.contains("::"));
+    let mut count = 0;
+    for name in named {
+        let (file, test) = name.rsplit_once("::").unwrap();
+        let source = page(&format!("tests/{}.rs", file.replace("::", "/")));
+        assert!(source.contains(&format!("fn {test}(")), "no test {name}");
+        count += 1;
+    }
+    assert!(count >= 40, "only {count} tests are named");
+}
--- /dev/null
+++ b/tests/processes/whole_path.rs
@@ -0,0 +1,80 @@
+//! The whole path with separate processes: note, nodes, key, target.
+
+use crate::caller::{call, call_with_key};
+use crate::fleet::{Fleet, eventually};
+use crate::notes::{OFFICE_KEY, YARD_KEY, sample_note};
+
+fn is_served(fleet: &Fleet, node: usize) -> bool {
+    let answer = call_with_key(fleet.caller_addr(node), "GET", "/records/1", YARD_KEY);
+    answer.is_ok_and(|a| a.status == 200)
+}
+
+/// Starts three control processes, three nodes and a target beside node 2, with the sample note.
+pub fn served_fleet() -> Fleet {
+    let mut fleet = Fleet::start(3, 3);
+    fleet.start_target(2, "records");
+    let output = fleet.submit(&sample_note());
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+    for node in 0..3 {
+        eventually("a keyed request is answered", || is_served(&fleet, node));
+    }
+    fleet
+}
+
+/// Guards against any break of the path from note to answer, and against a key that leaks.
+#[test]
+fn keyed_request() {
+    let fleet = served_fleet();
+    for key in [YARD_KEY, OFFICE_KEY] {
+        let answer = call_with_key(fleet.caller_addr(0), "GET", "/records/7", key).unwrap();
+        assert_eq!(answer.status, 200, "{answer:?}");
+        assert_eq!(answer.header("laburnum-outcome"), Some("answer"));
+        assert!(answer.header("laburnum-request-id").is_some());
+        assert!(!answer.head.contains(key) && !answer.body.contains(key));
+    }
+    // The stand-in target shows every header that it has seen.
+    let seen = call_with_key(fleet.caller_addr(0), "GET", "/records/7?echo", YARD_KEY).unwrap();
+    assert!(seen.body.contains("laburnum-request-id"), "{seen:?}");
+    assert!(!seen.body.contains(YARD_KEY), "{seen:?}");
+    assert!(
+        !seen.body.to_lowercase().contains("authorization"),
+        "{seen:?}"
+    );
+}
+
+/// Guards against requests that run without a right to.
+#[test]
+fn refused_requests() {
+    let fleet = served_fleet();
+    let node = fleet.caller_addr(1);
+    let wrong = call_with_key(node, "GET", "/records/1", "wrong-key-0123456789").unwrap();
+    assert_eq!((wrong.status, wrong.reason()), (401, "unknown-key"));
+    assert_eq!(wrong.header("laburnum-outcome"), Some("not-run"));
+    let none = call(node, "GET", "/records/1", &[]).unwrap();
+    assert_eq!((none.status, none.reason()), (401, "no-key"));
+    let lost = call_with_key(node, "GET", "/nowhere", YARD_KEY).unwrap();
+    assert_eq!((lost.status, lost.reason()), (404, "no-route"));
+    let method = call_with_key(node, "DELETE", "/records/1", YARD_KEY).unwrap();
+    assert_eq!(
+        (method.status, method.reason()),
+        (405, "method-not-allowed")
+    );
+    let open = call(node, "GET", "/public/1", &[]).unwrap();
+    assert_eq!(open.status, 200, "{open:?}");
+}
+
+/// Guards against a withdrawn key that goes on working, and against a note that stays unknown to
+/// a node.
+#[test]
+fn withdrawn_key() {
+    let fleet = served_fleet();
+    let output = fleet.submit("number = 2\n[withdrawn]\nkeys = [\"yard-1\"]\n");
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+    for node in 0..3 {
+        // The submit has waited until the note is in force on every node.
+        let answer = call_with_key(fleet.caller_addr(node), "GET", "/records/1", YARD_KEY).unwrap();
+        assert_eq!((answer.status, answer.reason()), (401, "unknown-key"));
+        let other = call_with_key(fleet.caller_addr(node), "GET", "/records/1", OFFICE_KEY);
+        assert_eq!(other.unwrap().status, 200);
+    }
+}
