--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -15,7 +15,7 @@
 use crate::control::nodes::{CHANGE_INTERVAL, Nodes};
 use crate::control::state::{NoteHead, State};
 use crate::control::view::View;
-use crate::error::{Error, Result};
+use crate::error::{Category, Error, Result};
 use crate::ids::ReplicaId;
 use crate::metrics::Metrics;
 use crate::replica::{Action, Entry, Logged, Message, Replica, Role};
@@ -29,6 +29,9 @@
 /// Entries after the last snapshot that lead to the next.
 const SNAPSHOT_ENTRIES: u64 = 1_000;
 
+/// Pause before a data folder that can't be opened is tried again.
+const RELOAD_DELAY: Duration = Duration::from_millis(500);
+
 /// Commands that are handled before the replica's actions are carried out.
 const BATCH: usize = 64;
 
@@ -134,6 +137,8 @@
     ///
     /// Fails if the stored log is damaged or contradicts the state.
     pub fn run(mut self, commands: &Receiver<Command>) -> Result<()> {
+        // A group of one has nobody to greet.
+        self.found();
         let mut next_tick = Instant::now();
         loop {
             let wait = next_tick.saturating_duration_since(Instant::now());
@@ -174,9 +179,7 @@
             }
         }
         if self.replica.replicas().is_empty() {
-            if let Some(founders) = self.group.founders() {
-                self.replica.found(founders);
-            }
+            self.found();
         } else if self.replica.replicas().get(from).is_none()
             && self.replica.vouch_end(now).is_some()
             && self.replica.join(now, envelope.from).is_ok()
@@ -185,6 +188,12 @@
         }
     }
 
+    fn found(&mut self) {
+        if let Some(founders) = self.group.founders() {
+            self.replica.found(founders);
+        }
+    }
+
     /// Carries out what the replica asks for, and what follows from the new state.
     fn settle(&mut self) -> Result<()> {
         self.carry_out()?;
@@ -251,15 +260,27 @@
     }
 
     /// Starts the replica anew from the journal after a failed write, as after a crash.
+    ///
+    /// What was applied stays, so that reads go on while the disk is full.
     fn recover(&mut self, error: &Error) -> Result<()> {
         warn!(event = "write-failed", error:% = error; "the replica starts anew from its log");
         self.metrics.count("control.write_failed");
-        let stored = self.journal.load()?;
-        self.replica = Replica::restore(self.clock.now(), stored)?;
         if let Some(in_flight) = self.in_flight.take() {
             let text = format!("the note could not be stored: {error}");
             let _ = in_flight.reply.send(Submitted::Unavailable(text));
         }
+        let stored = loop {
+            match self.journal.load() {
+                Ok(stored) => break stored,
+                Err(e) if e.category() == Category::Corrupt => return Err(e),
+                Err(e) => {
+                    warn!(event = "load-failed", error:% = e; "tries again");
+                    std::thread::sleep(RELOAD_DELAY);
+                }
+            }
+        };
+        self.replica = Replica::restore(self.clock.now(), stored)?;
+        self.view.publish_meta(&self.replica, self.clock.now());
         Ok(())
     }
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -27,7 +27,7 @@
 use self::core::{Command, Core};
 use self::distribute::Distributor;
 use self::group::Group;
-use self::journal::Journal;
+use self::journal::{Journal, StoreJournal};
 use self::nodes::Nodes;
 use self::operator::Operator;
 use self::view::View;
@@ -35,6 +35,7 @@
 use crate::ids::ReplicaId;
 use crate::metrics::Metrics;
 use crate::replica::{Member, REPLICAS_MAX, Replica};
+use crate::storage::RealDisk;
 use crate::time::{Clock, Monotonic};
 use crate::wire::{Hello, Peer, Protocol, Role, Secret, accept, serve_frames};
 
@@ -146,6 +147,17 @@
     }
 }
 
+/// Starts a control process on its data folder; must be called within a `tokio` runtime.
+///
+/// # Errors
+///
+/// Fails if the settings are wrong, an address can't be bound, or the data folder is in use,
+/// damaged or not writable.
+pub async fn spawn(settings: Settings) -> Result<Handle> {
+    let journal = StoreJournal::open(RealDisk, settings.data.clone())?;
+    spawn_with(settings, journal).await
+}
+
 /// Starts a control process with a journal; must be called within a `tokio` runtime.
 ///
 /// # Errors
--- /dev/null
+++ b/tests/control_group.rs
@@ -0,0 +1,382 @@
+//! Control processes over real sockets on loopback addresses and real data folders.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use laburnumtide::control::api::NoteState;
+use laburnumtide::control::{Handle, Settings, spawn};
+use laburnumtide::ctl::{Client, SubmitReply};
+use laburnumtide::fleet::Member;
+use laburnumtide::prelude::*;
+use laburnumtide::replica::Vouch;
+use laburnumtide::wire::sync::{Answer, Client as SyncClient};
+use laburnumtide::wire::{Channel, Hello, Peer, Protocol, Role, Secret};
+use tempfile::TempDir;
+
+const PATIENCE: Duration = Duration::from_secs(30);
+
+static NETWORKS: AtomicU32 = AtomicU32::new(0);
+
+struct Group {
+    dir: TempDir,
+    network: u32,
+    size: usize,
+    handles: Vec<Option<Handle>>,
+}
+
+fn fleet_secret() -> Secret {
+    Secret::new(b"fleet-secret-0123456789").unwrap()
+}
+
+fn operator_secret() -> Secret {
+    Secret::new(b"operator-secret-0123456789").unwrap()
+}
+
+impl Group {
+    async fn start(size: usize) -> Group {
+        let network = (std::process::id() << 4) | (NETWORKS.fetch_add(1, Ordering::Relaxed) & 15);
+        let handles = (0..size).map(|_| None).collect();
+        let dir = TempDir::new().unwrap();
+        let mut group = Group {
+            dir,
+            network,
+            size,
+            handles,
+        };
+        for i in 0..size {
+            group.spawn(i).await;
+        }
+        group
+    }
+
+    fn addr(&self, host: usize, port: u16) -> SocketAddr {
+        let n = self.network;
+        let ip = [127, 144 + (n >> 8 & 63) as u8, n as u8, host as u8 + 1];
+        SocketAddr::from((ip, port))
+    }
+
+    fn folder(&self, i: usize) -> std::path::PathBuf {
+        self.dir.path().join(format!("control{i}"))
+    }
+
+    fn settings(&self, i: usize) -> Settings {
+        let others = (0..self.size).filter(|j| *j != i);
+        Settings {
+            link: self.addr(i, 7100),
+            operator: self.addr(i, 7101),
+            peers: others.map(|j| self.addr(j, 7100)).collect(),
+            data: self.folder(i),
+            fleet_secret: fleet_secret(),
+            operator_secret: operator_secret(),
+            statsd: None,
+        }
+    }
+
+    async fn spawn(&mut self, i: usize) {
+        self.handles[i] = Some(spawn(self.settings(i)).await.unwrap());
+    }
+
+    async fn stop(&mut self, i: usize) {
+        if let Some(handle) = self.handles[i].take() {
+            handle.stop().await.unwrap();
+        }
+    }
+
+    fn client(&self) -> Client {
+        let addrs = (0..self.size).map(|i| self.addr(i, 7101)).collect();
+        Client::new(addrs, operator_secret())
+    }
+
+    async fn leader(&self) -> usize {
+        let start = Instant::now();
+        loop {
+            let leads = |h: &Handle| {
+                let meta = h.view().meta();
+                meta.leader == Some(h.id()) && meta.committed > Position(0)
+            };
+            let found = self
+                .handles
+                .iter()
+                .position(|h| h.as_ref().is_some_and(leads));
+            if let Some(i) = found {
+                return i;
+            }
+            assert!(start.elapsed() < PATIENCE, "no leader");
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    async fn eventually(&self, what: &str, condition: impl Fn(&Group) -> bool) {
+        let start = Instant::now();
+        while !condition(self) {
+            assert!(start.elapsed() < PATIENCE, "{what} did not come true");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+}
+
+fn note(number: u64, account: &str) -> String {
+    format!(
+        "number = {number}\ntitle = \"adds {account}\"\n\n[[added.accounts]]\nname = \"{account}\"\nrate = \"5/s\"\nburst = 5\n"
+    )
+}
+
+async fn submit(client: &mut Client, text: &str) -> NoteState {
+    match client.submit(text, PATIENCE).await.unwrap() {
+        SubmitReply::Taken(state) => state,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// A node that only syncs.
+struct Node {
+    member: Member,
+    peers: Vec<Peer>,
+    clock: Monotonic,
+    client: SyncClient,
+}
+
+impl Node {
+    fn new(group: &Group, i: usize) -> Node {
+        let member = Member {
+            id: NodeId::random(),
+            addr: group.addr(50 + i, 7201),
+            zone: format!("zone-{i}").parse().unwrap(),
+        };
+        let hello = Hello {
+            role: Role::Node,
+            id: member.id.0,
+            protocol: Protocol::Frames,
+        };
+        let peer = |i| Peer::new(group.addr(i, 7100), fleet_secret(), hello);
+        Node {
+            member,
+            peers: (0..group.size).map(peer).collect(),
+            clock: Monotonic::new(),
+            client: SyncClient::new(),
+        }
+    }
+
+    async fn ask(&mut self, i: usize, wait: Duration) -> Option<Answer> {
+        let request = self
+            .client
+            .request(self.clock.now(), self.member.clone(), wait);
+        let limit = wait + Duration::from_secs(1);
+        let bytes = self.peers[i]
+            .call(Channel::Sync, request.encode(), limit)
+            .await;
+        let answer = Answer::decode(bytes.ok()?).unwrap();
+        self.client.apply(&answer).unwrap();
+        Some(answer)
+    }
+
+    async fn run(mut self) {
+        loop {
+            for i in 0..self.peers.len() {
+                self.ask(i, Duration::ZERO).await;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+/// Guards against a wrong answer to an operator who resends, races or makes mistakes.
+#[tokio::test(flavor = "multi_thread")]
+async fn operator_answers() {
+    let group = Group::start(3).await;
+    let mut client = group.client();
+    let first = submit(&mut client, &note(1, "yard")).await;
+    assert!(first.accepted, "without nodes committed is enough");
+    let again = submit(&mut client, &note(1, "yard")).await;
+    assert_eq!(again, first);
+    match client.submit(&note(1, "office"), PATIENCE).await.unwrap() {
+        SubmitReply::Conflict(conflict) => {
+            assert_eq!(conflict.title.as_deref(), Some("adds yard"));
+            assert_eq!(conflict.digest, Some(first.digest));
+            assert_eq!(conflict.next, NoteNumber(2));
+        }
+        other => panic!("{other:?}"),
+    }
+    match client.submit(&note(2, "yard"), PATIENCE).await.unwrap() {
+        SubmitReply::Invalid(invalid) => assert_eq!(invalid.errors[0].line, 5),
+        other => panic!("{other:?}"),
+    }
+    let status = client.status(PATIENCE).await.unwrap();
+    assert_eq!((status.number, status.replicas.len()), (NoteNumber(1), 3));
+    let stranger = Secret::new(b"another-secret-0123456789").unwrap();
+    let mut stranger = Client::new(vec![group.addr(0, 7101)], stranger);
+    assert!(stranger.status(Duration::ZERO).await.is_err());
+}
+
+/// Guards against a note lost, doubled or reordered when leaders end during submits, and against a
+/// failover that takes longer than 3 s.
+#[tokio::test(flavor = "multi_thread")]
+async fn leader_ends() {
+    let mut group = Group::start(3).await;
+    let mut client = group.client();
+    let mut number = 0;
+    for _ in 0..4 {
+        let leader = group.leader().await;
+        for _ in 0..5 {
+            number += 1;
+            let start = Instant::now();
+            let state = submit(&mut client, &note(number, &format!("a{number}"))).await;
+            println!("commit_us={}", start.elapsed().as_micros());
+            assert_eq!(state.number, NoteNumber(number));
+        }
+        group.stop(leader).await;
+        let start = Instant::now();
+        group.leader().await;
+        println!("failover_ms={}", start.elapsed().as_millis());
+        assert!(start.elapsed() < Duration::from_secs(3));
+        number += 1;
+        submit(&mut client, &note(number, &format!("a{number}"))).await;
+        group.spawn(leader).await;
+    }
+    let held = |g: &Group, i: usize| g.handles[i].as_ref().unwrap().view().state();
+    let all = |g: &Group| (0..3).all(|i| held(g, i).config().number() == NoteNumber(number));
+    group.eventually("every replica has every note", all).await;
+    let config = held(&group, 0).config().encode();
+    assert_eq!(held(&group, 0).config().accounts().len() as u64, number);
+    assert!((1..3).all(|i| held(&group, i).config().encode() == config));
+}
+
+/// Guards against a replica without its disk voting under its old identity, and against lost notes
+/// when a second disk is lost right after the repair.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_folders() {
+    let mut group = Group::start(3).await;
+    let mut client = group.client();
+    for round in 1..=3 {
+        submit(&mut client, &note(round, &format!("a{round}"))).await;
+        let lost = round as usize - 1;
+        let old = group.handles[lost].as_ref().unwrap().id();
+        group.stop(lost).await;
+        std::fs::remove_dir_all(group.folder(lost)).unwrap();
+        group.spawn(lost).await;
+        let new = group.handles[lost].as_ref().unwrap().id();
+        assert_ne!(old, new);
+        let replaced = |g: &Group| {
+            let mut metas = g.handles.iter().flatten().map(|h| h.view().meta());
+            metas.all(|m| m.replicas.is_voter(new) && m.replicas.get(old).is_none())
+        };
+        group
+            .eventually("the new identity has the vote", replaced)
+            .await;
+    }
+    let state = submit(&mut client, &note(4, "a4")).await;
+    assert_eq!(state.number, NoteNumber(4));
+    let whole = |g: &Group| {
+        let mut states = g.handles.iter().flatten().map(|h| h.view().state());
+        states.all(|s| s.config().accounts().len() == 4)
+    };
+    group
+        .eventually("every replica has every note", whole)
+        .await;
+}
+
+/// Guards against notes told as accepted that a majority of the nodes doesn't hold, and against
+/// commits that reach a waiting node late.
+#[tokio::test(flavor = "multi_thread")]
+async fn node_sync() {
+    let group = Group::start(3).await;
+    let mut client = group.client();
+    group.leader().await;
+    let (mut a, b) = (Node::new(&group, 0), Node::new(&group, 1));
+    let ids = [a.member.id, b.member.id];
+    let run = tokio::spawn(b.run());
+    let start = Instant::now();
+    while a.client.state().registry().members().len() < 2 {
+        for i in 0..3 {
+            a.ask(i, Duration::ZERO).await;
+        }
+        assert!(start.elapsed() < PATIENCE, "both nodes are registered");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    for i in 0..3 {
+        a.ask(i, Duration::ZERO).await;
+    }
+    // Node a falls silent, so one of two holds the note: no majority.
+    let state = submit(&mut client, &note(1, "yard")).await;
+    assert!(!state.accepted);
+    assert_eq!(state.missing, vec![ids[0]]);
+    let leader = group.leader().await;
+    let current = a.ask(leader, Duration::ZERO).await.unwrap();
+    assert_eq!(current.vouch, Vouch::Group);
+    a.ask(leader, Duration::ZERO).await;
+    let start = Instant::now();
+    while !client.note(NoteNumber(1), PATIENCE).await.unwrap().accepted {
+        assert!(start.elapsed() < PATIENCE, "the note is accepted");
+    }
+    while a.client.state().accepted() < state.position {
+        a.ask(leader, Duration::ZERO).await;
+    }
+    let submitted = tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let start = Instant::now();
+        submit(&mut client, &note(2, "office")).await;
+        start
+    });
+    a.ask(leader, Duration::from_secs(10)).await.unwrap();
+    let reached = Instant::now();
+    assert_eq!(a.client.state().config().number(), NoteNumber(2));
+    let start = submitted.await.unwrap();
+    println!("push_us={}", reached.duration_since(start).as_micros());
+    run.abort();
+}
+
+/// Guards against nodes and replicas that can't come back once the log no longer holds what they
+/// missed.
+#[tokio::test(flavor = "multi_thread")]
+async fn far_behind() {
+    let mut group = Group::start(3).await;
+    let mut client = group.client();
+    let leader = group.leader().await;
+    let away = (leader + 1) % 3;
+    submit(&mut client, &note(1, "a1")).await;
+    group.stop(away).await;
+    // Each note brings its acceptance with it, so these are more entries than memory keeps.
+    for number in 2..=1_200 {
+        submit(&mut client, &note(number, &format!("a{number}"))).await;
+    }
+    group.spawn(away).await;
+    let current = |g: &Group| {
+        let view = g.handles[away].as_ref().unwrap().view();
+        view.state().config().number() == NoteNumber(1_200)
+    };
+    group.eventually("the replica has caught up", current).await;
+    let mut node = Node::new(&group, 0);
+    let start = Instant::now();
+    while node.client.state().config().number() < NoteNumber(1_200) {
+        node.ask(away, Duration::ZERO).await;
+        assert!(start.elapsed() < PATIENCE, "the node catches up");
+    }
+    let view = group.handles[away].as_ref().unwrap().view();
+    assert!(
+        view.entries_after(Position(0), 1, 1).is_none(),
+        "early entries are gone"
+    );
+    let config = view.state().config().encode();
+    assert_eq!(node.client.state().config().encode(), config);
+}
+
+/// Guards against a damaged log being taken for a sound one.
+#[tokio::test(flavor = "multi_thread")]
+async fn damaged_log() {
+    let mut group = Group::start(1).await;
+    submit(&mut group.client(), &note(1, "yard")).await;
+    group.stop(0).await;
+    flip(&group.folder(0).join("log"), b"yard");
+    let error = spawn(group.settings(0)).await.unwrap_err();
+    assert_eq!(error.category(), Category::Corrupt);
+}
+
+/// Flips a bit of the first occurrence of `text`.
+fn flip(path: &Path, text: &[u8]) {
+    let mut bytes = std::fs::read(path).unwrap();
+    let at = bytes.windows(text.len()).position(|w| w == text).unwrap();
+    bytes[at] ^= 1;
+    std::fs::write(path, bytes).unwrap();
+}
--- a/tests/replica_sim/mod.rs
+++ b/tests/replica_sim/mod.rs
@@ -92,6 +92,8 @@
     /// Probability that a process dies between two actions.
     crash: f64,
     loss: f64,
+    /// Most entries in one message.
+    batch: usize,
     /// Share of messages that take up to 2 s.
     slow: f64,
     /// Probability of a fault in a step.
@@ -128,6 +130,7 @@
         let crash = 0.05 * rng.random::<f64>().powi(3);
         let (loss, slow) = (rng.random_range(0.0..0.05), rng.random_range(0.0..0.1));
         let trouble = rng.random_range(0.002..0.02);
+        let batch = rng.random_range(1..6);
         Sim {
             rng,
             now,
@@ -142,6 +145,7 @@
             wipes: 0,
             crash,
             loss,
+            batch,
             slow,
             trouble,
         }
@@ -211,7 +215,7 @@
         };
         let mut replica = Replica::restore(clock, stored).expect("the disk is sound");
         replica.set_limits(Limits {
-            append_entries: 5,
+            append_entries: self.batch,
             append_bytes: 400,
             chunk_bytes: 7,
             kept_entries: 10,
@@ -233,7 +237,9 @@
     }
 
     fn disturb(&mut self) {
-        let i = self.rng.random_range(0..VMS);
+        let any = self.rng.random_range(0..VMS);
+        let at_leader = self.rng.random_bool(0.5);
+        let i = self.leader().filter(|_| at_leader).unwrap_or(any);
         let length = Duration::from_millis(self.rng.random_range(20..3_000));
         match self.rng.random_range(0..10) {
             0 | 1 => self.kill(i),
