--- a/src/control/nodes.rs
+++ b/src/control/nodes.rs
@@ -81,7 +81,7 @@
     pub fn majority_holds(&self, now: Time, registry: &Registry, position: Position) -> bool {
         let contacts = self.contacts();
         let holds = |m: &&Member| contacts.holds(now, m, position);
-        registry.members().iter().filter(holds).count() >= registry.majority()
+        registry.is_majority(|id| registry.get(id).as_ref().is_some_and(holds))
     }
 
     /// Returns the registered nodes that don't hold `position`.
@@ -97,19 +97,24 @@
         let mut contacts = self.contacts();
         contacts.retain(|c| now.since(c.last) < SILENCE);
         let mut change = RegistryChange::default();
-        for contact in contacts.iter() {
-            let present = now.since(contact.last) < PRESENT;
-            let known = registry.get(contact.member.id).is_some();
-            if present && !known && !contacts.is_replaced(&contact.member) {
-                change.added.push(contact.member.clone());
-            }
-        }
         for member in registry.members() {
             let last = contacts
                 .find(member.id)
                 .map_or(since, |c| c.last.max(since));
             if now.since(last) >= SILENCE || contacts.is_replaced(member) {
-                change.removed.push(member.id);
+                change.left.push(member.id);
+            }
+        }
+        for contact in contacts.iter() {
+            let present = now.since(contact.last) < PRESENT;
+            let known = registry.get(contact.member.id).is_some();
+            if !present || known || contacts.is_replaced(&contact.member) {
+                continue;
+            }
+            change.joined.push(contact.member.clone());
+            // Where two nodes claim one address, the later one joins once the earlier is silent.
+            if registry.changed(&change).is_err() {
+                change.joined.pop();
             }
         }
         change
