--- a/tests/processes/whole_path.rs
+++ b/tests/processes/whole_path.rs
@@ -33,7 +33,7 @@
         assert!(!answer.head.contains(key) && !answer.body.contains(key));
     }
     // The stand-in target shows every header that it has seen.
-    let seen = call_with_key(fleet.caller_addr(0), "GET", "/records/7?echo", YARD_KEY).unwrap();
+    let seen = call_with_key(fleet.caller_addr(0), "GET", "/records/7?echo=1", YARD_KEY).unwrap();
     assert!(seen.body.contains("laburnum-request-id"), "{seen:?}");
     assert!(!seen.body.contains(YARD_KEY), "{seen:?}");
     assert!(
