Prove successors of nodes by visits of the leader

An inbound question can be older than the link that a successor opened since, so it can't show which of two processes is alive. The leader now opens a link to the address that a node names; the handshake tells who listens there. Census uses fleet::Roll for this.

--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -1,5 +1,6 @@
 //! The thread that owns the replica and its journal.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::{Duration, Instant};
@@ -12,10 +13,12 @@
 use crate::config::{Note, NoteError};
 use crate::control::group::Group;
 use crate::control::journal::Journal;
-use crate::control::nodes::{CHANGE_INTERVAL, Nodes};
+use crate::control::nodes::{Census, Nodes};
 use crate::control::state::{NoteHead, State};
 use crate::control::view::View;
+use crate::control::visit::Visitor;
 use crate::error::{Category, Error, Result};
+use crate::fleet::Sighting;
 use crate::ids::ReplicaId;
 use crate::metrics::Metrics;
 use crate::replica::{Action, Entry, Logged, Message, Replica, Role};
@@ -45,6 +48,8 @@
     Submit(Note, oneshot::Sender<Submitted>),
     /// A node has come forward, which may complete an acceptance.
     NodeMoved,
+    /// A node answered a visit.
+    Sighted(Sighting),
     /// End the thread.
     Stop,
 }
@@ -72,6 +77,34 @@
     reply: oneshot::Sender<Submitted>,
 }
 
+/// What the leader keeps in its term.
+struct Leading {
+    term: Term,
+    census: Census,
+    /// The last position proposed as accepted.
+    accepted: Position,
+}
+
+/// What the replica's thread works with.
+pub struct Parts<J> {
+    /// The replica, restored from the journal.
+    pub replica: Replica,
+    /// The journal.
+    pub journal: J,
+    /// Where readers look.
+    pub view: Arc<View>,
+    /// The way to the other replicas.
+    pub group: Group,
+    /// What is known about the nodes.
+    pub nodes: Arc<Nodes>,
+    /// The way to the nodes.
+    pub visitor: Visitor,
+    /// The process's clock.
+    pub clock: Monotonic,
+    /// The process's metrics.
+    pub metrics: Metrics,
+}
+
 /// The replica with everything that its thread needs.
 pub struct Core<J> {
     replica: Replica,
@@ -80,16 +113,13 @@
     view: Arc<View>,
     group: Group,
     nodes: Arc<Nodes>,
+    visitor: Visitor,
     clock: Monotonic,
     rng: StdRng,
     metrics: Metrics,
     in_flight: Option<InFlight>,
-    queue: Vec<(Note, oneshot::Sender<Submitted>)>,
-    /// The term that this replica leads, and since when.
-    leading: Option<(Term, Time)>,
-    /// The last position proposed as accepted in that term.
-    proposed: Position,
-    registry_changed: Option<Time>,
+    queue: VecDeque<(Note, oneshot::Sender<Submitted>)>,
+    leading: Option<Leading>,
     seen: (Role, Term, Option<ReplicaId>),
 }
 
@@ -103,31 +133,23 @@
 
 impl<J: Journal> Core<J> {
     /// Puts the parts together.
-    pub fn new(
-        replica: Replica,
-        journal: J,
-        view: Arc<View>,
-        group: Group,
-        nodes: Arc<Nodes>,
-        clock: Monotonic,
-        metrics: Metrics,
-    ) -> Core<J> {
+    pub fn new(parts: Parts<J>) -> Core<J> {
+        let replica = parts.replica;
         let seen = (replica.role(), replica.term(), replica.leader());
         Core {
-            state: (*view.state()).clone(),
+            state: (*parts.view.state()).clone(),
             replica,
-            journal,
-            view,
-            group,
-            nodes,
-            clock,
+            journal: parts.journal,
+            view: parts.view,
+            group: parts.group,
+            nodes: parts.nodes,
+            visitor: parts.visitor,
+            clock: parts.clock,
             rng: rand::make_rng(),
-            metrics,
+            metrics: parts.metrics,
             in_flight: None,
-            queue: Vec::new(),
+            queue: VecDeque::new(),
             leading: None,
-            proposed: Position(0),
-            registry_changed: None,
             seen,
         }
     }
@@ -166,7 +188,12 @@
         let now = self.clock.now();
         match command {
             Command::Envelope(envelope) => self.take_in(now, envelope),
-            Command::Submit(note, reply) => self.queue.push((note, reply)),
+            Command::Submit(note, reply) => self.queue.push_back((note, reply)),
+            Command::Sighted(sighting) => {
+                if let Some(leading) = &mut self.leading {
+                    leading.census.sight(now, sighting);
+                }
+            }
             Command::NodeMoved | Command::Stop => {}
         }
     }
@@ -292,11 +319,15 @@
             return;
         }
         let (role, term, leader) = seen;
-        if role == Role::Leader && self.leading.is_none_or(|(t, _)| t != term) {
+        if role == Role::Leader && self.leading.as_ref().is_none_or(|l| l.term != term) {
             info!(event = "leader-elected", term:% = term; "this replica leads");
             self.metrics.count("control.elected");
-            self.leading = Some((term, self.clock.now()));
-            self.proposed = Position(0);
+            self.nodes.forget_visits();
+            self.leading = Some(Leading {
+                term,
+                census: Census::default(),
+                accepted: Position(0),
+            });
         } else if role != Role::Leader && self.leading.take().is_some() {
             info!(event = "leader-left", term:% = term; "this replica leads no longer");
             self.drop_in_flight();
@@ -326,12 +357,20 @@
             }
             return;
         }
-        while self.in_flight.is_none() && !self.queue.is_empty() {
-            let (note, reply) = self.queue.remove(0);
+        while self.in_flight.is_none()
+            && let Some((note, reply)) = self.queue.pop_front()
+        {
             self.submit(now, note, reply);
         }
-        self.accept(now);
-        self.register(now);
+        if let Some(mut leading) = self.leading.take() {
+            leading.census.learn(now, &self.state);
+            for member in self.nodes.due_visits(now) {
+                self.visitor.visit(member);
+            }
+            self.accept(now, &mut leading);
+            self.register(now, &mut leading.census);
+            self.leading = Some(leading);
+        }
     }
 
     fn submit(&mut self, now: Time, note: Note, reply: oneshot::Sender<Submitted>) {
@@ -379,37 +418,25 @@
         let _ = in_flight.reply.send(answer);
     }
 
-    fn accept(&mut self, now: Time) {
-        let holds = |registry: &_, position| self.nodes.majority_holds(now, registry, position);
-        let Some(position) = self.state.acceptable(holds) else {
+    fn accept(&mut self, now: Time, leading: &mut Leading) {
+        let acceptable = leading.census.acceptable(now, &self.nodes, &self.state);
+        let Some(position) = acceptable.filter(|p| *p > leading.accepted) else {
             return;
         };
-        if position <= self.proposed {
-            return;
-        }
         if self.replica.propose(now, Entry::Accepted(position)).is_ok() {
-            self.proposed = position;
+            leading.accepted = position;
             info!(event = "accepted", position:% = position; "held by a majority of the nodes");
         }
     }
 
-    fn register(&mut self, now: Time) {
-        let Some((_, since)) = self.leading else {
+    fn register(&mut self, now: Time, census: &mut Census) {
+        let registry = self.state.registry();
+        let Some(change) = census.due_change(now, self.state.position(), &registry) else {
             return;
         };
-        if self
-            .registry_changed
-            .is_some_and(|t| now < t + CHANGE_INTERVAL)
-        {
-            return;
-        }
-        let change = self.nodes.due_change(now, since, &self.state.registry());
-        if change.is_empty() {
-            return;
-        }
         let entry = Entry::Nodes(encode_change(&change).into());
-        if self.replica.propose(now, entry).is_ok() {
-            self.registry_changed = Some(now);
+        if let Ok(position) = self.replica.propose(now, entry) {
+            census.proposed(position);
             let (joined, left) = (change.joined.len(), change.left.len());
             info!(event = "registry-changed", joined = joined, left = left; "node registry changed");
         }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -13,6 +13,7 @@
 pub mod operator;
 pub mod state;
 pub mod view;
+pub mod visit;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -24,13 +25,14 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-use self::core::{Command, Core};
+use self::core::{Command, Core, Parts};
 use self::distribute::Distributor;
 use self::group::Group;
 use self::journal::{Journal, StoreJournal};
 use self::nodes::Nodes;
 use self::operator::Operator;
 use self::view::View;
+use self::visit::Visitor;
 use crate::error::{Error, Result};
 use crate::ids::ReplicaId;
 use crate::metrics::Metrics;
@@ -199,15 +201,25 @@
         tokio::runtime::Handle::current(),
         commands.clone(),
     );
-    let core = Core::new(
+    let visitor = Visitor {
+        secret: secret.clone(),
+        hello,
+        nodes: nodes.clone(),
+        clock,
+        runtime: tokio::runtime::Handle::current(),
+        commands: commands.clone(),
+        permits: Visitor::permits(),
+    };
+    let core = Core::new(Parts {
         replica,
         journal,
-        view.clone(),
+        view: view.clone(),
         group,
-        nodes.clone(),
+        nodes: nodes.clone(),
+        visitor,
         clock,
-        metrics.clone(),
-    );
+        metrics: metrics.clone(),
+    });
     let (ending, ended) = watch::channel(None);
     std::thread::Builder::new()
         .name("replica".to_owned())
--- a/src/control/nodes.rs
+++ b/src/control/nodes.rs
@@ -1,38 +1,35 @@
-//! What the leader knows about the nodes, and the registry changes that follow from it.
+//! What a replica knows about the nodes, and what follows from it for the leader.
 
+use std::collections::BTreeMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use crate::fleet::{Member, Registry, RegistryChange};
+use crate::control::state::State;
+use crate::fleet::{Member, Registry, RegistryChange, Roll, SILENCE_MAX, Sighting};
+use crate::freshness::EVIDENCE_GONE;
 use crate::ids::NodeId;
 use crate::time::Time;
 use crate::units::Position;
 
-/// Least time between two changes of the registry, so that a fleet that starts costs few entries.
-pub const CHANGE_INTERVAL: Duration = Duration::from_secs(5);
+/// Time between two visits of the leader to a node, well below the silence that removes one.
+const VISIT_INTERVAL: Duration = Duration::from_secs(10);
 
-/// A node must have asked within this time to be registered.
-const PRESENT: Duration = Duration::from_secs(2);
-
-/// A registered node that is silent for this time is removed.
-const SILENCE: Duration = Duration::from_secs(120);
-
-/// How long evidence lets a node honour keys; the predecessor of a node on the same address counts
-/// as holding everything after that, since it can vouch for nobody.
-const EVIDENCE_LIFETIME: Duration = Duration::from_secs(3);
+/// How long a contact is kept after the last question.
+const CONTACT_MAX: Duration = Duration::from_secs(2 * SILENCE_MAX.as_secs());
 
 /// One node that has asked this replica.
 #[derive(Clone, Debug)]
 struct Contact {
     member: Member,
     position: Position,
-    first: Time,
     last: Time,
+    visited: Option<Time>,
 }
 
 /// All nodes that have asked this replica.
 #[derive(Debug, Default)]
 pub struct Nodes {
+    /// Sorted by identity.
     contacts: Mutex<Vec<Contact>>,
 }
 
@@ -61,8 +58,8 @@
                 let contact = Contact {
                     member: member.clone(),
                     position,
-                    first: now,
                     last: now,
+                    visited: None,
                 };
                 contacts.insert(i, contact);
                 true
@@ -77,82 +74,109 @@
         Some((contacts[i].position, now.since(contacts[i].last)))
     }
 
-    /// Returns true if a majority of `registry` holds `position`.
-    pub fn majority_holds(&self, now: Time, registry: &Registry, position: Position) -> bool {
+    /// Returns what the node `id` said of itself.
+    pub fn member(&self, id: NodeId) -> Option<Member> {
         let contacts = self.contacts();
-        let holds = |m: &&Member| contacts.holds(now, m, position);
-        registry.is_majority(|id| registry.get(id).as_ref().is_some_and(holds))
+        let i = contacts.binary_search_by_key(&id, |c| c.member.id).ok()?;
+        Some(contacts[i].member.clone())
     }
 
-    /// Returns the registered nodes that don't hold `position`.
+    /// Returns the registered nodes that don't hold `position`, sorted.
     pub fn missing(&self, registry: &Registry, position: Position) -> Vec<NodeId> {
         let contacts = self.contacts();
-        let lacks = |m: &&Member| contacts.find(m.id).is_none_or(|c| c.position < position);
-        let members = registry.members().iter().filter(lacks);
-        members.map(|m| m.id).collect()
+        let holds = |id| {
+            let found = contacts.binary_search_by_key(&id, |c| c.member.id);
+            found.is_ok_and(|i| contacts[i].position >= position)
+        };
+        let ids = registry.members().iter().map(|m| m.id);
+        ids.filter(|id| !holds(*id)).collect()
     }
 
-    /// Returns the due change of the registry, if any; `since` is when this replica began to lead.
-    pub fn due_change(&self, now: Time, since: Time, registry: &Registry) -> RegistryChange {
+    /// Returns the nodes that the leader should visit now; they count as visited.
+    pub fn due_visits(&self, now: Time) -> Vec<Member> {
         let mut contacts = self.contacts();
-        contacts.retain(|c| now.since(c.last) < SILENCE);
-        let mut change = RegistryChange::default();
-        for member in registry.members() {
-            let last = contacts
-                .find(member.id)
-                .map_or(since, |c| c.last.max(since));
-            if now.since(last) >= SILENCE || contacts.is_replaced(member) {
-                change.left.push(member.id);
-            }
-        }
-        for contact in contacts.iter() {
-            let present = now.since(contact.last) < PRESENT;
-            let known = registry.get(contact.member.id).is_some();
-            if !present || known || contacts.is_replaced(&contact.member) {
-                continue;
-            }
-            change.joined.push(contact.member.clone());
-            // Where two nodes claim one address, the later one joins once the earlier is silent.
-            if registry.changed(&change).is_err() {
-                change.joined.pop();
-            }
+        contacts.retain(|c| now.since(c.last) < CONTACT_MAX);
+        let is_due = |c: &&mut Contact| c.visited.is_none_or(|t| now >= t + VISIT_INTERVAL);
+        let due = contacts.iter_mut().filter(is_due);
+        let visited = due.map(|c| {
+            c.visited = Some(now);
+            c.member.clone()
+        });
+        visited.collect()
+    }
+
+    /// Makes every node due for a visit, for a new leader.
+    pub fn forget_visits(&self) {
+        for contact in self.contacts().iter_mut() {
+            contact.visited = None;
         }
-        change
     }
 }
 
-/// Questions about a sorted list of contacts.
-trait Contacts {
-    fn find(&self, id: NodeId) -> Option<&Contact>;
-    fn successor(&self, member: &Member) -> Option<&Contact>;
-    fn is_replaced(&self, member: &Member) -> bool;
-    fn holds(&self, now: Time, member: &Member, position: Position) -> bool;
+/// Who runs on each address, as a leader knows it in its term.
+#[derive(Debug, Default)]
+pub struct Census {
+    roll: Roll,
+    /// Processes that are proved dead, and since when that is known.
+    dead: BTreeMap<NodeId, Time>,
+    /// The position of the last registry that was taken in.
+    learned: Position,
+    /// The position of the last change that this leader proposed.
+    proposed: Position,
 }
 
-impl Contacts for Vec<Contact> {
-    fn find(&self, id: NodeId) -> Option<&Contact> {
-        let i = self.binary_search_by_key(&id, |c| c.member.id).ok()?;
-        Some(&self[i])
+impl Census {
+    /// Takes in the registries that came into force since the last call, oldest first.
+    pub fn learn(&mut self, now: Time, state: &State) {
+        for (position, registry) in state.registries() {
+            if position > self.learned {
+                self.learned = position;
+                let dead = self.roll.learn(now, registry);
+                self.bury(now, dead);
+            }
+        }
     }
 
-    /// Returns a node that appeared on the member's address after the member's last question.
-    fn successor(&self, member: &Member) -> Option<&Contact> {
-        let last = self.find(member.id).map_or(Time::ZERO, |c| c.last);
-        let later = |c: &&Contact| {
-            c.member.addr == member.addr && c.member.id != member.id && c.first > last
-        };
-        self.iter().find(later)
+    /// Takes in that a node answered a visit.
+    pub fn sight(&mut self, now: Time, sighting: Sighting) {
+        let dead = self.roll.sight(now, sighting);
+        self.bury(now, dead);
+    }
+
+    fn bury(&mut self, now: Time, dead: impl IntoIterator<Item = NodeId>) {
+        for id in dead {
+            self.dead.entry(id).or_insert(now);
+        }
+    }
+
+    /// Returns the due change of the registry; `position` is that of the applied state.
+    pub fn due_change(
+        &mut self,
+        now: Time,
+        position: Position,
+        registry: &Registry,
+    ) -> Option<RegistryChange> {
+        if position < self.proposed {
+            return None;
+        }
+        self.roll.propose(now, registry)
     }
 
-    fn is_replaced(&self, member: &Member) -> bool {
-        self.successor(member).is_some()
+    /// Notes the position of a change that [`Census::due_change`] returned.
+    pub fn proposed(&mut self, position: Position) {
+        self.proposed = position;
     }
 
-    fn holds(&self, now: Time, member: &Member, position: Position) -> bool {
-        let present = self.find(member.id).is_some_and(|c| c.position >= position);
-        let dead = self
-            .successor(member)
-            .is_some_and(|c| now.since(c.first) >= EVIDENCE_LIFETIME);
-        present || dead
+    /// Returns the last position that can be accepted.
+    ///
+    /// A process that is proved dead counts as holding everything once no evidence from it is left.
+    pub fn acceptable(&self, now: Time, nodes: &Nodes, state: &State) -> Option<Position> {
+        let is_gone = |since: &Time| now.since(*since) >= EVIDENCE_GONE;
+        state.acceptable(|registry, position| {
+            let missing = nodes.missing(registry, position);
+            registry.is_majority(|id| {
+                missing.binary_search(&id).is_err() || self.dead.get(&id).is_some_and(is_gone)
+            })
+        })
     }
 }
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -73,6 +73,12 @@
             .map_or_else(Arc::default, |(_, r)| r.clone())
     }
 
+    /// Returns the registries in force since the last accepted position, oldest first, with the
+    /// positions that brought them.
+    pub fn registries(&self) -> impl Iterator<Item = (Position, &Registry)> {
+        self.registries.iter().map(|(p, r)| (*p, &**r))
+    }
+
     /// Returns the position of the entry that put the registry in force.
     pub fn registry_position(&self) -> Position {
         self.registries.last().map_or(Position(0), |(p, _)| *p)
--- a/tests/control_group.rs
+++ b/tests/control_group.rs
@@ -12,8 +12,9 @@
 use laburnumtide::prelude::*;
 use laburnumtide::replica::Vouch;
 use laburnumtide::wire::sync::{Answer, Client as SyncClient};
-use laburnumtide::wire::{Channel, Hello, Peer, Protocol, Role, Secret};
+use laburnumtide::wire::{Channel, Hello, Peer, Protocol, Role, Secret, accept};
 use tempfile::TempDir;
+use tokio::net::TcpListener;
 
 const PATIENCE: Duration = Duration::from_secs(30);
 
@@ -139,7 +140,7 @@
 }
 
 impl Node {
-    fn new(group: &Group, i: usize) -> Node {
+    async fn new(group: &Group, i: usize) -> Node {
         let member = Member {
             id: NodeId::random(),
             addr: group.addr(50 + i, 7201),
@@ -150,6 +151,12 @@
             id: member.id.0,
             protocol: Protocol::Frames,
         };
+        let listener = TcpListener::bind(member.addr).await.unwrap();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let _ = accept(stream, &fleet_secret(), hello).await;
+            }
+        });
         let peer = |i| Peer::new(group.addr(i, 7100), fleet_secret(), hello);
         Node {
             member,
@@ -284,7 +291,7 @@
     let group = Group::start(3).await;
     let mut client = group.client();
     group.leader().await;
-    let (mut a, b) = (Node::new(&group, 0), Node::new(&group, 1));
+    let (mut a, b) = (Node::new(&group, 0).await, Node::new(&group, 1).await);
     let ids = [a.member.id, b.member.id];
     let run = tokio::spawn(b.run());
     let start = Instant::now();
@@ -335,7 +342,12 @@
     let mut client = group.client();
     let leader = group.leader().await;
     let away = (leader + 1) % 3;
-    submit(&mut client, &note(1, "a1")).await;
+    // The snapshot takes several chunks.
+    let more = (0..9_000).map(|n| {
+        format!("[[added.accounts]]\nname = \"member-of-a-large-list-{n:05}\"\nrate = \"5/s\"\nburst = 5\n")
+    });
+    let large = note(1, "a1") + &more.collect::<String>();
+    submit(&mut client, &large).await;
     group.stop(away).await;
     // Each note brings its acceptance with it, so these are more entries than memory keeps.
     for number in 2..=1_200 {
@@ -347,7 +359,7 @@
         view.state().config().number() == NoteNumber(1_200)
     };
     group.eventually("the replica has caught up", current).await;
-    let mut node = Node::new(&group, 0);
+    let mut node = Node::new(&group, 0).await;
     let start = Instant::now();
     while node.client.state().config().number() < NoteNumber(1_200) {
         node.ask(away, Duration::ZERO).await;
