--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -120,6 +120,8 @@
     in_flight: Option<InFlight>,
     queue: VecDeque<(Note, oneshot::Sender<Submitted>)>,
     leading: Option<Leading>,
+    /// When to try the journal again, while it can't be read after a failed write.
+    closed: Option<Instant>,
     seen: (Role, Term, Option<ReplicaId>),
 }
 
@@ -150,6 +152,7 @@
             in_flight: None,
             queue: VecDeque::new(),
             leading: None,
+            closed: None,
             seen,
         }
     }
@@ -176,6 +179,10 @@
                 }
                 self.handle(command);
             }
+            if self.is_closed()? {
+                next_tick = Instant::now() + TICK;
+                continue;
+            }
             if Instant::now() >= next_tick {
                 next_tick = Instant::now() + TICK;
                 self.replica.tick(self.clock.now(), &mut self.rng);
@@ -187,6 +194,11 @@
     fn handle(&mut self, command: Command) {
         let now = self.clock.now();
         match command {
+            Command::Submit(_, reply) if self.closed.is_some() => {
+                let text = "the data folder is not writable at present".to_owned();
+                let _ = reply.send(Submitted::Unavailable(text));
+            }
+            _ if self.closed.is_some() => {}
             Command::Envelope(envelope) => self.take_in(now, envelope),
             Command::Submit(note, reply) => self.queue.push_back((note, reply)),
             Command::Sighted(sighting) => {
@@ -226,10 +238,12 @@
     fn settle(&mut self) -> Result<()> {
         self.carry_out()?;
         self.watch_role();
+        if self.closed.is_some() {
+            return Ok(());
+        }
         self.lead();
         self.carry_out()?;
-        self.save_snapshot()?;
-        Ok(())
+        self.save_snapshot()
     }
 
     fn carry_out(&mut self) -> Result<()> {
@@ -297,19 +311,31 @@
             let text = format!("the note could not be stored: {error}");
             let _ = in_flight.reply.send(Submitted::Unavailable(text));
         }
-        let stored = loop {
-            match self.journal.load() {
-                Ok(stored) => break stored,
-                Err(e) if e.category() == Category::Corrupt => return Err(e),
-                Err(e) => {
-                    warn!(event = "load-failed", error:% = e; "tries again");
-                    std::thread::sleep(RELOAD_DELAY);
-                }
+        self.closed = Some(Instant::now());
+        self.is_closed().map(|_| ())
+    }
+
+    /// Returns true while the journal can't be read again after a failed write.
+    fn is_closed(&mut self) -> Result<bool> {
+        match self.closed {
+            None => return Ok(false),
+            Some(retry) if Instant::now() < retry => return Ok(true),
+            Some(_) => {}
+        }
+        match self.journal.load() {
+            Ok(stored) => {
+                self.replica = Replica::restore(self.clock.now(), stored)?;
+                self.view.publish_meta(&self.replica, self.clock.now());
+                self.closed = None;
+                Ok(false)
             }
-        };
-        self.replica = Replica::restore(self.clock.now(), stored)?;
-        self.view.publish_meta(&self.replica, self.clock.now());
-        Ok(())
+            Err(e) if e.category() == Category::Corrupt => Err(e),
+            Err(e) => {
+                warn!(event = "load-failed", error:% = e; "tries again");
+                self.closed = Some(Instant::now() + RELOAD_DELAY);
+                Ok(true)
+            }
+        }
     }
 
     fn watch_role(&mut self) {
@@ -322,6 +348,7 @@
         if role == Role::Leader && self.leading.as_ref().is_none_or(|l| l.term != term) {
             info!(event = "leader-elected", term:% = term; "this replica leads");
             self.metrics.count("control.elected");
+            self.metrics.gauge("control.leads", 1);
             self.nodes.forget_visits();
             self.leading = Some(Leading {
                 term,
@@ -330,6 +357,7 @@
             });
         } else if role != Role::Leader && self.leading.take().is_some() {
             info!(event = "leader-left", term:% = term; "this replica leads no longer");
+            self.metrics.gauge("control.leads", 0);
             self.drop_in_flight();
         } else if leader != self.seen.2
             && let Some(leader) = leader
--- a/src/control/operator.rs
+++ b/src/control/operator.rs
@@ -25,10 +25,10 @@
 use crate::control::core::{Command, Submitted};
 use crate::control::nodes::Nodes;
 use crate::control::state::NoteHead;
-use crate::control::view::View;
+use crate::control::view::{Meta, View};
 use crate::metrics::Metrics;
 use crate::replica;
-use crate::time::{Clock, Monotonic};
+use crate::time::{Clock, Monotonic, Time};
 use crate::units::NoteNumber;
 use crate::wire::Secret;
 
@@ -279,7 +279,7 @@
         });
         let status = Status {
             replica: meta.id,
-            role: role_name(&meta).to_owned(),
+            role: role_name(&meta, now).to_owned(),
             term: meta.term,
             leader: meta.leader_operator(),
             committed: meta.committed,
@@ -291,12 +291,13 @@
     }
 }
 
-fn role_name(meta: &crate::control::view::Meta) -> &'static str {
+/// A leader without its lease counts as a candidate, since another may have been elected.
+fn role_name(meta: &Meta, now: Time) -> &'static str {
     match meta.role {
-        replica::Role::Leader => "leader",
-        replica::Role::PreCandidate | replica::Role::Candidate => "candidate",
+        replica::Role::Leader if meta.leads(now) => "leader",
         replica::Role::Follower if meta.replicas.is_voter(meta.id) => "follower",
         replica::Role::Follower => "learner",
+        _ => "candidate",
     }
 }
 
--- a/tests/control_group.rs
+++ b/tests/control_group.rs
@@ -6,11 +6,13 @@
 use std::time::{Duration, Instant};
 
 use laburnumtide::control::api::NoteState;
-use laburnumtide::control::{Handle, Settings, spawn};
+use laburnumtide::control::journal::StoreJournal;
+use laburnumtide::control::{Handle, Settings, spawn, spawn_with};
 use laburnumtide::ctl::{Client, SubmitReply};
 use laburnumtide::fleet::Member;
 use laburnumtide::prelude::*;
 use laburnumtide::replica::Vouch;
+use laburnumtide::storage::fake::FakeDisk;
 use laburnumtide::wire::sync::{Answer, Client as SyncClient};
 use laburnumtide::wire::{Channel, Hello, Peer, Protocol, Role, Secret, accept};
 use tempfile::TempDir;
@@ -385,6 +387,34 @@
     assert_eq!(error.category(), Category::Corrupt);
 }
 
+/// Guards against a full or failing disk that loses notes, ends the process or stops reads.
+#[tokio::test(flavor = "multi_thread")]
+async fn failing_disk() {
+    let mut group = Group::start(0).await;
+    group.size = 1;
+    let disk = FakeDisk::new();
+    let journal = StoreJournal::open(disk.clone(), "data").unwrap();
+    let handle = spawn_with(group.settings(0), journal).await.unwrap();
+    let mut client = group.client();
+    submit(&mut client, &note(1, "yard")).await;
+    for number in [2, 3] {
+        let text = note(number, &format!("a{number}"));
+        match number {
+            2 => disk.set_room(Some(0)),
+            _ => disk.set_sync_fails(true),
+        }
+        let refused = client.submit(&text, Duration::ZERO).await.unwrap_err();
+        assert_eq!(refused.category(), Category::Unavailable);
+        let status = client.status(PATIENCE).await.unwrap();
+        assert_eq!(status.number, NoteNumber(number - 1));
+        disk.set_room(None);
+        disk.set_sync_fails(false);
+        let state = submit(&mut client, &text).await;
+        assert_eq!(state.number, NoteNumber(number));
+    }
+    handle.stop().await.unwrap();
+}
+
 /// Flips a bit of the first occurrence of `text`.
 fn flip(path: &Path, text: &[u8]) {
     let mut bytes = std::fs::read(path).unwrap();
