Check the interval bound of rate limits in storms of faults

Found on the way: tokens granted in advance must stay within the burst, since the room for the level otherwise keeps the debt from being repaid, and credits must not be numbered alike by two processes on one address.

--- a/src/limit/bucket.rs
+++ b/src/limit/bucket.rs
@@ -136,6 +136,7 @@
             self.serve_reserve(index, target);
         }
         let pace = pause(self.fair_rate(index));
+        let prompt = self.is_tight();
         let credit = &mut self.credits[index];
         credit.until = credit.until.max(now + valid_for);
         Grant {
@@ -147,6 +148,7 @@
             target,
             retry: (denied > 0).then(|| self.next_token(index)),
             pace,
+            prompt,
         }
     }
 
@@ -165,9 +167,28 @@
 
     /// Returns the highest level that keeps level and outstanding tokens within the burst.
     fn room(&self) -> i128 {
+        (i128::from(self.allowance.burst.0) - i128::from(self.outstanding())) * TOKEN
+    }
+
+    fn outstanding(&self) -> u64 {
         let credits: u64 = self.credits.iter().map(Credit::outstanding).sum();
         let remnants: u64 = self.remnants.iter().map(|r| r.tokens).sum();
-        (i128::from(self.allowance.burst.0) - i128::from(credits + remnants)) * TOKEN
+        credits + remnants
+    }
+
+    /// Returns the whole tokens in `units` that can be granted.
+    ///
+    /// Outstanding tokens stay within the burst, also those granted in advance: a debt is repaid
+    /// only as long as the room for the level is not negative.
+    fn grantable(&self, units: i128) -> u64 {
+        let tokens = (units / TOKEN).max(0) as u64;
+        let burst = u64::from(self.allowance.burst.0);
+        tokens.min(burst.saturating_sub(self.outstanding()))
+    }
+
+    /// Returns true if holders should report spent tokens without delay, since these fill the burst.
+    fn is_tight(&self) -> bool {
+        self.outstanding() * 2 >= u64::from(self.allowance.burst.0)
     }
 
     /// Books the counters of an ask and returns the index of its credit, unless it is outdated.
@@ -271,7 +292,7 @@
     fn serve_waiting(&mut self, now: Time, index: usize, waiting: u32) -> u64 {
         let waiting = u64::from(waiting);
         let advance = self.minted_in(WAIT_MAX);
-        let mut most = ((self.level + advance) / TOKEN).max(0) as u64;
+        let mut most = self.grantable(self.level + advance);
         if self.is_scarce() {
             most = most.min(self.credits[index].fair.max(0.0) as u64);
         }
@@ -290,7 +311,7 @@
     /// Grants up to the target, from tokens that the owner need not keep for others.
     fn serve_reserve(&mut self, index: usize, target: u64) {
         let kept = self.kept();
-        let spare = ((self.level - kept) / TOKEN).max(0) as u64;
+        let spare = self.grantable(self.level - kept);
         let credit = &self.credits[index];
         if credit.settled < credit.granted {
             return;
@@ -347,6 +368,7 @@
             target: 0,
             retry: None,
             pace: pause(self.allowance.rate.as_f64()),
+            prompt: false,
         }
     }
 }
--- a/src/limit/holder.rs
+++ b/src/limit/holder.rs
@@ -94,6 +94,7 @@
     arrivals: u32,
     last_arrival: Time,
     target: u64,
+    prompt: bool,
     scarce: Option<Scarce>,
     /// Start of the time without an owner.
     lost: Option<Time>,
@@ -132,6 +133,12 @@
         credits.map(|c| c.held(now)).sum()
     }
 
+    /// Returns true if the owner waits for a report of spent tokens.
+    fn owes_report(&self) -> bool {
+        let unreported = self.credit.as_ref().map_or(0, Credit::unreported);
+        self.prompt && unreported > 0 && unreported * 4 >= self.target
+    }
+
     fn is_low(&self, now: Time) -> bool {
         self.usable(now) * 2 < self.target
     }
@@ -175,16 +182,20 @@
 
 impl Holder {
     /// Creates a holder without tokens; `seed` feeds the jitter of retry times.
+    ///
+    /// Credits are numbered from a random start, so that an answer to an earlier process on the
+    /// same address fits none of them.
     pub fn new(seed: u64) -> Holder {
+        let mut rng = StdRng::seed_from_u64(seed);
         Holder {
             accounts: BTreeMap::new(),
             due: BTreeSet::new(),
             busy: BTreeSet::new(),
             owners: BTreeMap::new(),
             done: Vec::new(),
-            credits: 0,
+            credits: rng.random_range(0..u64::MAX / 2),
             tickets: 0,
-            rng: StdRng::seed_from_u64(seed),
+            rng,
             ticked: Time::ZERO,
         }
     }
@@ -198,7 +209,7 @@
         usage.arrivals += 1;
         usage.last_arrival = now;
         if usage.waiting.is_empty() && usage.spend(now) {
-            if usage.asked_at.is_none() && usage.is_low(now) {
+            if usage.asked_at.is_none() && (usage.is_low(now) || usage.owes_report()) {
                 self.due.insert(account.clone());
             }
             return Admit::Granted;
@@ -332,6 +343,7 @@
             return;
         }
         usage.target = grant.target;
+        usage.prompt = grant.prompt;
         deliver(usage, now, &mut self.done);
         match grant.retry {
             Some(retry) if answers_ask => {
@@ -371,7 +383,8 @@
         let Some(usage) = self.accounts.get(name) else {
             return;
         };
-        if usage.asked_at.is_none() && usage.waiting.len() as u64 > usage.held(now) {
+        let uncovered = usage.waiting.len() as u64 > usage.held(now);
+        if usage.asked_at.is_none() && (uncovered || usage.owes_report()) {
             self.due.insert(name.clone());
         }
         if usage.asked_at.is_none() && usage.waiting.is_empty() {
--- a/src/limit/message.rs
+++ b/src/limit/message.rs
@@ -13,8 +13,8 @@
     pub node: NodeId,
     /// Send time on the candidate's clock; grows with each claim and orders them at the seat.
     pub sent: Time,
-    /// Digest of the seat layout that the candidate follows.
-    pub layout: u64,
+    /// Digests of the seat layouts that the candidate follows, the newest last.
+    pub layouts: Vec<u64>,
     /// Shards to vote for.
     pub claim: Vec<Shard>,
     /// Shards whose vote is given back.
@@ -111,4 +111,6 @@
     pub retry: Option<Duration>,
     /// Time between tokens for this holder while they are scarce.
     pub pace: Duration,
+    /// The holder should report spent tokens without delay.
+    pub prompt: bool,
 }
--- a/src/limit/owner.rs
+++ b/src/limit/owner.rs
@@ -8,9 +8,7 @@
 
 use crate::ids::{AccountName, NodeId};
 use crate::limit::bucket::Bucket;
-use crate::limit::{
-    Answer, Ask, Ballot, Claim, LEASE, Placement, RENEW_PERIOD, Reply, SHARD_COUNT, Shard,
-};
+use crate::limit::{Answer, Ask, Ballot, Claim, LEASE, Placement, RENEW_PERIOD, Reply, Shard};
 use crate::time::Time;
 use crate::units::{Burst, Rate};
 
@@ -35,6 +33,8 @@
     node: NodeId,
     shards: BTreeMap<Shard, Tenure>,
     leases: u64,
+    /// Latest release among the shards that have been forgotten.
+    released: Time,
 }
 
 /// What the node knows about one shard.
@@ -102,10 +102,11 @@
             node,
             shards: BTreeMap::new(),
             leases: 0,
+            released: Time::ZERO,
         }
     }
 
-    /// Returns the claims that are due, one for each seat; `mine` says which shards are handled here.
+    /// Returns the claims that are due, one for each seat, among `shards`.
     ///
     /// A node claims the shards that it holds and those whose first live candidate it is, unless a
     /// seat has said that another node holds them. It gives back votes that it has no use for.
@@ -113,10 +114,10 @@
         &mut self,
         now: Time,
         placement: &Placement,
-        mine: impl Fn(Shard) -> bool,
+        shards: impl IntoIterator<Item = Shard>,
     ) -> BTreeMap<SocketAddr, Claim> {
         let mut claims = BTreeMap::new();
-        for shard in (0..SHARD_COUNT).map(Shard).filter(|s| mine(*s)) {
+        for shard in shards {
             let first = placement.candidate(shard) == Some(self.node);
             if !first && !self.shards.contains_key(&shard) {
                 continue;
@@ -134,7 +135,11 @@
         first: bool,
         claims: &mut BTreeMap<SocketAddr, Claim>,
     ) {
-        let tenure = self.shards.entry(shard).or_default();
+        let released = self.released;
+        let tenure = self.shards.entry(shard).or_insert_with(|| Tenure {
+            released,
+            ..Tenure::default()
+        });
         tenure.lapse(now, tenure.until(placement, shard));
         tenure.votes.retain(|_, until| *until > now);
         let held_by_other = tenure.other.is_some_and(|o| o.until > now);
@@ -145,7 +150,7 @@
         let new_claim = || Claim {
             node: self.node,
             sent: now,
-            layout: placement.layout(),
+            layouts: placement.layouts(),
             claim: Vec::new(),
             release: Vec::new(),
         };
@@ -169,6 +174,7 @@
                 .push(shard);
         }
         if !first && !held_by_other {
+            self.released = self.released.max(tenure.released);
             self.shards.remove(&shard);
         }
     }
@@ -182,7 +188,9 @@
             self.book_vote(now, placement, shard, seat, ballot.sent, until);
         }
         for held in &ballot.held {
-            let tenure = self.shards.entry(held.shard).or_default();
+            let Some(tenure) = self.shards.get_mut(&held.shard) else {
+                continue;
+            };
             let until = now + held.remaining;
             tenure.votes.remove(&seat);
             tenure.other = Some(Other {
@@ -207,7 +215,7 @@
         let Some(tenure) = self.shards.get_mut(&shard) else {
             return;
         };
-        if sent <= tenure.released && tenure.released > Time::ZERO {
+        if sent <= tenure.released {
             return;
         }
         tenure.lapse(now, tenure.until(placement, shard));
--- a/src/limit/placement.rs
+++ b/src/limit/placement.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::OnceLock;
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -101,14 +102,18 @@
 /// Both orders hash the address, so that a restarted process takes the place that it had before.
 ///
 /// When the registry changes the seats, a lease needs a majority of the old and of the new seats
-/// until [`Placement::settle`] is called. A seat votes only for claims of its own layout. Both
-/// rules together keep a node that has not learned the change from winning beside one that has.
+/// until [`Placement::settle`] is called, and a seat votes only for a claim that follows the seat's
+/// own layouts. So a node that has not learned the change cannot win beside one that has. A process
+/// that starts knows no earlier seats; the seats that do know them refuse its claims.
 #[derive(Clone, Debug)]
 pub struct Placement {
     me: NodeId,
     sites: Vec<Site>,
     live: Vec<bool>,
-    first: Vec<Option<NodeId>>,
+    /// Hashes of the live sites.
+    hashes: BTreeMap<u64, NodeId>,
+    /// First candidates, found when they are first asked for.
+    first: Vec<OnceLock<Option<NodeId>>>,
     layouts: Vec<Layout>,
 }
 
@@ -119,7 +124,8 @@
             me,
             sites: Vec::new(),
             live: Vec::new(),
-            first: vec![None; usize::from(SHARD_COUNT)],
+            hashes: BTreeMap::new(),
+            first: vec![OnceLock::new(); usize::from(SHARD_COUNT)],
             layouts: Vec::new(),
         }
     }
@@ -159,7 +165,7 @@
 
     /// Returns the first live node in the rendezvous order of a shard.
     pub fn candidate(&self, shard: Shard) -> Option<NodeId> {
-        self.first[usize::from(shard.0)]
+        *self.first[usize::from(shard.0)].get_or_init(|| self.find_first(shard))
     }
 
     /// Returns true if this node believes that `node` is alive.
@@ -176,9 +182,9 @@
         Some(site.addr)
     }
 
-    /// Returns the digest of the seat layout that claims must name.
-    pub fn layout(&self) -> u64 {
-        self.layouts.last().map_or(0, |layout| layout.digest)
+    /// Returns the digests of the seat layouts in force, the newest last.
+    pub fn layouts(&self) -> Vec<u64> {
+        self.layouts.iter().map(|layout| layout.digest).collect()
     }
 
     /// Returns the sets of seats of a shard; a lease needs a majority of each.
@@ -200,16 +206,15 @@
     }
 
     fn order(&mut self) {
-        let mut hashes = BTreeMap::new();
-        for (site, live) in self.sites.iter().zip(&self.live) {
-            if *live {
-                hashes.insert(site.weight(0), site.id);
-            }
-        }
-        for shard in 0..SHARD_COUNT {
-            let weight = |hash: &u64| xxh3_64_with_seed(&hash.to_le_bytes(), u64::from(shard) + 1);
-            let best = hashes.iter().min_by_key(|(hash, _)| weight(hash));
-            self.first[usize::from(shard)] = best.map(|(_, id)| *id);
-        }
+        let live = self.sites.iter().zip(&self.live).filter(|(_, live)| **live);
+        self.hashes = live.map(|(site, _)| (site.weight(0), site.id)).collect();
+        self.first.fill(OnceLock::new());
+    }
+
+    fn find_first(&self, shard: Shard) -> Option<NodeId> {
+        let seed = u64::from(shard.0) + 1;
+        let weight = |hash: &u64| xxh3_64_with_seed(&hash.to_le_bytes(), seed);
+        let best = self.hashes.iter().min_by_key(|(hash, _)| weight(hash));
+        best.map(|(_, id)| *id)
     }
 }
--- a/src/limit/seat.rs
+++ b/src/limit/seat.rs
@@ -33,11 +33,14 @@
         }
     }
 
-    /// Votes on a claim; `layout` is the digest of the seat layout that this node follows.
+    /// Votes on a claim; `layouts` are the seat layouts that this node follows.
+    ///
+    /// A vote needs the same newest layout on both sides and a candidate that knows each earlier
+    /// layout of the seat.
     ///
     /// Returns `None` for a claim that arrives after a later one of the same node. Such a claim
     /// must not undo what the later one did.
-    pub fn vote(&mut self, now: Time, layout: u64, claim: &Claim) -> Option<Ballot> {
+    pub fn vote(&mut self, now: Time, layouts: &[u64], claim: &Claim) -> Option<Ballot> {
         if self
             .latest
             .get(&claim.node)
@@ -52,7 +55,7 @@
             abstains: self.abstains(now),
             ..Ballot::default()
         };
-        if ballot.abstains.is_some() || layout != claim.layout {
+        if ballot.abstains.is_some() || !follows(&claim.layouts, layouts) {
             return Some(ballot);
         }
         for &shard in &claim.claim {
@@ -109,3 +112,8 @@
         self.votes.insert(shard, Vote { holder, until });
     }
 }
+
+/// Returns true if the claim's layouts end like the seat's and contain all of them.
+fn follows(claim: &[u64], seat: &[u64]) -> bool {
+    claim.last() == seat.last() && seat.iter().all(|digest| claim.contains(digest))
+}
--- /dev/null
+++ b/tests/limit_sim/mod.rs
@@ -0,0 +1,486 @@
+//! A fleet of holders, owners and seats in virtual time, with a fake transport.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use laburnumtide::limit::{
+    Accounts, Admit, Allowance, Answer, Ask, Ballot, Claim, Holder, LEASE, Owner, Placement, Seat,
+    Shard, Site, Ticket,
+};
+use laburnumtide::prelude::*;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+pub const MS: u64 = 1_000;
+pub const SEC: u64 = 1_000_000;
+
+/// A protection that a run goes without, to see the check of the bound fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mutant {
+    None,
+    UncountedGrants,
+    NewOwnerNotWaiting,
+    SeatVotesAtOnce,
+    CheckBeforePause,
+}
+
+/// Behaviour of the fake transport and the clocks.
+#[derive(Clone, Debug)]
+pub struct Net {
+    pub loss: f64,
+    pub repeat: f64,
+    pub late: f64,
+    /// Longest extra delay of a late message.
+    pub late_max: u64,
+    pub drift: f64,
+}
+
+impl Net {
+    pub const CLEAN: Net = Net {
+        loss: 0.0,
+        repeat: 0.0,
+        late: 0.0,
+        late_max: 0,
+        drift: 0.0,
+    };
+}
+
+#[derive(Clone, Default)]
+pub struct Book(pub BTreeMap<AccountName, Allowance>);
+
+impl Accounts for Book {
+    fn allowance(&self, name: &AccountName) -> Option<Allowance> {
+        self.0.get(name).copied()
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Message {
+    Claim(Claim),
+    Ballot(SocketAddr, Ballot),
+    Asks(NodeId, Vec<Ask>),
+    Answers(Vec<Answer>),
+}
+
+enum Event {
+    Deliver(usize, Message),
+    Tick(usize, NodeId),
+    Poll(usize, NodeId),
+    Request(usize, AccountName),
+}
+
+pub struct Node {
+    pub site: Site,
+    pub up: bool,
+    pub paused_until: u64,
+    stale_now: Option<Time>,
+    poll_at: u64,
+    skew: u64,
+    drift: f64,
+    holder: Holder,
+    pub owner: Owner,
+    seat: Seat,
+    pub placement: Placement,
+    waiting: BTreeMap<Ticket, (AccountName, u64)>,
+}
+
+impl Node {
+    fn now(&self, at: u64) -> Time {
+        Time(self.skew + (at as f64 * (1.0 + self.drift)) as u64)
+    }
+}
+
+/// What became of one request.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    pub at: u64,
+    pub account: AccountName,
+    pub refused: Option<Duration>,
+    pub waited: u64,
+}
+
+pub struct Sim {
+    pub at: u64,
+    pub nodes: Vec<Node>,
+    pub book: Book,
+    pub record: Vec<Entry>,
+    pub cut: Vec<(usize, usize)>,
+    pub messages: u64,
+    pub bytes: u64,
+    pub mutant: Mutant,
+    pub rng: StdRng,
+    shards: Vec<Shard>,
+    net: Net,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: BTreeMap<(u64, u64), Event>,
+    count: u64,
+}
+
+pub fn name(i: usize) -> AccountName {
+    format!("account-{i}").parse().unwrap()
+}
+
+pub fn allowance(rate: u64, burst: u32) -> Allowance {
+    Allowance {
+        rate: Rate::per_sec(rate),
+        burst: Burst(burst),
+    }
+}
+
+impl Sim {
+    /// Starts `count` nodes spread evenly over `zones`, all of them members.
+    pub fn new(seed: u64, count: usize, zones: usize, net: Net, book: Book) -> Sim {
+        let shards = book.0.keys().map(Shard::of).collect();
+        let mut sim = Sim {
+            shards,
+            at: 0,
+            nodes: Vec::new(),
+            book,
+            record: Vec::new(),
+            cut: Vec::new(),
+            messages: 0,
+            bytes: 0,
+            mutant: Mutant::None,
+            rng: StdRng::seed_from_u64(seed),
+            net,
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            count: 0,
+        };
+        for i in 0..count {
+            let addr = format!("127.{}.{}.1:7000", i / 200, i % 200);
+            let zone = format!("zone-{}", i % zones);
+            sim.add_node(i, addr.parse().unwrap(), zone.parse().unwrap());
+        }
+        sim.learn_all();
+        sim
+    }
+
+    fn add_node(&mut self, i: usize, addr: SocketAddr, zone: ZoneName) {
+        let id = NodeId(self.rng.random_range(1..=u64::MAX));
+        let drift = self.rng.random_range(-1.0..=1.0) * self.net.drift;
+        let skew = self.rng.random_range(3_600 * SEC..7_200 * SEC);
+        let now = Time(skew + (self.at as f64 * (1.0 + drift)) as u64);
+        let node = Node {
+            site: Site { id, addr, zone },
+            up: true,
+            paused_until: 0,
+            stale_now: None,
+            poll_at: u64::MAX,
+            skew,
+            drift,
+            holder: Holder::new(self.rng.random()),
+            owner: Owner::new(id),
+            seat: Seat::new(now),
+            placement: Placement::new(id),
+            waiting: BTreeMap::new(),
+        };
+        if i < self.nodes.len() {
+            self.nodes[i] = node;
+        } else {
+            self.nodes.push(node);
+        }
+        let offset = self.rng.random_range(0..100 * MS);
+        self.schedule(self.at + offset, Event::Tick(i, id));
+    }
+
+    /// Starts a process anew on the address of node `i`.
+    pub fn restart(&mut self, i: usize) {
+        let site = self.nodes[i].site.clone();
+        self.add_node(i, site.addr, site.zone);
+        if self.mutant == Mutant::SeatVotesAtOnce {
+            self.nodes[i].seat = Seat::new(Time::ZERO);
+        }
+    }
+
+    pub fn pause(&mut self, i: usize, length: u64) {
+        if self.mutant == Mutant::CheckBeforePause {
+            self.nodes[i].stale_now = Some(self.nodes[i].now(self.at));
+        }
+        self.nodes[i].paused_until = self.at + length;
+    }
+
+    /// Lets every node learn the members and which of them are up.
+    pub fn learn_all(&mut self) {
+        for i in 0..self.nodes.len() {
+            let up: Vec<NodeId> = self.live_ids();
+            self.learn(i, |id| up.contains(&id));
+        }
+    }
+
+    pub fn live_ids(&self) -> Vec<NodeId> {
+        let up = self.nodes.iter().filter(|n| n.up);
+        up.map(|n| n.site.id).collect()
+    }
+
+    /// Lets node `i` learn the members and take those for alive that `live` names.
+    pub fn learn(&mut self, i: usize, live: impl Fn(NodeId) -> bool) {
+        let sites: Vec<Site> = self.nodes.iter().map(|n| n.site.clone()).collect();
+        self.nodes[i].placement.set_members(&sites, live);
+    }
+
+    fn schedule(&mut self, at: u64, event: Event) {
+        self.count += 1;
+        self.queue.push(Reverse((at, self.count)));
+        self.events.insert((at, self.count), event);
+    }
+
+    pub fn request(&mut self, at: u64, node: usize, account: &AccountName) {
+        self.schedule(at, Event::Request(node, account.clone()));
+    }
+
+    /// Schedules a Poisson flow of requests.
+    pub fn flow(&mut self, from: u64, to: u64, node: usize, account: &AccountName, rate: f64) {
+        let mut at = from as f64;
+        loop {
+            let u: f64 = self.rng.random_range(f64::MIN_POSITIVE..1.0);
+            at += -u.ln() / rate * 1e6;
+            if at >= to as f64 {
+                return;
+            }
+            self.request(at as u64, node, account);
+        }
+    }
+
+    pub fn run_until(&mut self, end: u64) {
+        while let Some(Reverse(key)) = self.queue.peek().copied() {
+            if key.0 > end {
+                break;
+            }
+            self.queue.pop();
+            let event = self.events.remove(&key).unwrap();
+            self.at = key.0;
+            self.step(event);
+        }
+        self.at = end;
+    }
+
+    fn step(&mut self, event: Event) {
+        let (i, id) = match &event {
+            Event::Deliver(i, _) | Event::Request(i, _) => (*i, None),
+            Event::Tick(i, id) | Event::Poll(i, id) => (*i, Some(*id)),
+        };
+        let node = &self.nodes[i];
+        if !node.up || id.is_some_and(|id| id != node.site.id) {
+            return;
+        }
+        if node.paused_until > self.at {
+            return self.schedule(self.nodes[i].paused_until, event);
+        }
+        let now = node.now(self.at);
+        match event {
+            Event::Deliver(_, message) => self.deliver(i, now, message),
+            Event::Tick(_, id) => self.tick(i, id, now),
+            // A poll that an earlier one has replaced.
+            Event::Poll(..) if self.nodes[i].poll_at > self.at => return,
+            Event::Poll(..) => {
+                self.nodes[i].poll_at = u64::MAX;
+                self.nodes[i].holder.poll(now);
+            }
+            Event::Request(_, account) => self.admit(i, now, account),
+        }
+        self.flush(i, now);
+    }
+
+    fn admit(&mut self, i: usize, now: Time, account: AccountName) {
+        let node = &mut self.nodes[i];
+        let checked = node.stale_now.unwrap_or(now);
+        match node.holder.admit(checked, &account) {
+            Admit::Granted => self.note(account, None, 0),
+            Admit::Refused(refusal) => self.note(account, refusal.retry_after, 0),
+            Admit::Ask(ticket) => {
+                node.waiting.insert(ticket, (account, self.at));
+            }
+        }
+    }
+
+    fn note(&mut self, account: AccountName, refused: Option<Duration>, waited: u64) {
+        self.record.push(Entry {
+            at: self.at,
+            account,
+            refused,
+            waited,
+        });
+    }
+
+    fn tick(&mut self, i: usize, id: NodeId, now: Time) {
+        self.schedule(self.at + 100 * MS, Event::Tick(i, id));
+        let node = &mut self.nodes[i];
+        node.stale_now = None;
+        node.holder.poll(now);
+        node.seat.expire(now);
+        node.owner.expire(now);
+        let claims = node
+            .owner
+            .claims(now, &node.placement, self.shards.iter().copied());
+        let closed = node.holder.tick(now);
+        self.send_asks(i, closed);
+        for (seat, claim) in claims {
+            if let Some(to) = self.index_of(seat) {
+                let size = 40 + 2 * claim.claim.len() + 2 * claim.release.len();
+                self.send(i, to, Message::Claim(claim), size);
+            }
+        }
+    }
+
+    fn index_of(&self, addr: SocketAddr) -> Option<usize> {
+        self.nodes.iter().position(|n| n.site.addr == addr)
+    }
+
+    /// Sends what the holder has ready, collects ended waits and plans the next poll.
+    fn flush(&mut self, i: usize, now: Time) {
+        let asks = self.nodes[i].holder.take_asks(now);
+        self.send_asks(i, asks);
+        for done in self.nodes[i].holder.take_done() {
+            let (account, since) = self.nodes[i].waiting.remove(&done.ticket).unwrap();
+            let refused = done.result.err().and_then(|r| r.retry_after);
+            self.note(account, refused, self.at - since);
+        }
+        if let Some(next) = self.nodes[i].holder.next_poll(now) {
+            let wait = next.since(now).as_micros() as u64 * 102 / 100 + 100;
+            let at = self.at + wait;
+            if at < self.nodes[i].poll_at {
+                self.nodes[i].poll_at = at;
+                self.schedule(at, Event::Poll(i, self.nodes[i].site.id));
+            }
+        }
+    }
+
+    fn send_asks(&mut self, i: usize, asks: Vec<Ask>) {
+        let mut batches: BTreeMap<NodeId, Vec<Ask>> = BTreeMap::new();
+        for mut ask in asks {
+            if self.mutant == Mutant::UncountedGrants {
+                ask.spent = u64::MAX / 2;
+            }
+            let node = &self.nodes[i];
+            let owner = node
+                .holder
+                .owner_of(&node.placement, Shard::of(&ask.account));
+            batches
+                .entry(owner.unwrap_or_default())
+                .or_default()
+                .push(ask);
+        }
+        let from = self.nodes[i].site.id;
+        for (owner, asks) in batches {
+            let Some(to) = self.nodes.iter().position(|n| n.site.id == owner) else {
+                continue;
+            };
+            let size = 20 + asks.len() * 40;
+            self.send(i, to, Message::Asks(from, asks), size);
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message, size: usize) {
+        if from != to {
+            self.messages += 1;
+            self.bytes += size as u64;
+        }
+        if self.cut.contains(&(from, to)) || self.rng.random_bool(self.net.loss) {
+            return;
+        }
+        let copies = 1 + usize::from(self.rng.random_bool(self.net.repeat));
+        for _ in 0..copies {
+            let mut delay = self.delay(from, to);
+            if self.rng.random_bool(self.net.late) {
+                delay += self.rng.random_range(0..=self.net.late_max);
+            }
+            self.schedule(self.at + delay, Event::Deliver(to, message.clone()));
+        }
+    }
+
+    fn delay(&mut self, from: usize, to: usize) -> u64 {
+        if from == to {
+            return 10;
+        }
+        let same = self.nodes[from].site.zone == self.nodes[to].site.zone;
+        let base = if same { 300 } else { 1_000 };
+        base + self.rng.random_range(0..200)
+    }
+
+    fn deliver(&mut self, i: usize, now: Time, message: Message) {
+        match message {
+            Message::Claim(claim) => self.vote(i, now, claim),
+            Message::Ballot(seat, ballot) => {
+                let node = &mut self.nodes[i];
+                node.owner.ballot(now, &node.placement, seat, &ballot);
+            }
+            Message::Asks(from, asks) => self.answer(i, now, from, asks),
+            Message::Answers(answers) => {
+                for answer in &answers {
+                    self.nodes[i].holder.receive(now, answer);
+                }
+            }
+        }
+    }
+
+    fn vote(&mut self, i: usize, now: Time, claim: Claim) {
+        let node = &mut self.nodes[i];
+        if self.mutant == Mutant::NewOwnerNotWaiting {
+            node.seat = Seat::new(Time::ZERO);
+        }
+        let Some(ballot) = node.seat.vote(now, &node.placement.layouts(), &claim) else {
+            return;
+        };
+        let addr = node.site.addr;
+        let size = 24 + 2 * ballot.granted.len() + 16 * ballot.held.len();
+        if let Some(to) = self.nodes.iter().position(|n| n.site.id == claim.node) {
+            self.send(i, to, Message::Ballot(addr, ballot), size);
+        }
+    }
+
+    fn answer(&mut self, i: usize, now: Time, from: NodeId, asks: Vec<Ask>) {
+        let node = &mut self.nodes[i];
+        let answers: Vec<Answer> = asks
+            .iter()
+            .map(|ask| node.owner.ask(now, &node.placement, from, ask, &self.book))
+            .collect();
+        if let Some(to) = self.nodes.iter().position(|n| n.site.id == from) {
+            let size = 20 + answers.len() * 40;
+            self.send(i, to, Message::Answers(answers), size);
+        }
+    }
+
+    /// Returns the index of the node that holds the lease on an account's shard.
+    pub fn owner_of(&self, account: &AccountName) -> Option<usize> {
+        let shard = Shard::of(account);
+        self.nodes
+            .iter()
+            .position(|n| n.up && n.owner.holds(n.now(self.at), &n.placement, shard))
+    }
+}
+
+/// Returns the first pair of admissions that breaks `rate * t + burst`, as times.
+///
+/// `before[j] - after[i]` over all pairs is largest for the smallest `after`, so that one pass with
+/// a running minimum checks every pair.
+pub fn broken_pair(admitted: &[u64], limit: Allowance) -> Option<(u64, u64)> {
+    let rate = i128::from(limit.rate.as_millis());
+    let burst = i128::from(limit.burst.0) * 1_000_000_000;
+    let mut least: Option<(i128, u64)> = None;
+    for (k, at) in admitted.iter().enumerate() {
+        let value = k as i128 * 1_000_000_000 - rate * i128::from(*at);
+        if least.is_none_or(|(v, _)| value < v) {
+            least = Some((value, *at));
+        }
+        let (value_first, first) = least?;
+        if value + 1_000_000_000 - value_first > burst {
+            return Some((first, *at));
+        }
+    }
+    None
+}
+
+/// Returns the times of admission of an account.
+pub fn admitted(sim: &Sim, account: &AccountName) -> Vec<u64> {
+    let entries = sim.record.iter();
+    entries
+        .filter(|e| e.account == *account && e.refused.is_none())
+        .map(|e| e.at)
+        .collect()
+}
+
+/// Time after which a fresh fleet has owners.
+pub const WARM: u64 = LEASE.as_micros() as u64 + SEC;
