Run rate limits on a node over authenticated links

State lies in 16 parts, each under its own lock, which is never held across an await. Claims and reports of a tick go in one message for each peer. A fresh fleet refuses with starting and a retry time until its seats may vote, about one lease after the start; three nodes and a single node keep rate and burst over loopback.

--- /dev/null
+++ b/src/node/limits.rs
@@ -0,0 +1,525 @@
+//! Runs the rate limits of a node: leases, grants and local tokens.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+
+use crate::config::{Account, Config};
+use crate::error::{Error, Result};
+use crate::fleet::Member;
+use crate::ids::{AccountName, NodeId};
+use crate::limit::{
+    Accounts, Admit, Allowance, Answer, Ask, BATCH_PERIOD, Ballot, Claim, Holder, LEASE, Owner,
+    Placement, SHARD_COUNT, Seat, Shard, Site, Ticket,
+};
+use crate::metrics::Metrics;
+use crate::node::plug::{Admission, Policy};
+use crate::outcome::{Reason, Refusal};
+use crate::time::{Clock, Monotonic, Time};
+use crate::wire::{Channel, Hello, LimitReply, LimitRequest, Peer, Role, Secret};
+
+/// Parts of the state, each under its own lock.
+const PART_COUNT: u16 = 16;
+
+/// Longest time for a call; a holder sends a lost ask again sooner, and a late answer still counts.
+const CALL_TIME: Duration = Duration::from_millis(500);
+
+/// Longest sleep between two looks at waiting requests.
+const POLL_MAX: Duration = Duration::from_millis(100);
+
+/// Ticks between two sweeps of buckets that are not in use.
+const SWEEP_TICKS: u64 = 10;
+
+type Verdict = std::result::Result<(), Refusal>;
+
+/// The rate limits of one node.
+#[derive(Debug)]
+pub struct RateLimits {
+    me: NodeId,
+    clock: Monotonic,
+    policy: Arc<Policy>,
+    secret: Secret,
+    hello: Hello,
+    metrics: Metrics,
+    placement: ArcSwap<Placement>,
+    parts: Vec<Part>,
+    peers: Mutex<BTreeMap<SocketAddr, Peer>>,
+}
+
+/// The shards whose number leaves the same rest.
+#[derive(Debug)]
+struct Part {
+    state: Mutex<State>,
+    wake: Notify,
+}
+
+#[derive(Debug)]
+struct State {
+    holder: Holder,
+    owner: Owner,
+    seat: Seat,
+    waiting: BTreeMap<Ticket, oneshot::Sender<Verdict>>,
+}
+
+impl State {
+    /// Passes on the waits that have ended and returns the asks that are due.
+    fn flush(&mut self, now: Time) -> Vec<Ask> {
+        for done in self.holder.take_done() {
+            if let Some(sender) = self.waiting.remove(&done.ticket) {
+                // The request may be gone; its token is lost to the account, never spent twice.
+                let _ = sender.send(done.result);
+            }
+        }
+        self.holder.take_asks(now)
+    }
+}
+
+impl Part {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Accounts for Config {
+    fn allowance(&self, name: &AccountName) -> Option<Allowance> {
+        self.account(name).map(allowance_of)
+    }
+}
+
+fn allowance_of(account: &Account) -> Allowance {
+    Allowance {
+        rate: account.rate,
+        burst: account.burst,
+    }
+}
+
+/// Which part handles a shard.
+fn part_of(shard: Shard) -> usize {
+    usize::from(shard.0 % PART_COUNT)
+}
+
+impl RateLimits {
+    /// Creates the limits of the node `hello`, which has just started.
+    ///
+    /// Its seats abstain for one lease, so a fleet that starts as a whole refuses requests with a
+    /// key as `starting` for about that time.
+    pub fn new(policy: Arc<Policy>, secret: Secret, hello: Hello, metrics: Metrics) -> RateLimits {
+        let clock = Monotonic::new();
+        let me = NodeId(hello.id);
+        let now = clock.now();
+        let new_part = |_| Part {
+            state: Mutex::new(State {
+                holder: Holder::new(rand::random()),
+                owner: Owner::new(me),
+                seat: Seat::new(now),
+                waiting: BTreeMap::new(),
+            }),
+            wake: Notify::new(),
+        };
+        RateLimits {
+            me,
+            clock,
+            policy,
+            secret,
+            hello,
+            metrics,
+            placement: ArcSwap::from_pointee(Placement::new(me)),
+            parts: (0..PART_COUNT).map(new_part).collect(),
+            peers: Mutex::default(),
+        }
+    }
+
+    /// Takes over the registered nodes and this node's view of which of them are alive.
+    pub fn set_members(&self, members: &[Member], live: impl Fn(NodeId) -> bool) {
+        let sites: Vec<Site> = members
+            .iter()
+            .map(|m| Site {
+                id: m.id,
+                addr: m.addr,
+                zone: m.zone.clone(),
+            })
+            .collect();
+        self.placement.rcu(|old| {
+            let mut placement = Placement::clone(old);
+            placement.set_members(&sites, &live);
+            placement
+        });
+        self.lock_peers()
+            .retain(|addr, _| sites.iter().any(|site| site.addr == *addr));
+    }
+
+    /// Forgets the seats of earlier registries.
+    ///
+    /// To be called once the present registry has been accepted for longer than the lifetime of
+    /// evidence and a lease. Until then a lease needs the old seats as well.
+    pub fn settle_members(&self) {
+        self.placement.rcu(|old| {
+            let mut placement = Placement::clone(old);
+            placement.settle();
+            placement
+        });
+    }
+
+    /// Admits a request of `account` or refuses it, after at most `deadline`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal with the time when a token will exist.
+    pub async fn admit(self: &Arc<Self>, account: &Account, deadline: Duration) -> Verdict {
+        let shard = Shard::of(&account.name);
+        if self.placement.load().candidate(shard).is_none() {
+            return Err(Refusal::after(Reason::Starting, LEASE));
+        }
+        let part = &self.parts[part_of(shard)];
+        let (admit, asks, waiter) = {
+            let mut state = part.lock();
+            let now = self.clock.now();
+            let admit = state.holder.admit(now, &account.name);
+            let waiter = match admit {
+                Admit::Ask(ticket) => {
+                    let (sender, receiver) = oneshot::channel();
+                    state.waiting.insert(ticket, sender);
+                    Some(receiver)
+                }
+                _ => None,
+            };
+            let asks = match state.holder.has_asks() {
+                true => state.flush(now),
+                false => Vec::new(),
+            };
+            (admit, asks, waiter)
+        };
+        self.send_asks(asks);
+        match (admit, waiter) {
+            (Admit::Refused(refusal), _) => Err(refusal),
+            (_, Some(receiver)) => {
+                part.wake.notify_one();
+                wait_for(receiver, deadline).await
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Runs the limits until the future is dropped.
+    pub async fn run(self: Arc<Self>) {
+        let polls = (0..self.parts.len()).map(|i| self.keep_polled(i));
+        tokio::join!(
+            futures::future::join_all(polls),
+            self.keep_ticking(),
+            self.follow_policy(),
+        );
+    }
+
+    /// Ends waits of one part in time.
+    async fn keep_polled(self: &Arc<Self>, index: usize) {
+        let part = &self.parts[index];
+        loop {
+            let (asks, wait) = {
+                let mut state = part.lock();
+                let now = self.clock.now();
+                state.holder.poll(now);
+                let asks = state.flush(now);
+                let next = state.holder.next_poll(now);
+                (asks, next.map(|at| at.since(now)))
+            };
+            self.send_asks(asks);
+            match wait {
+                Some(wait) => {
+                    // A timer of the runtime counts whole milliseconds.
+                    let wait = wait.clamp(Duration::from_millis(1), POLL_MAX);
+                    tokio::select! {
+                        () = sleep(wait) => {}
+                        () = part.wake.notified() => {}
+                    }
+                }
+                None => part.wake.notified().await,
+            }
+        }
+    }
+
+    async fn keep_ticking(self: &Arc<Self>) {
+        let mut ticks = interval(BATCH_PERIOD);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut count = 0;
+        loop {
+            ticks.tick().await;
+            count += 1;
+            self.tick(count % SWEEP_TICKS == 0);
+        }
+    }
+
+    /// Renews leases and reports to owners; all messages to one node go together.
+    fn tick(self: &Arc<Self>, sweep: bool) {
+        let now = self.clock.now();
+        let placement = self.placement.load_full();
+        let mut claims: BTreeMap<SocketAddr, Claim> = BTreeMap::new();
+        let mut asks = Vec::new();
+        let (mut owned, mut used, mut buckets) = (0, 0, 0);
+        for (index, part) in self.parts.iter().enumerate() {
+            let mut state = part.lock();
+            let shards = (index as u16..SHARD_COUNT).step_by(usize::from(PART_COUNT));
+            for (seat, claim) in state.owner.claims(now, &placement, shards.map(Shard)) {
+                merge_claim(&mut claims, seat, claim);
+            }
+            asks.extend(state.holder.tick(now));
+            asks.extend(state.flush(now));
+            if sweep {
+                state.seat.expire(now);
+                state.owner.expire(now);
+            }
+            owned += state.owner.shard_count();
+            used += state.holder.account_count();
+            buckets += state.owner.bucket_count();
+        }
+        for (seat, claim) in claims {
+            self.send_claim(&placement, seat, claim);
+        }
+        self.send_asks(asks);
+        if sweep {
+            self.metrics.gauge("limit.shards", owned as u64);
+            self.metrics.gauge("limit.accounts", used as u64);
+            self.metrics.gauge("limit.buckets", buckets as u64);
+        }
+    }
+
+    /// Tells the owners of changed limits, so that a higher burst fills at the new rate.
+    async fn follow_policy(&self) {
+        let mut changes = self.policy.changes();
+        let mut known = self.policy.load();
+        while changes.changed().await.is_ok() {
+            let current = self.policy.load();
+            if let (Some(old), Some(new)) = (&known, &current) {
+                self.change_accounts(old, new);
+            }
+            known = current;
+        }
+    }
+
+    fn change_accounts(&self, old: &Config, new: &Config) {
+        for account in new.accounts() {
+            let after = allowance_of(account);
+            let Some(before) = old.allowance(&account.name).filter(|b| *b != after) else {
+                continue;
+            };
+            let mut state = self.parts[part_of(Shard::of(&account.name))].lock();
+            let now = self.clock.now();
+            state.owner.change(now, &account.name, before, after);
+        }
+    }
+
+    fn send_claim(self: &Arc<Self>, placement: &Placement, seat: SocketAddr, claim: Claim) {
+        if placement.addr(self.me) == Some(seat) {
+            if let Some(ballot) = self.vote(&claim) {
+                self.book_ballot(seat, &ballot);
+            }
+            return;
+        }
+        let this = self.clone();
+        tokio::spawn(async move {
+            let request = LimitRequest::Claim(claim);
+            match this.call(seat, &request).await {
+                Ok(LimitReply::Ballot(ballot)) => this.book_ballot(seat, &ballot),
+                Ok(LimitReply::Answers(_)) => this.metrics.count("limit.bad_replies"),
+                Err(_) => this.metrics.count("limit.lost_claims"),
+            }
+        });
+    }
+
+    fn book_ballot(&self, seat: SocketAddr, ballot: &Ballot) {
+        let placement = self.placement.load();
+        for (index, part) in self.parts.iter().enumerate() {
+            let share = Ballot {
+                sent: ballot.sent,
+                granted: shards_of(&ballot.granted, index),
+                held: ballot
+                    .held
+                    .iter()
+                    .filter(|held| part_of(held.shard) == index)
+                    .copied()
+                    .collect(),
+                abstains: ballot.abstains,
+            };
+            let mut state = part.lock();
+            let now = self.clock.now();
+            state.owner.ballot(now, &placement, seat, &share);
+        }
+    }
+
+    /// Sends asks to the owners, one message each.
+    fn send_asks(self: &Arc<Self>, asks: Vec<Ask>) {
+        if asks.is_empty() {
+            return;
+        }
+        let placement = self.placement.load_full();
+        let mut batches: BTreeMap<NodeId, Vec<Ask>> = BTreeMap::new();
+        for ask in asks {
+            let shard = Shard::of(&ask.account);
+            let state = self.parts[part_of(shard)].lock();
+            if let Some(owner) = state.holder.owner_of(&placement, shard) {
+                batches.entry(owner).or_default().push(ask);
+            }
+        }
+        for (owner, asks) in batches {
+            let this = self.clone();
+            let addr = placement.addr(owner);
+            // Spawned also for this node itself, since booking an answer may send further asks.
+            tokio::spawn(async move {
+                if owner == this.me {
+                    let answers = this.answer(owner, &asks);
+                    this.book_answers(&answers);
+                } else if let Some(addr) = addr {
+                    this.ask_owner(addr, asks).await;
+                }
+            });
+        }
+    }
+
+    async fn ask_owner(self: &Arc<Self>, addr: SocketAddr, asks: Vec<Ask>) {
+        match self.call(addr, &LimitRequest::Asks(asks)).await {
+            Ok(LimitReply::Answers(answers)) => self.book_answers(&answers),
+            Ok(LimitReply::Ballot(_)) => self.metrics.count("limit.bad_replies"),
+            Err(_) => self.metrics.count("limit.lost_asks"),
+        }
+    }
+
+    fn book_answers(self: &Arc<Self>, answers: &[Answer]) {
+        let mut asks = Vec::new();
+        for answer in answers {
+            let part = &self.parts[part_of(Shard::of(&answer.account))];
+            let mut state = part.lock();
+            let now = self.clock.now();
+            state.holder.receive(now, answer);
+            asks.extend(state.flush(now));
+            // The answer may hold tokens for later than the poll that is planned.
+            part.wake.notify_one();
+        }
+        self.send_asks(asks);
+    }
+
+    async fn call(&self, addr: SocketAddr, request: &LimitRequest) -> Result<LimitReply> {
+        let payload = request.encode();
+        self.metrics.count("limit.messages");
+        let reply = self
+            .peer(addr)
+            .call(Channel::Limit, payload, CALL_TIME)
+            .await?;
+        LimitReply::decode(reply)
+    }
+
+    fn peer(&self, addr: SocketAddr) -> Peer {
+        self.lock_peers()
+            .entry(addr)
+            .or_insert_with(|| Peer::new(addr, self.secret.clone(), self.hello))
+            .clone()
+    }
+
+    fn lock_peers(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Peer>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Answers a payload of [`Channel::Limit`] from another node.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the payload is malformed, its sender is no node, or a claim has been overtaken.
+    pub fn serve(&self, peer: Hello, payload: Bytes) -> Result<Bytes> {
+        if peer.role != Role::Node {
+            return Err(Error::invalid("limit messages come from nodes only"));
+        }
+        let from = NodeId(peer.id);
+        let reply = match LimitRequest::decode(payload)? {
+            LimitRequest::Claim(claim) => {
+                let claim = Claim {
+                    node: from,
+                    ..claim
+                };
+                let ballot = self.vote(&claim);
+                LimitReply::Ballot(ballot.ok_or_else(|| Error::invalid("claim overtaken"))?)
+            }
+            LimitRequest::Asks(asks) => LimitReply::Answers(self.answer(from, &asks)),
+        };
+        Ok(reply.encode())
+    }
+
+    /// Votes with the seats of all parts.
+    fn vote(&self, claim: &Claim) -> Option<Ballot> {
+        let layouts = self.placement.load().layouts();
+        let mut total: Option<Ballot> = None;
+        for (index, part) in self.parts.iter().enumerate() {
+            let share = Claim {
+                node: claim.node,
+                sent: claim.sent,
+                layouts: claim.layouts.clone(),
+                claim: shards_of(&claim.claim, index),
+                release: shards_of(&claim.release, index),
+            };
+            if share.claim.is_empty() && share.release.is_empty() {
+                continue;
+            }
+            let mut state = part.lock();
+            let now = self.clock.now();
+            let Some(ballot) = state.seat.vote(now, &layouts, &share) else {
+                continue;
+            };
+            match &mut total {
+                None => total = Some(ballot),
+                Some(total) => {
+                    total.granted.extend(ballot.granted);
+                    total.held.extend(ballot.held);
+                    total.abstains = total.abstains.max(ballot.abstains);
+                }
+            }
+        }
+        total
+    }
+
+    fn answer(&self, from: NodeId, asks: &[Ask]) -> Vec<Answer> {
+        let Some(config) = self.policy.load() else {
+            return Vec::new();
+        };
+        let placement = self.placement.load();
+        let answer_one = |ask: &Ask| {
+            let mut state = self.parts[part_of(Shard::of(&ask.account))].lock();
+            let now = self.clock.now();
+            state.owner.ask(now, &placement, from, ask, &*config)
+        };
+        asks.iter().map(answer_one).collect()
+    }
+}
+
+impl Admission for Arc<RateLimits> {
+    async fn admit(&self, account: &Account, deadline: Duration) -> Verdict {
+        RateLimits::admit(self, account, deadline).await
+    }
+}
+
+async fn wait_for(receiver: oneshot::Receiver<Verdict>, deadline: Duration) -> Verdict {
+    match timeout(deadline, receiver).await {
+        Ok(Ok(verdict)) => verdict,
+        Ok(Err(_)) => Err(Refusal::new(Reason::Draining)),
+        Err(_) => Err(Refusal::new(Reason::Deadline)),
+    }
+}
+
+fn shards_of(shards: &[Shard], part: usize) -> Vec<Shard> {
+    let own = shards.iter().filter(|shard| part_of(**shard) == part);
+    own.copied().collect()
+}
+
+fn merge_claim(claims: &mut BTreeMap<SocketAddr, Claim>, seat: SocketAddr, claim: Claim) {
+    match claims.get_mut(&seat) {
+        None => {
+            claims.insert(seat, claim);
+        }
+        Some(total) => {
+            total.claim.extend(claim.claim);
+            total.release.extend(claim.release);
+        }
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -13,6 +13,7 @@
 pub mod forward;
 pub mod ingress;
 pub mod join;
+pub mod limits;
 pub mod links;
 pub mod listen;
 pub mod local;
--- /dev/null
+++ b/src/wire/limit.rs
@@ -0,0 +1,411 @@
+//! Messages of leases and grants, batched for each pair of nodes.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use prost::{Message, Oneof};
+
+use crate::error::{Error, Result};
+use crate::ids::NodeId;
+use crate::limit::{Answer, Ask, Ballot, Claim, Grant, Held, Reply, SHARD_COUNT, Shard};
+use crate::time::Time;
+
+/// A call on the limit channel.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LimitRequest {
+    /// A candidate's claim, for the receiver's seat.
+    Claim(Claim),
+    /// A holder's asks, for the receiver as owner.
+    Asks(Vec<Ask>),
+}
+
+/// The reply to a [`LimitRequest`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LimitReply {
+    /// The seat's votes.
+    Ballot(Ballot),
+    /// The owner's answers.
+    Answers(Vec<Answer>),
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct RequestRecord {
+    #[prost(oneof = "RequestBody", tags = "1, 2")]
+    body: Option<RequestBody>,
+}
+
+#[derive(Clone, PartialEq, Oneof)]
+enum RequestBody {
+    #[prost(message, tag = "1")]
+    Claim(ClaimRecord),
+    #[prost(message, tag = "2")]
+    Asks(AsksRecord),
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct ReplyRecord {
+    #[prost(oneof = "ReplyBody", tags = "1, 2")]
+    body: Option<ReplyBody>,
+}
+
+#[derive(Clone, PartialEq, Oneof)]
+enum ReplyBody {
+    #[prost(message, tag = "1")]
+    Ballot(BallotRecord),
+    #[prost(message, tag = "2")]
+    Answers(AnswersRecord),
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct ClaimRecord {
+    #[prost(fixed64, tag = "1")]
+    node: u64,
+    #[prost(uint64, tag = "2")]
+    sent: u64,
+    #[prost(fixed64, repeated, tag = "3")]
+    layouts: Vec<u64>,
+    #[prost(uint32, repeated, tag = "4")]
+    claim: Vec<u32>,
+    #[prost(uint32, repeated, tag = "5")]
+    release: Vec<u32>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct BallotRecord {
+    #[prost(uint64, tag = "1")]
+    sent: u64,
+    #[prost(uint32, repeated, tag = "2")]
+    granted: Vec<u32>,
+    #[prost(message, repeated, tag = "3")]
+    held: Vec<HeldRecord>,
+    #[prost(uint64, optional, tag = "4")]
+    abstains: Option<u64>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct HeldRecord {
+    #[prost(uint32, tag = "1")]
+    shard: u32,
+    #[prost(fixed64, tag = "2")]
+    holder: u64,
+    #[prost(uint64, tag = "3")]
+    remaining: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct AsksRecord {
+    #[prost(message, repeated, tag = "1")]
+    asks: Vec<AskRecord>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct AskRecord {
+    #[prost(string, tag = "1")]
+    account: String,
+    #[prost(fixed64, tag = "2")]
+    credit: u64,
+    #[prost(fixed64, tag = "3")]
+    lease: u64,
+    #[prost(uint64, tag = "4")]
+    sent: u64,
+    #[prost(uint64, tag = "5")]
+    spent: u64,
+    #[prost(uint64, tag = "6")]
+    returned: u64,
+    #[prost(uint32, tag = "7")]
+    waiting: u32,
+    #[prost(uint64, tag = "8")]
+    demand: u64,
+    #[prost(bool, tag = "9")]
+    close: bool,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct AnswersRecord {
+    #[prost(message, repeated, tag = "1")]
+    answers: Vec<AnswerRecord>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct AnswerRecord {
+    #[prost(string, tag = "1")]
+    account: String,
+    #[prost(fixed64, tag = "2")]
+    credit: u64,
+    #[prost(uint64, tag = "3")]
+    sent: u64,
+    #[prost(message, optional, tag = "4")]
+    grant: Option<GrantRecord>,
+    /// The owner, if the answer is no grant and the owner is known.
+    #[prost(fixed64, optional, tag = "5")]
+    owner: Option<u64>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct GrantRecord {
+    #[prost(fixed64, tag = "1")]
+    lease: u64,
+    #[prost(uint64, tag = "2")]
+    total: u64,
+    #[prost(uint64, tag = "3")]
+    valid_for: u64,
+    #[prost(uint64, tag = "4")]
+    settled: u64,
+    #[prost(uint64, tag = "5")]
+    ready_in: u64,
+    #[prost(uint64, tag = "6")]
+    target: u64,
+    #[prost(uint64, optional, tag = "7")]
+    retry: Option<u64>,
+    #[prost(uint64, tag = "8")]
+    pace: u64,
+    #[prost(bool, tag = "9")]
+    prompt: bool,
+}
+
+fn micros(d: Duration) -> u64 {
+    d.as_micros() as u64
+}
+
+/// Rounds up, for times before which something may not happen.
+fn micros_up(d: Duration) -> u64 {
+    d.as_nanos().div_ceil(1_000) as u64
+}
+
+fn numbers(shards: &[Shard]) -> Vec<u32> {
+    shards.iter().map(|s| u32::from(s.0)).collect()
+}
+
+fn shard(number: u32) -> Result<Shard> {
+    match u16::try_from(number) {
+        Ok(n) if n < SHARD_COUNT => Ok(Shard(n)),
+        _ => Err(Error::invalid(format!("no shard {number}"))),
+    }
+}
+
+fn shards(numbers: Vec<u32>) -> Result<Vec<Shard>> {
+    numbers.into_iter().map(shard).collect()
+}
+
+impl From<&Claim> for ClaimRecord {
+    fn from(claim: &Claim) -> Self {
+        ClaimRecord {
+            node: claim.node.0,
+            sent: claim.sent.0,
+            layouts: claim.layouts.clone(),
+            claim: numbers(&claim.claim),
+            release: numbers(&claim.release),
+        }
+    }
+}
+
+impl TryFrom<ClaimRecord> for Claim {
+    type Error = Error;
+
+    fn try_from(record: ClaimRecord) -> Result<Self> {
+        Ok(Claim {
+            node: NodeId(record.node),
+            sent: Time(record.sent),
+            layouts: record.layouts,
+            claim: shards(record.claim)?,
+            release: shards(record.release)?,
+        })
+    }
+}
+
+impl From<&Ballot> for BallotRecord {
+    fn from(ballot: &Ballot) -> Self {
+        let held = ballot.held.iter().map(|h| HeldRecord {
+            shard: u32::from(h.shard.0),
+            holder: h.holder.0,
+            remaining: micros_up(h.remaining),
+        });
+        BallotRecord {
+            sent: ballot.sent.0,
+            granted: numbers(&ballot.granted),
+            held: held.collect(),
+            abstains: ballot.abstains.map(micros_up),
+        }
+    }
+}
+
+impl TryFrom<BallotRecord> for Ballot {
+    type Error = Error;
+
+    fn try_from(record: BallotRecord) -> Result<Self> {
+        let held = record.held.into_iter().map(|h| {
+            Ok(Held {
+                shard: shard(h.shard)?,
+                holder: NodeId(h.holder),
+                remaining: Duration::from_micros(h.remaining),
+            })
+        });
+        Ok(Ballot {
+            sent: Time(record.sent),
+            granted: shards(record.granted)?,
+            held: held.collect::<Result<_>>()?,
+            abstains: record.abstains.map(Duration::from_micros),
+        })
+    }
+}
+
+impl From<&Ask> for AskRecord {
+    fn from(ask: &Ask) -> Self {
+        AskRecord {
+            account: ask.account.to_string(),
+            credit: ask.credit,
+            lease: ask.lease,
+            sent: ask.sent.0,
+            spent: ask.spent,
+            returned: ask.returned,
+            waiting: ask.waiting,
+            demand: ask.demand,
+            close: ask.close,
+        }
+    }
+}
+
+impl TryFrom<AskRecord> for Ask {
+    type Error = Error;
+
+    fn try_from(record: AskRecord) -> Result<Self> {
+        Ok(Ask {
+            account: record.account.parse()?,
+            credit: record.credit,
+            lease: record.lease,
+            sent: Time(record.sent),
+            spent: record.spent,
+            returned: record.returned,
+            waiting: record.waiting,
+            demand: record.demand,
+            close: record.close,
+        })
+    }
+}
+
+impl From<&Grant> for GrantRecord {
+    fn from(grant: &Grant) -> Self {
+        GrantRecord {
+            lease: grant.lease,
+            total: grant.total,
+            valid_for: micros(grant.valid_for),
+            settled: grant.settled,
+            ready_in: micros_up(grant.ready_in),
+            target: grant.target,
+            retry: grant.retry.map(micros_up),
+            pace: micros_up(grant.pace),
+            prompt: grant.prompt,
+        }
+    }
+}
+
+impl From<GrantRecord> for Grant {
+    fn from(record: GrantRecord) -> Self {
+        Grant {
+            lease: record.lease,
+            total: record.total,
+            valid_for: Duration::from_micros(record.valid_for),
+            settled: record.settled,
+            ready_in: Duration::from_micros(record.ready_in),
+            target: record.target,
+            retry: record.retry.map(Duration::from_micros),
+            pace: Duration::from_micros(record.pace),
+            prompt: record.prompt,
+        }
+    }
+}
+
+impl From<&Answer> for AnswerRecord {
+    fn from(answer: &Answer) -> Self {
+        let (grant, owner) = match &answer.reply {
+            Reply::Grant(grant) => (Some(grant.into()), None),
+            Reply::Elsewhere(owner) => (None, owner.map(|node| node.0)),
+        };
+        AnswerRecord {
+            account: answer.account.to_string(),
+            credit: answer.credit,
+            sent: answer.sent.0,
+            grant,
+            owner,
+        }
+    }
+}
+
+impl TryFrom<AnswerRecord> for Answer {
+    type Error = Error;
+
+    fn try_from(record: AnswerRecord) -> Result<Self> {
+        let reply = match record.grant {
+            Some(grant) => Reply::Grant(grant.into()),
+            None => Reply::Elsewhere(record.owner.map(NodeId)),
+        };
+        Ok(Answer {
+            account: record.account.parse()?,
+            credit: record.credit,
+            sent: Time(record.sent),
+            reply,
+        })
+    }
+}
+
+impl LimitRequest {
+    /// Encodes the request as a payload.
+    pub fn encode(&self) -> Bytes {
+        let body = match self {
+            LimitRequest::Claim(claim) => RequestBody::Claim(claim.into()),
+            LimitRequest::Asks(asks) => RequestBody::Asks(AsksRecord {
+                asks: asks.iter().map(AskRecord::from).collect(),
+            }),
+        };
+        RequestRecord { body: Some(body) }.encode_to_vec().into()
+    }
+
+    /// Decodes a payload.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the payload is malformed or breaks the rules of a name or shard number.
+    pub fn decode(payload: Bytes) -> Result<LimitRequest> {
+        let record = RequestRecord::decode(payload)
+            .map_err(|e| Error::invalid(format!("limit request: {e}")))?;
+        match record.body {
+            Some(RequestBody::Claim(claim)) => Ok(LimitRequest::Claim(claim.try_into()?)),
+            Some(RequestBody::Asks(asks)) => {
+                let asks = asks.asks.into_iter().map(Ask::try_from);
+                Ok(LimitRequest::Asks(asks.collect::<Result<_>>()?))
+            }
+            None => Err(Error::invalid("limit request without a body")),
+        }
+    }
+}
+
+impl LimitReply {
+    /// Encodes the reply as a payload.
+    pub fn encode(&self) -> Bytes {
+        let body = match self {
+            LimitReply::Ballot(ballot) => ReplyBody::Ballot(ballot.into()),
+            LimitReply::Answers(answers) => ReplyBody::Answers(AnswersRecord {
+                answers: answers.iter().map(AnswerRecord::from).collect(),
+            }),
+        };
+        ReplyRecord { body: Some(body) }.encode_to_vec().into()
+    }
+
+    /// Decodes a payload.
+    ///
+    /// # Errors
+    ///
+    /// As [`LimitRequest::decode`].
+    pub fn decode(payload: Bytes) -> Result<LimitReply> {
+        let record = ReplyRecord::decode(payload)
+            .map_err(|e| Error::invalid(format!("limit reply: {e}")))?;
+        match record.body {
+            Some(ReplyBody::Ballot(ballot)) => Ok(LimitReply::Ballot(ballot.try_into()?)),
+            Some(ReplyBody::Answers(answers)) => {
+                let answers = answers.answers.into_iter().map(Answer::try_from);
+                Ok(LimitReply::Answers(answers.collect::<Result<_>>()?))
+            }
+            None => Err(Error::invalid("limit reply without a body")),
+        }
+    }
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod fleet;
 pub mod frame;
+pub mod limit;
 pub mod link;
 pub mod registry;
 pub mod replica;
@@ -12,5 +13,6 @@
 pub mod sync;
 
 pub use frame::{Channel, Frame, FrameCodec};
+pub use limit::{LimitReply, LimitRequest};
 pub use link::{Hello, Link, Protocol, Role, Secret, accept, connect};
 pub use rpc::{Handler, Peer, serve_frames};
--- /dev/null
+++ b/tests/limit_drivers.rs
@@ -0,0 +1,147 @@
+//! The rate limits of nodes that talk over loopback links.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use laburnumtide::config::{Account, Config, Note};
+use laburnumtide::fleet::Member;
+use laburnumtide::metrics::Metrics;
+use laburnumtide::node::Policy;
+use laburnumtide::node::limits::RateLimits;
+use laburnumtide::prelude::*;
+use laburnumtide::wire::{Channel, Handler, Hello, Protocol, Role, Secret, accept, serve_frames};
+use tokio::net::TcpListener;
+
+const RATE: u64 = 100;
+const BURST: u64 = 40;
+const DEADLINE: Duration = Duration::from_secs(1);
+
+/// Generous limit for a fleet to find its owners on a busy machine.
+const START_LIMIT: Duration = Duration::from_secs(30);
+
+struct Serve(Arc<RateLimits>);
+
+impl Handler for Serve {
+    async fn handle(&self, peer: Hello, _: Channel, payload: Bytes) -> Result<Bytes> {
+        self.0.serve(peer, payload)
+    }
+}
+
+fn config() -> Config {
+    let text = format!(
+        "number = 1\n[[added.accounts]]\nname = \"bakery\"\nrate = \"{RATE}/s\"\nburst = {BURST}\n"
+    );
+    let mut config = Config::new();
+    config.apply(&Note::parse(&text).unwrap()).unwrap();
+    config
+}
+
+fn account(config: &Config) -> Account {
+    config.account(&"bakery".parse().unwrap()).unwrap().clone()
+}
+
+/// Starts nodes that know each other, each in its own zone.
+async fn spawn_fleet(count: usize) -> Vec<Arc<RateLimits>> {
+    let secret = Secret::new(b"0123456789abcdef").unwrap();
+    let (mut nodes, mut members) = (Vec::new(), Vec::new());
+    for i in 0..count {
+        let hello = Hello {
+            role: Role::Node,
+            id: NodeId::random().0,
+            protocol: Protocol::Frames,
+        };
+        let policy = Arc::new(Policy::new());
+        policy.store(config());
+        let metrics = Metrics::open(None).unwrap();
+        let limits = Arc::new(RateLimits::new(policy, secret.clone(), hello, metrics));
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        members.push(Member {
+            id: NodeId(hello.id),
+            addr: listener.local_addr().unwrap(),
+            zone: format!("zone-{i}").parse().unwrap(),
+        });
+        let (served, secret) = (limits.clone(), secret.clone());
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (served, secret) = (served.clone(), secret.clone());
+                tokio::spawn(async move {
+                    let link = accept(stream, &secret, hello).await?;
+                    serve_frames(link, Arc::new(Serve(served))).await
+                });
+            }
+        });
+        nodes.push(limits);
+    }
+    for node in &nodes {
+        node.set_members(&members, |_| true);
+        tokio::spawn(node.clone().run());
+    }
+    nodes
+}
+
+/// Waits until each node has admitted a request; all refusals before that say `starting`.
+async fn wait_admitted(nodes: &[Arc<RateLimits>], account: &Account) {
+    let start = Instant::now();
+    for node in nodes {
+        while let Err(refusal) = node.admit(account, DEADLINE).await {
+            assert!(start.elapsed() < START_LIMIT, "last refusal {refusal:?}");
+            assert_eq!(refusal.reason, Reason::Starting);
+            assert!(refusal.retry_after.is_some());
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    let lease = laburnumtide::limit::LEASE;
+    assert!(
+        start.elapsed() >= lease,
+        "admitted before the seats may vote"
+    );
+}
+
+/// Floods all nodes for a time and returns the admissions and the time that they took.
+async fn flood(nodes: &[Arc<RateLimits>], account: &Account) -> (u64, Duration) {
+    let start = Instant::now();
+    let callers = (0..8 * nodes.len()).map(|i| {
+        let (node, account) = (nodes[i % nodes.len()].clone(), account.clone());
+        tokio::spawn(async move {
+            let mut admitted = 0;
+            while start.elapsed() < Duration::from_secs(2) {
+                match node.admit(&account, DEADLINE).await {
+                    Ok(()) => admitted += 1,
+                    Err(refusal) => {
+                        assert_eq!(refusal.reason, Reason::Rate);
+                        assert!(refusal.retry_after.is_some());
+                        tokio::time::sleep(Duration::from_millis(5)).await;
+                    }
+                }
+            }
+            admitted
+        })
+    });
+    let counts = futures::future::join_all(callers.collect::<Vec<_>>()).await;
+    let total = counts.into_iter().map(|c| c.unwrap()).sum();
+    (total, start.elapsed())
+}
+
+async fn check_fleet(count: usize) {
+    let nodes = spawn_fleet(count).await;
+    let account = account(&config());
+    wait_admitted(&nodes, &account).await;
+    let (admitted, time) = flood(&nodes, &account).await;
+    let most = BURST as f64 + RATE as f64 * time.as_secs_f64();
+    assert!(admitted as f64 <= most, "{admitted} admitted in {time:?}");
+    // Well below the rate, the fleet would fail its callers and not only protect its targets.
+    assert!(admitted as f64 >= most / 2.0, "{admitted} in {time:?}");
+}
+
+/// Guards the bound and the use of the rate over real links, locks and threads.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn three_nodes_share_a_rate() {
+    check_fleet(3).await;
+}
+
+/// Guards a fleet of one, whose only seat is itself.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_node_keeps_a_rate() {
+    check_fleet(1).await;
+}
