--- /dev/null
+++ b/examples/health_table/model.rs
@@ -0,0 +1,636 @@
+//! A small deployment in virtual time: ingresses, gates and targets with faults.
+
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use laburnumtide::fleet::{Health, NodeRecord, TargetRecord, TargetState};
+use laburnumtide::gate::{Decision, Gate, Limits, Load, Offer, Offered};
+use laburnumtide::outcome::Refusal;
+use laburnumtide::prelude::*;
+use laburnumtide::route::{
+    Balancer, Cause, Event, Meter, Request, RetryBudget, RetryQuestion, Sample, Verdict, may_retry,
+};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+/// Size of a deployment.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    pub name: &'static str,
+    pub servers: usize,
+    pub slots: u32,
+    pub zones: usize,
+}
+
+pub const K: Size = Size {
+    name: "K",
+    servers: 14,
+    slots: 7,
+    zones: 4,
+};
+
+pub const S: Size = Size {
+    name: "S",
+    servers: 18,
+    slots: 3,
+    zones: 3,
+};
+
+/// What happens to target 0.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fault {
+    None,
+    Stop,
+    Slow(f64),
+    Errors(f64),
+    Hang,
+    /// Fails every request for the time, then none for the time, and so on.
+    Flap(Duration),
+    /// Nothing from the node of target 0 reaches other nodes.
+    OneWay,
+}
+
+/// How ingresses choose targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rule {
+    Balancer,
+    RoundRobin,
+    /// Round robin that ejects after five failures in a row, 30 s times the number of ejections.
+    Consecutive,
+}
+
+/// One run.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    pub size: Size,
+    pub rule: Rule,
+    pub fault: Fault,
+    /// Requests per second for each target.
+    pub rate: f64,
+    pub quiet: Duration,
+    pub faulty: Duration,
+    pub seed: u64,
+}
+
+/// What was measured.
+#[derive(Clone, Debug, Default)]
+pub struct Figures {
+    /// Time until the bad target received less than a fifth of its rate.
+    pub detection: Option<Duration>,
+    /// Ejections of targets without a fault, each at one ingress.
+    pub false_ejections: u32,
+    /// Causes of the false ejections.
+    pub false_causes: Vec<Cause>,
+    /// Requests that arrived while the fault lasted, and those without a good answer.
+    pub requests: u64,
+    pub lost: u64,
+    /// Requests without a good answer in the quiet time before.
+    pub lost_before: u64,
+    /// Lost requests that arrived later than 5 s after the start of the fault.
+    pub lost_late: u64,
+}
+
+const DEADLINE: Duration = Duration::from_secs(2);
+const PUBLISH: Duration = Duration::from_millis(250);
+const BACKGROUND_ERRORS: f64 = 0.001;
+const IDEMPOTENT: f64 = 0.7;
+const CONSECUTIVE: u32 = 5;
+const START: Time = Time::from_millis(3_600_000);
+
+#[derive(Clone, Debug)]
+enum Step {
+    Arrive(usize),
+    AtEgress(u64),
+    Done(u64, Verdict),
+    Reply(u64, Outcome, bool, Load),
+    GiveUp(u64),
+    Expire(usize),
+    Publish(usize),
+    Gossip(usize, usize, u64, Box<Health>),
+}
+
+struct Due(Time, u64, Step);
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Due {}
+
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Due {
+    fn cmp(&self, other: &Self) -> Ordering {
+        (other.0, other.1).cmp(&(self.0, self.1))
+    }
+}
+
+struct Attempt {
+    ingress: usize,
+    target: usize,
+    arrived: Time,
+    deadline: Time,
+    idempotent: bool,
+    tried: Vec<TargetId>,
+}
+
+struct Ingress {
+    balancer: Balancer,
+    budget: RetryBudget,
+    turn: usize,
+    /// Failures in a row, ejections and end of ejection of each target.
+    naive: Vec<(u32, u32, Time)>,
+}
+
+struct Server {
+    gate: Gate,
+    meter: Meter,
+    version: u64,
+}
+
+/// The deployment.
+pub struct Model {
+    plan: Plan,
+    rng: SmallRng,
+    now: Time,
+    queue: BinaryHeap<Due>,
+    order: u64,
+    attempts: BTreeMap<u64, Attempt>,
+    ingresses: Vec<Ingress>,
+    servers: Vec<Server>,
+    figures: Figures,
+    /// When attempts were sent to the bad target since the fault began.
+    sent_bad: Vec<Time>,
+}
+
+fn service_name() -> ServiceName {
+    "records".parse().expect("legal name")
+}
+
+fn target_id(server: usize) -> TargetId {
+    TargetId {
+        node: NodeId(server as u64 + 1),
+        name: "t".parse().expect("legal name"),
+    }
+}
+
+impl Model {
+    pub fn new(plan: Plan) -> Model {
+        let size = plan.size;
+        let limits = Limits {
+            slots: Slots(size.slots),
+            connections: 360,
+        };
+        let server = |_| Server {
+            gate: Gate::new(START, limits, false),
+            meter: Meter::new(START),
+            version: 1,
+        };
+        let ingress = |at: usize| Ingress {
+            balancer: Balancer::new(zone_of(size, at)),
+            budget: RetryBudget::new(),
+            turn: at,
+            naive: vec![(0, 0, Time::ZERO); size.servers],
+        };
+        let mut model = Model {
+            plan,
+            rng: SmallRng::seed_from_u64(plan.seed),
+            now: START,
+            queue: BinaryHeap::new(),
+            order: 0,
+            attempts: BTreeMap::new(),
+            ingresses: (0..size.servers).map(ingress).collect(),
+            servers: (0..size.servers).map(server).collect(),
+            figures: Figures::default(),
+            sent_bad: Vec::new(),
+        };
+        for at in 0..size.servers {
+            for to in 0..size.servers {
+                let record = model.record(at, 1, Health::default());
+                model.ingresses[to].balancer.update(START, &record);
+            }
+            model.plan_step(PUBLISH * (at as u32 + 1) / 20, Step::Publish(at));
+            model.plan_arrival(at);
+        }
+        model
+    }
+
+    /// Runs the plan to its end.
+    pub fn run(mut self) -> Figures {
+        let end = START + self.plan.quiet + self.plan.faulty;
+        while let Some(Due(at, _, step)) = self.queue.pop() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            self.step(step);
+        }
+        self.figures.detection = self.detection(end);
+        self.figures
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Arrive(ingress) => self.arrive(ingress),
+            Step::AtEgress(id) => self.at_egress(id),
+            Step::Done(id, verdict) => self.done(id, verdict),
+            Step::Reply(id, outcome, good, load) => self.reply(id, outcome, good, load),
+            Step::GiveUp(id) => self.give_up(id),
+            Step::Expire(server) => {
+                let decisions = self.servers[server].gate.expire(self.now);
+                self.apply(server, decisions);
+            }
+            Step::Publish(server) => self.publish(server),
+            Step::Gossip(to, from, version, health) => {
+                let record = self.record(from, version, *health);
+                self.ingresses[to].balancer.update(self.now, &record);
+                self.note_events(to);
+            }
+        }
+    }
+
+    fn plan_step(&mut self, delay: Duration, step: Step) {
+        self.order += 1;
+        self.queue.push(Due(self.now + delay, self.order, step));
+    }
+
+    fn plan_arrival(&mut self, ingress: usize) {
+        let gap = -(1.0 - self.rng.random::<f64>()).ln() / self.plan.rate;
+        self.plan_step(Duration::from_secs_f64(gap), Step::Arrive(ingress));
+    }
+
+    fn fault_start(&self) -> Time {
+        START + self.plan.quiet
+    }
+
+    /// Returns the fault of `server` that is active now.
+    fn fault(&self, server: usize) -> Fault {
+        let active = server == 0 && self.now >= self.fault_start();
+        match self.plan.fault {
+            _ if !active => Fault::None,
+            Fault::Flap(time) => {
+                let turns = self.now.since(self.fault_start()).as_micros() / time.as_micros();
+                if turns.is_multiple_of(2) {
+                    Fault::Errors(1.0)
+                } else {
+                    Fault::None
+                }
+            }
+            fault => fault,
+        }
+    }
+
+    fn arrive(&mut self, ingress: usize) {
+        self.plan_arrival(ingress);
+        let attempt = Attempt {
+            ingress,
+            target: 0,
+            arrived: self.now,
+            deadline: self.now + DEADLINE,
+            idempotent: self.rng.random_bool(IDEMPOTENT),
+            tried: Vec::new(),
+        };
+        if self.now >= self.fault_start() {
+            self.figures.requests += 1;
+        }
+        self.ingresses[ingress].budget.deposit();
+        self.dispatch(attempt);
+    }
+
+    fn dispatch(&mut self, mut attempt: Attempt) {
+        let Some(target) = self.pick(&attempt) else {
+            self.lose(&attempt);
+            return;
+        };
+        attempt.target = target;
+        attempt.tried.push(target_id(target));
+        let ingress = attempt.ingress;
+        let id = self.order + 1;
+        let patience = attempt.deadline.since(self.now);
+        self.attempts.insert(id, attempt);
+        let balancer = &mut self.ingresses[ingress].balancer;
+        balancer.report(self.now, &target_id(target), Sample::Sent);
+        let own = self.plan.fault == Fault::OneWay && ingress == target;
+        if target == 0 && self.now >= self.fault_start() && !own {
+            self.sent_bad.push(self.now);
+        }
+        let way = self.way(ingress, target);
+        self.plan_step(way, Step::AtEgress(id));
+        self.plan_step(patience, Step::GiveUp(id));
+    }
+
+    fn pick(&mut self, attempt: &Attempt) -> Option<usize> {
+        let ingress = &mut self.ingresses[attempt.ingress];
+        if self.plan.rule == Rule::Balancer {
+            let service = service_name();
+            let request = Request {
+                service: &service,
+                kind: "read",
+                idempotent: attempt.idempotent,
+                tried: &attempt.tried,
+            };
+            let picked = ingress
+                .balancer
+                .pick_for(self.now, &request, &mut self.rng)?;
+            self.note_events(attempt.ingress);
+            return Some(picked.node.0 as usize - 1);
+        }
+        for _ in 0..2 * self.servers.len() {
+            ingress.turn = (ingress.turn + 1) % self.servers.len();
+            let at = ingress.turn;
+            let out = self.now < ingress.naive[at].2;
+            if !out && !attempt.tried.contains(&target_id(at)) {
+                return Some(at);
+            }
+        }
+        None
+    }
+
+    fn way(&self, from: usize, to: usize) -> Duration {
+        let size = self.plan.size;
+        if zone_of(size, from) == zone_of(size, to) {
+            Duration::from_micros(250)
+        } else {
+            Duration::from_millis(1)
+        }
+    }
+
+    fn at_egress(&mut self, id: u64) {
+        let attempt = &self.attempts[&id];
+        let server = attempt.target;
+        let account = attempt.ingress % 8;
+        let offer = Offer {
+            attempt: AttemptId(id),
+            account: Some(format!("account-{account}").parse().expect("legal name")),
+            weight: Rate::per_sec(if account < 2 { 300 } else { 50 }),
+            deadline: attempt.deadline,
+        };
+        let deadline = attempt.deadline;
+        match self.servers[server].gate.offer(self.now, offer) {
+            Offered::Run => self.hand_over(server, id),
+            Offered::Queued => {
+                let wait = deadline.since(self.now);
+                self.plan_step(wait, Step::Expire(server));
+            }
+            Offered::Refused(refusal) => self.answer(id, Outcome::NotRun(refusal), false),
+        }
+    }
+
+    fn hand_over(&mut self, server: usize, id: u64) {
+        self.servers[server].meter.start(self.now, AttemptId(id));
+        let fault = self.fault(server);
+        let mean = service_mean(&self.plan);
+        let slow = if let Fault::Slow(factor) = fault {
+            factor
+        } else {
+            1.0
+        };
+        let time = mean.mul_f64(lognormal(&mut self.rng) * slow);
+        let errors = if let Fault::Errors(share) = fault {
+            share
+        } else {
+            BACKGROUND_ERRORS
+        };
+        let verdict = if self.rng.random_bool(errors) {
+            Verdict::Failed
+        } else {
+            Verdict::Whole
+        };
+        // The egress gives up a little before the ingress, so that its answer is in time.
+        let left = self.attempts[&id].deadline - Duration::from_millis(5);
+        let left = left.since(self.now);
+        let (time, verdict) = match fault {
+            Fault::Stop => (Duration::from_micros(100), Verdict::Failed),
+            Fault::Hang => (left, Verdict::TimedOut),
+            _ if time > left => (left, Verdict::TimedOut),
+            _ => (time, verdict),
+        };
+        self.plan_step(time, Step::Done(id, verdict));
+    }
+
+    fn done(&mut self, id: u64, verdict: Verdict) {
+        let server = self.attempts[&id].target;
+        let stopped = self.fault(server) == Fault::Stop;
+        let state = &mut self.servers[server];
+        state.meter.end(self.now, AttemptId(id), "read", verdict);
+        let decisions = state.gate.finish(self.now, AttemptId(id));
+        let outcome = match verdict {
+            Verdict::Failed if stopped => Outcome::NotRun(Refusal::new(Reason::Connect)),
+            Verdict::TimedOut => Outcome::Unknown(Reason::Timeout),
+            _ => Outcome::Answer,
+        };
+        self.answer(id, outcome, verdict == Verdict::Whole);
+        self.apply(server, decisions);
+    }
+
+    fn apply(&mut self, server: usize, decisions: Vec<Decision>) {
+        for decision in decisions {
+            match decision {
+                Decision::Run(id) => self.hand_over(server, id.0),
+                Decision::Refuse(id, refusal) => {
+                    self.answer(id.0, Outcome::NotRun(refusal), false);
+                }
+            }
+        }
+    }
+
+    fn answer(&mut self, id: u64, outcome: Outcome, good: bool) {
+        let Some(attempt) = self.attempts.get(&id) else {
+            return;
+        };
+        let (from, to) = (attempt.target, attempt.ingress);
+        if self.fault(from) == Fault::OneWay && from != to {
+            return;
+        }
+        let load = self.servers[from].gate.load(self.now);
+        let way = self.way(from, to);
+        self.plan_step(way, Step::Reply(id, outcome, good, load));
+    }
+
+    fn reply(&mut self, id: u64, outcome: Outcome, good: bool, load: Load) {
+        let Some(attempt) = self.attempts.remove(&id) else {
+            return;
+        };
+        let target = target_id(attempt.target);
+        let ingress = &mut self.ingresses[attempt.ingress];
+        ingress.balancer.report(self.now, &target, Sample::Answered);
+        ingress.balancer.observe(self.now, &target, load, None);
+        // A refusal for load is no failure of the target.
+        let refused = matches!(&outcome, Outcome::NotRun(r) if r.reason != Reason::Connect);
+        if !refused {
+            self.count_naive(attempt.ingress, attempt.target, good);
+        }
+        let question = RetryQuestion {
+            outcome: &outcome,
+            idempotent: attempt.idempotent,
+            replayable: true,
+            deadline: attempt.deadline,
+        };
+        let again = may_retry(self.now, &question);
+        if good {
+            return;
+        }
+        if again && self.ingresses[attempt.ingress].budget.withdraw() {
+            self.dispatch(attempt);
+        } else {
+            self.lose(&attempt);
+        }
+    }
+
+    fn give_up(&mut self, id: u64) {
+        let Some(attempt) = self.attempts.get(&id) else {
+            return;
+        };
+        let (ingress, target) = (attempt.ingress, attempt.target);
+        let gone = Attempt {
+            tried: Vec::new(),
+            ..*attempt
+        };
+        let balancer = &mut self.ingresses[ingress].balancer;
+        balancer.report(self.now, &target_id(target), Sample::NoAnswer);
+        self.count_naive(ingress, target, false);
+        self.lose(&gone);
+        // The egress still ends the attempt; its late answer finds nobody.
+        if self.fault(target) != Fault::OneWay {
+            self.attempts.remove(&id);
+        }
+    }
+
+    fn count_naive(&mut self, ingress: usize, target: usize, good: bool) {
+        if self.plan.rule != Rule::Consecutive {
+            return;
+        }
+        let now = self.now;
+        let state = &mut self.ingresses[ingress];
+        let out = state.naive.iter().filter(|n| now < n.2).count();
+        let entry = &mut state.naive[target];
+        entry.0 = if good { 0 } else { entry.0 + 1 };
+        if entry.0 >= CONSECUTIVE && now >= entry.2 && out * 2 < self.plan.size.servers {
+            entry.0 = 0;
+            entry.1 += 1;
+            entry.2 = now + Duration::from_secs(30) * entry.1;
+            self.note_ejection(target, Cause::Errors);
+        }
+    }
+
+    fn lose(&mut self, attempt: &Attempt) {
+        let start = self.fault_start();
+        if attempt.arrived < start {
+            self.figures.lost_before += 1;
+            return;
+        }
+        self.figures.lost += 1;
+        if attempt.arrived.since(start) > Duration::from_secs(5) {
+            self.figures.lost_late += 1;
+        }
+    }
+
+    fn publish(&mut self, server: usize) {
+        self.plan_step(PUBLISH, Step::Publish(server));
+        let state = &mut self.servers[server];
+        let Some(health) = state.meter.publish(self.now) else {
+            return;
+        };
+        state.version += 1;
+        let version = state.version;
+        for to in 0..self.servers.len() {
+            if to != server && self.fault(server) == Fault::OneWay {
+                continue;
+            }
+            // One or two rounds of gossip; a node's own record needs none.
+            let delay = if to == server {
+                0
+            } else {
+                self.rng.random_range(5..800)
+            };
+            let health = Box::new(health.clone());
+            let step = Step::Gossip(to, server, version, health);
+            self.plan_step(Duration::from_millis(delay), step);
+        }
+    }
+
+    fn record(&self, server: usize, version: u64, health: Health) -> NodeRecord {
+        let size = self.plan.size;
+        let addr = SocketAddr::from(([127, 0, 0, 1], 1_000 + server as u16));
+        let target = TargetRecord {
+            name: target_id(server).name,
+            service: service_name(),
+            addr,
+            slots: Slots(size.slots),
+            connections: 360,
+            state: TargetState::Ready,
+            health,
+        };
+        NodeRecord {
+            node: NodeId(server as u64 + 1),
+            version,
+            zone: zone_of(size, server),
+            leaving: false,
+            targets: vec![target],
+        }
+    }
+
+    fn note_events(&mut self, ingress: usize) {
+        for event in self.ingresses[ingress].balancer.take_events() {
+            if let Event::Ejected { target, cause, .. } = event {
+                self.note_ejection(target.node.0 as usize - 1, cause);
+            }
+        }
+    }
+
+    fn note_ejection(&mut self, target: usize, cause: Cause) {
+        let begun = self.now >= self.fault_start();
+        let guilty = target == 0 && self.plan.fault != Fault::None && begun;
+        if !guilty {
+            self.figures.false_ejections += 1;
+            self.figures.false_causes.push(cause);
+        }
+    }
+
+    /// Returns the time from the fault to the first span in which the target is left alone.
+    ///
+    /// The span is long enough for 20 requests at the full rate, of which at most 4 are sent.
+    fn detection(&self, end: Time) -> Option<Duration> {
+        let start = self.fault_start();
+        let span = Duration::from_secs_f64((20.0 / self.plan.rate).max(1.0));
+        let most = (self.plan.rate * span.as_secs_f64() / 5.0) as usize;
+        let mut from = start;
+        while from + span <= end {
+            let low = self.sent_bad.partition_point(|t| *t < from);
+            let high = self.sent_bad.partition_point(|t| *t < from + span);
+            if high - low <= most {
+                return Some(from.since(start));
+            }
+            from = from + Duration::from_millis(10);
+        }
+        None
+    }
+}
+
+fn zone_of(size: Size, server: usize) -> ZoneName {
+    format!("zone-{}", server % size.zones)
+        .parse()
+        .expect("legal name")
+}
+
+/// Returns the mean service time: 25 ms, or less so that half of the slots are in use.
+fn service_mean(plan: &Plan) -> Duration {
+    let half = 0.5 * f64::from(plan.size.slots) / plan.rate;
+    Duration::from_secs_f64(half.min(0.025))
+}
+
+/// Returns a factor with mean 1 and standard deviation 1.
+fn lognormal(rng: &mut SmallRng) -> f64 {
+    let sigma = 2f64.ln().sqrt();
+    let (u, v): (f64, f64) = (rng.random(), rng.random());
+    let normal = (-2.0 * (1.0 - u).ln()).sqrt() * (std::f64::consts::TAU * v).cos();
+    (sigma * normal - sigma * sigma / 2.0).exp()
+}
--- a/src/route/health.rs
+++ b/src/route/health.rs
@@ -388,6 +388,8 @@
     recent_slow: u32,
     long_slow: u32,
     median: usize,
+    /// Steps up to a full sample, so that others compare with more than the first requests.
+    sample: u32,
     worst: Option<String>,
 }
 
@@ -405,11 +407,15 @@
             recent_slow: slow_step(&health.recent),
             long_slow: slow_step(&health.long),
             median: median_band(&health.long).unwrap_or(0) / 2,
+            sample: health.long.requests.min(ENOUGH) / SAMPLE_STEP,
             worst: health.worst.as_ref().map(|w| w.kind.clone()),
         }
     }
 }
 
+/// Requests that make one step of the sample size.
+const SAMPLE_STEP: u32 = 50;
+
 /// Returns the step of a number of bad requests; up to two are common by chance.
 fn count_step(bad: u32) -> u32 {
     match bad {
--- a/src/route/judge.rs
+++ b/src/route/judge.rs
@@ -7,16 +7,11 @@
 };
 use crate::fleet::{Health, Window};
 
-/// Evidence in nats that makes a target bad.
-///
-/// In an hour one ingress makes some 100,000 comparisons that overlap; e⁻¹¹ keeps chance out.
-const EVIDENCE: f64 = 11.0;
-
 /// Evidence in nats against a target that was ejected a short time ago.
 const EVIDENCE_AGAIN: f64 = 5.0;
 
 /// Least number of requests of the other targets for a comparison.
-const POOL_MIN: f64 = 20.0;
+const POOL_MIN: f64 = 50.0;
 
 /// Least number of bad requests; one or two happen to healthy targets.
 const BAD_MIN: f64 = 3.0;
@@ -50,6 +45,10 @@
     effect: f64,
     /// Smallest ratio of odds against the other targets.
     odds: f64,
+    /// Evidence in nats that makes a target bad.
+    ///
+    /// In an hour one ingress makes some 100,000 comparisons that overlap; e⁻¹¹ keeps chance out.
+    evidence: f64,
     /// Weight of a hit in the severity; a slow answer spoils less than none.
     weight: f64,
 }
@@ -59,15 +58,20 @@
     least: 0.002,
     effect: 0.02,
     odds: 3.0,
+    evidence: 11.0,
     weight: 1.0,
 };
 
+/// Slow requests come in groups more often than errors, because a long one delays others.
+const SLOW_EVIDENCE: f64 = 14.0;
+
 /// More than twice the usual service time.
 const SLOW: Test = Test {
     cause: Cause::Slow,
     least: 0.02,
     effect: 0.3,
     odds: 4.5,
+    evidence: SLOW_EVIDENCE,
     weight: 0.5,
 };
 
@@ -77,6 +81,7 @@
     least: 0.005,
     effect: 0.05,
     odds: 4.5,
+    evidence: SLOW_EVIDENCE,
     weight: 0.9,
 };
 
@@ -150,7 +155,7 @@
         let need = if exhibit.suspect {
             EVIDENCE_AGAIN
         } else {
-            EVIDENCE
+            test.evidence
         };
         let windows = [
             exhibit.use_recent.then(|| share(&exhibit.health.recent)),
--- a/src/route/service.rs
+++ b/src/route/service.rs
@@ -455,13 +455,13 @@
             .copied()
             .filter(|i| targets[*i].zone == *zone)
             .collect();
-        let probed = |t: &Target| t.is_open() && t.standing.is_ejected();
-        self.ejected = ids.filter(|i| probed(&targets[*i])).collect();
+        let out = |t: &Target| t.is_open() && t.standing.is_ejected();
+        self.ejected = ids.filter(|i| out(&targets[*i])).collect();
     }
 
     /// Picks a target for a request.
     pub fn pick(&self, now: Time, request: &Request<'_>, rng: &mut impl Rng) -> Option<TargetId> {
-        if let Some(at) = self.probe(request, rng) {
+        if let Some(at) = self.probe(now, request, rng) {
             return Some(self.targets[at].id.clone());
         }
         let near = self.choose(now, &self.near, request, rng);
@@ -479,14 +479,15 @@
     }
 
     /// Returns an ejected target for a small share of the idempotent requests.
-    fn probe(&self, request: &Request<'_>, rng: &mut impl Rng) -> Option<usize> {
+    fn probe(&self, now: Time, request: &Request<'_>, rng: &mut impl Rng) -> Option<usize> {
         let may_probe = request.idempotent && request.tried.is_empty();
         if !may_probe || self.ejected.is_empty() {
             return None;
         }
         let share = PROBE_SHARE * self.ejected.len() as f64;
         let at = self.ejected[rng.random_range(0..self.ejected.len())];
-        rng.random_bool(share.min(1.0)).then_some(at)
+        let is_due = self.targets[at].standing.is_probed(now);
+        (is_due && rng.random_bool(share.min(1.0))).then_some(at)
     }
 
     /// Returns the better of two targets drawn at random.
--- a/src/route/standing.rs
+++ b/src/route/standing.rs
@@ -17,6 +17,9 @@
 /// Time over which a returning target gets back its share.
 pub const RETURN_TIME: Duration = Duration::from_secs(10);
 
+/// Time at the end of an ejection in which probes are sent.
+const PROBE_TIME: Duration = Duration::from_secs(2);
+
 /// Share of its usual work with which a target returns.
 const RETURN_SHARE: f64 = 0.05;
 
@@ -89,16 +92,20 @@
         self.fresh_from = now;
     }
 
-    /// Prolongs an ejection that is over, without doubling it, since nothing new happened.
+    /// Prolongs an ejection whose probes failed.
     pub fn prolong(&mut self, now: Time) {
         if let Standing::Ejected { cause, .. } = self.standing {
-            let until = now + EJECT_BASE;
-            self.level_at = until;
-            self.standing = Standing::Ejected { cause, until };
-            self.fresh_from = now;
+            self.eject(now, cause, self.severity);
         }
     }
 
+    /// Returns true shortly before the ejection ends, when probes show whether it should.
+    ///
+    /// Probes earlier in the ejection would only lose requests.
+    pub fn is_probed(&self, now: Time) -> bool {
+        matches!(self.standing, Standing::Ejected { until, .. } if until.since(now) <= PROBE_TIME)
+    }
+
     pub fn begin_return(&mut self, now: Time) {
         self.standing = Standing::Returning { since: now };
         self.fresh_from = now;
