--- a/src/route/retry.rs
+++ b/src/route/retry.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::outcome::{Outcome, Refusal};
+use crate::outcome::{Outcome, Reason, Refusal};
 use crate::time::Time;
 
 /// Retries that each request earns, in thousandths: a tenth of the traffic.
@@ -83,9 +83,35 @@
 
 /// Returns true if another target may decide otherwise.
 fn is_of_target(refusal: &Refusal) -> bool {
-    use crate::outcome::Reason::*;
+    use Reason::*;
     matches!(
         refusal.reason,
         Draining | Starting | QueueFull | AccountShare | Deadline | Shed | Connect
     )
 }
+
+/// What earlier attempts of a request leave open.
+///
+/// An idempotent request may be sent again after an attempt of unknown outcome. If the last attempt
+/// is refused, the request as a whole may still have run, so the caller must not read "not run".
+#[derive(Clone, Copy, Debug, Default)]
+pub struct AttemptLog {
+    unknown: Option<Reason>,
+}
+
+impl AttemptLog {
+    /// Takes in the outcome of an attempt that is followed by another one.
+    pub fn record(&mut self, outcome: &Outcome) {
+        if let Outcome::Unknown(reason) = outcome {
+            self.unknown = Some(*reason);
+        }
+    }
+
+    /// Returns the outcome of the whole request, given that of its last attempt.
+    pub fn conclude(&self, last: Outcome) -> Outcome {
+        match (last, self.unknown) {
+            (Outcome::NotRun(_), Some(reason)) => Outcome::Unknown(reason),
+            (last, _) => last,
+        }
+    }
+}
