--- /dev/null
+++ b/src/node/targets.rs
@@ -0,0 +1,144 @@
+//! Choice of a target and the way to its node.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use crate::config::Config;
+use crate::fleet::NodeRecord;
+use crate::gate::Load;
+use crate::ids::{NodeId, ServiceName, TargetId, ZoneName};
+use crate::metrics::Metrics;
+use crate::route::{Balancer, Event, Request, Sample};
+use crate::time::{Clock, Monotonic};
+
+/// A chosen target.
+#[derive(Clone, Debug)]
+pub struct Pick {
+    /// The target.
+    pub id: TargetId,
+    /// Link address of its node.
+    pub addr: SocketAddr,
+}
+
+/// The targets of the fleet as this node knows them.
+#[derive(Debug)]
+pub struct Targets {
+    clock: Monotonic,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    balancer: Balancer,
+    addrs: HashMap<NodeId, SocketAddr>,
+}
+
+impl Targets {
+    /// Creates an empty view for an ingress in `zone`.
+    pub fn new(clock: Monotonic, zone: ZoneName) -> Targets {
+        let state = State {
+            balancer: Balancer::new(zone),
+            addrs: HashMap::new(),
+        };
+        Targets {
+            clock,
+            state: Mutex::new(state),
+        }
+    }
+
+    /// Takes over what is known of the node with the link address `addr`.
+    pub fn learn(&self, addr: SocketAddr, record: &NodeRecord) {
+        let mut state = self.lock();
+        state.addrs.insert(record.node, addr);
+        state.balancer.update(self.clock.now(), record);
+    }
+
+    /// Forgets a node that is gone.
+    pub fn forget(&self, node: NodeId) {
+        let mut state = self.lock();
+        state.addrs.remove(&node);
+        state.balancer.lose(self.clock.now(), node);
+    }
+
+    /// Takes over the floors of a configuration.
+    pub fn set_floors(&self, config: &Config) {
+        let mut state = self.lock();
+        for service in config.services() {
+            state.balancer.set_floor(&service.name, service.floor);
+        }
+    }
+
+    /// Chooses a target.
+    pub fn pick(&self, request: &Request<'_>) -> Option<Pick> {
+        let mut state = self.lock();
+        let now = self.clock.now();
+        let id = state.balancer.pick_for(now, request, &mut rand::rng())?;
+        let addr = *state.addrs.get(&id.node)?;
+        Some(Pick { id, addr })
+    }
+
+    /// Takes in what became of an attempt.
+    pub fn report(&self, id: &TargetId, sample: Sample) {
+        let now = self.clock.now();
+        self.lock().balancer.report(now, id, sample);
+    }
+
+    /// Takes in the load that came with an answer.
+    pub fn observe(&self, id: &TargetId, load: Load) {
+        let now = self.clock.now();
+        self.lock().balancer.observe(now, id, load, None);
+    }
+
+    /// Reviews the targets and tells what was decided since the last call.
+    pub fn tick(&self, metrics: &Metrics) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.balancer.tick(now);
+        let events = state.balancer.take_events();
+        drop(state);
+        events.iter().for_each(|event| tell(event, metrics));
+    }
+
+    /// Returns when a service without targets may have one again.
+    pub fn retry_after(&self, service: &ServiceName) -> Duration {
+        let now = self.clock.now();
+        self.lock().balancer.retry_after(now, service)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn tell(event: &Event, metrics: &Metrics) {
+    match event {
+        Event::Ejected {
+            target,
+            cause,
+            severity,
+        } => {
+            metrics.count("ejected");
+            log::warn!(
+                event = "ejected", target:% = target, cause:? = cause, severity = *severity;
+                "target ejected"
+            );
+        }
+        Event::Returned(target) => {
+            metrics.count("returned");
+            log::info!(event = "returned", target:% = target; "target is back");
+        }
+        Event::KeptByFloor(target) => {
+            metrics.count("kept-by-floor");
+            log::warn!(event = "kept-by-floor", target:% = target; "floor keeps a bad target");
+        }
+        Event::KindAvoided { target, kind } => {
+            metrics.count("kind-avoided");
+            log::warn!(
+                event = "kind-avoided", target:% = target, kind:% = kind;
+                "target fails for one kind of request"
+            );
+        }
+    }
+}
