Check evidence again at the egress and widen the header limit of links

A keyed request could wait in a queue while its ingress was paused, so the egress bounds the wait and needs fresh evidence of its own at hand-over. HTTP/2 counts 32 bytes more for each header and hyper permits 16 KiB, which refused headers within the callers' limit.

--- a/src/http/headers.rs
+++ b/src/http/headers.rs
@@ -1,10 +1,10 @@
 //! Which headers may pass between callers, nodes and targets.
 
 use http::header::{
-    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
-    TRAILER, TRANSFER_ENCODING, UPGRADE,
+    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
-use http::{HeaderMap, HeaderName};
+use http::{HeaderMap, HeaderName, HeaderValue, Uri};
 
 /// Headers with this prefix belong to the fleet; nobody outside may set them.
 pub const OWN_PREFIX: &str = "laburnum-";
@@ -60,6 +60,22 @@
     strip_own(headers);
 }
 
+/// Makes `host` name the host of a request in absolute form, which goes first.
+///
+/// User information in the authority is left out, since it may hold a password.
+pub fn set_host(headers: &mut HeaderMap, uri: &Uri) {
+    let Some(authority) = uri.authority() else {
+        return;
+    };
+    let host = match authority.port() {
+        Some(port) => format!("{}:{port}", authority.host()),
+        None => authority.host().to_owned(),
+    };
+    if let Ok(host) = HeaderValue::try_from(host) {
+        headers.insert(HOST, host);
+    }
+}
+
 /// Removes from a target's answer everything that must not reach the caller.
 pub fn strip_answer(headers: &mut HeaderMap) {
     strip_hop(headers);
--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -24,6 +24,7 @@
 use crate::node::flight::{Flight, Step, Ticket};
 use crate::node::local::{Local, LocalTarget};
 use crate::node::measure::Measured;
+use crate::node::plug::Freshness;
 use crate::node::pool::Sender;
 use crate::node::settings::Limits;
 use crate::node::slots::Lease;
@@ -35,13 +36,17 @@
 /// Time after which a request that met a draining or shedding target may be sent again.
 const RETRY_LATER: Duration = Duration::from_secs(1);
 
+/// Longest time from the arrival of a keyed request to its hand-over.
+const HAND_OVER_MAX: Duration = Duration::from_millis(1_800);
+
 /// The answer body from an egress to an ingress.
 pub type EgressBody = Either<TargetBody, Empty<Bytes>>;
 
 /// The egress of a node.
 #[derive(Debug)]
-pub struct Egress {
+pub struct Egress<F> {
     local: Arc<Local>,
+    freshness: Arc<F>,
     clock: Monotonic,
     flight: Flight,
     body_time: Duration,
@@ -56,15 +61,23 @@
     account: Option<AccountName>,
     weight: Rate,
     kind: String,
+    arrived: Instant,
     deadline: Instant,
     target: TargetName,
 }
 
-impl Egress {
+impl<F: Freshness> Egress<F> {
     /// Creates an egress for the targets in `local`.
-    pub fn new(local: Arc<Local>, clock: Monotonic, flight: Flight, limits: &Limits) -> Self {
+    pub fn new(
+        local: Arc<Local>,
+        freshness: Arc<F>,
+        clock: Monotonic,
+        flight: Flight,
+        limits: &Limits,
+    ) -> Self {
         Egress {
             local,
+            freshness,
             clock,
             flight,
             body_time: limits.body_time,
@@ -112,6 +125,7 @@
             deadline: self.clock.now() + left,
         };
         let lease = target.gate.enter(offer).await.map_err(not_run)?;
+        self.check_evidence(job).map_err(not_run)?;
         let request = self.prepare(job, request);
         let mut measured = target.measure.start(job.attempt, &job.kind);
         let sent = timeout_at(job.deadline, target.pool.send(request)).await;
@@ -128,6 +142,19 @@
         Ok(self.answer(job, reply.response, hold))
     }
 
+    /// Checks that the key, which the ingress has checked, can't have been withdrawn for long.
+    ///
+    /// The ingress ends its requests when a key is withdrawn, but it may be paused or cut off. The
+    /// age of its evidence at sending and the wait here together stay below the 5 s within which a
+    /// withdrawn key stops working. After a pause of this process its own evidence is old.
+    fn check_evidence(&self, job: &Job) -> std::result::Result<(), Refusal> {
+        let is_late = job.arrived.elapsed() > HAND_OVER_MAX;
+        if job.account.is_some() && (is_late || !self.freshness.is_fresh()) {
+            return Err(Refusal::after(Reason::StaleConfig, RETRY_LATER));
+        }
+        Ok(())
+    }
+
     fn refuse(&self, job: &Job, outcome: &Outcome, load: Option<Load>) -> Response<EgressBody> {
         log::debug!(
             event = "egress-refused", request:% = job.request, target:% = job.target,
@@ -186,6 +213,7 @@
 impl Job {
     fn read(from: &HeaderMap) -> Result<Job> {
         let left: u64 = field(from, &headers::DEADLINE_MS)?;
+        let arrived = Instant::now();
         Ok(Job {
             attempt: field(from, &headers::ATTEMPT)?,
             request: field(from, &headers::REQUEST_ID)?,
@@ -195,7 +223,8 @@
             },
             weight: Rate::from_millis(field(from, &headers::WEIGHT)?),
             kind: field(from, &headers::KIND)?,
-            deadline: Instant::now() + Duration::from_millis(left),
+            arrived,
+            deadline: arrived + Duration::from_millis(left),
             target: field(from, &headers::TARGET)?,
         })
     }
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -101,7 +101,10 @@
         let id = RequestId::random();
         let (head, body) = request.into_parts();
         let slot = UploadSlot::new(Paced::new(body, self.body_time));
-        let mut response = match self.handle(id, head, &slot).await {
+        let watch = CallWatch::start(id, &self.metrics);
+        let result = self.handle(id, head, &slot).await;
+        watch.end();
+        let mut response = match result {
             Ok(response) => response.map(Either::Left),
             Err(outcome) => self.refuse(id, &outcome, &slot),
         };
@@ -131,6 +134,7 @@
         };
         let session = identity.as_ref().map(|i| self.enter(i));
         headers::strip_request(&mut head.headers);
+        headers::set_host(&mut head.headers, &head.uri);
         let weight = weight(&config, route, identity.as_ref());
         let call = Call::new(id, head, route, identity, weight, slot.clone());
         let response = self.run(&call, &config, session.as_ref()).await?;
@@ -247,6 +251,36 @@
     }
 }
 
+/// Counts a request whose caller went away before there was an outcome.
+struct CallWatch<'a> {
+    id: RequestId,
+    metrics: &'a Metrics,
+    ended: bool,
+}
+
+impl<'a> CallWatch<'a> {
+    fn start(id: RequestId, metrics: &'a Metrics) -> CallWatch<'a> {
+        CallWatch {
+            id,
+            metrics,
+            ended: false,
+        }
+    }
+
+    fn end(mut self) {
+        self.ended = true;
+    }
+}
+
+impl Drop for CallWatch<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.metrics.count("cancelled");
+            log::info!(event = "cancelled", request:% = self.id; "caller went away");
+        }
+    }
+}
+
 /// Reads a refused body to its end within limits.
 ///
 /// Closing a socket with unread data resets it, and the caller could lose the refusal.
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -24,6 +24,10 @@
 /// Bytes that one stream buffers before it waits for the link.
 pub const SEND_BUFFER_BYTES: usize = 64 * 1024;
 
+/// Most bytes of the headers of a request or an answer as HTTP/2 counts them, which adds 32 bytes
+/// to each; above what callers and targets may send.
+pub const HEADER_LIST_BYTES: u32 = 128 * 1024;
+
 /// Time between probes on a link; a silent cut is found after this and the timeout.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -121,6 +125,7 @@
             .initial_stream_window_size(STREAM_WINDOW_BYTES)
             .initial_connection_window_size(LINK_WINDOW_BYTES)
             .max_send_buf_size(SEND_BUFFER_BYTES)
+            .max_header_list_size(HEADER_LIST_BYTES)
             .keep_alive_interval(PROBE_INTERVAL)
             .keep_alive_timeout(PROBE_TIMEOUT)
             .handshake(TokioIo::new(link.stream))
--- a/src/node/listen.rs
+++ b/src/node/listen.rs
@@ -22,7 +22,9 @@
 use crate::node::egress::Egress;
 use crate::node::flight::Flight;
 use crate::node::ingress::Ingress;
-use crate::node::links::{LINK_WINDOW_BYTES, SEND_BUFFER_BYTES, STREAM_WINDOW_BYTES};
+use crate::node::links::{
+    HEADER_LIST_BYTES, LINK_WINDOW_BYTES, SEND_BUFFER_BYTES, STREAM_WINDOW_BYTES,
+};
 use crate::node::plug::{Admission, Freshness};
 use crate::node::settings::Limits;
 use crate::wire::{Handler, Hello, Protocol, Role, Secret, accept, serve_frames};
@@ -201,21 +203,21 @@
 }
 
 /// What an accepted link is served with.
-pub struct LinkSide<H> {
+pub struct LinkSide<F, H> {
     /// Identity of this node.
     pub me: NodeId,
     /// Secret of the fleet.
     pub secret: Secret,
     /// Serves requests of other ingresses.
-    pub egress: Arc<Egress>,
+    pub egress: Arc<Egress<F>>,
     /// Serves frames.
     pub handler: Arc<H>,
 }
 
 /// Serves links of other nodes and control processes.
-pub async fn serve_links<H: Handler + Send + Sync + 'static>(
+pub async fn serve_links<F: Freshness, H: Handler + Send + Sync + 'static>(
     listener: TcpListener,
-    side: LinkSide<H>,
+    side: LinkSide<F, H>,
     ending: Ending,
 ) {
     let side = Arc::new(side);
@@ -231,9 +233,9 @@
     .await;
 }
 
-async fn serve_link<H: Handler + Send + Sync + 'static>(
+async fn serve_link<F: Freshness, H: Handler + Send + Sync + 'static>(
     stream: TcpStream,
-    side: &LinkSide<H>,
+    side: &LinkSide<F, H>,
     closing: CancellationToken,
 ) -> Result<()> {
     let hello = Hello {
@@ -251,9 +253,9 @@
     }
 }
 
-async fn serve_requests(
+async fn serve_requests<F: Freshness>(
     stream: TcpStream,
-    egress: Arc<Egress>,
+    egress: Arc<Egress<F>>,
     closing: CancellationToken,
 ) -> Result<()> {
     let service = service_fn(move |request| egress.clone().serve(request));
@@ -264,6 +266,7 @@
         .initial_stream_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(LINK_WINDOW_BYTES)
         .max_send_buf_size(SEND_BUFFER_BYTES)
+        .max_header_list_size(HEADER_LIST_BYTES)
         .max_concurrent_streams(STREAMS_MAX)
         .max_pending_accept_reset_streams(STREAMS_MAX as usize)
         .max_local_error_reset_streams(None)
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -156,7 +156,13 @@
         &limits,
     );
     let ingress = Arc::new(ingress);
-    let egress = Arc::new(Egress::new(local.clone(), clock, flight.clone(), &limits));
+    let egress = Arc::new(Egress::new(
+        local.clone(),
+        freshness.clone(),
+        clock,
+        flight.clone(),
+        &limits,
+    ));
     let admin = Admin::new(
         local.clone(),
         policy.clone(),
--- a/src/node/pool.rs
+++ b/src/node/pool.rs
@@ -25,6 +25,12 @@
 /// Time for a connection to be ready again after its answer was read whole.
 const READY_TIME: Duration = Duration::from_millis(2);
 
+/// Most headers of a target's answer.
+const ANSWER_HEADERS_MAX: usize = 256;
+
+/// Most bytes of a target's answer that are read ahead, which bounds its headers too.
+const ANSWER_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Sends one request at a time to a target.
 pub type Sender = SendRequest<Paced>;
 
@@ -161,6 +167,8 @@
         let stream = stream.map_err(|_| Reason::Connect)?;
         stream.set_nodelay(true).map_err(|_| Reason::Connect)?;
         let (sender, connection) = Builder::new()
+            .max_headers(ANSWER_HEADERS_MAX)
+            .max_buf_size(ANSWER_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|_| Reason::Connect)?;
--- a/tests/data_path/graceful_drain.rs
+++ b/tests/data_path/graceful_drain.rs
@@ -39,6 +39,7 @@
         back,
         target,
         fresh,
+        back_fresh,
         admits,
     } = Site::with(limits(), 7, Duration::ZERO).await;
     let spare = crate::site::node(&limits(), &fresh, &admits).await;
@@ -47,6 +48,7 @@
         back: spare,
         target,
         fresh,
+        back_fresh,
         admits,
     };
     let (stop, answered) = (AtomicBool::new(false), AtomicU32::new(0));
--- a/tests/data_path/site.rs
+++ b/tests/data_path/site.rs
@@ -58,7 +58,10 @@
     /// Beside the target.
     pub back: Handle,
     pub target: Arc<Target>,
+    /// Freshness of the front node.
     pub fresh: Arc<Switch>,
+    /// Freshness of the back node.
+    pub back_fresh: Arc<Switch>,
     pub admits: Arc<Admits>,
 }
 
@@ -71,13 +74,15 @@
         let fresh = Arc::new(Switch(AtomicBool::new(true)));
         let admits = Arc::new(Admits::default());
         let front = node(&limits, &fresh, &admits).await;
-        let back = node(&limits, &fresh, &admits).await;
+        let back_fresh = Arc::new(Switch(AtomicBool::new(true)));
+        let back = node(&limits, &back_fresh, &admits).await;
         let target = target(&back, "oven-1", slots, delay).await;
         let site = Site {
             front,
             back,
             target,
             fresh,
+            back_fresh,
             admits,
         };
         site.connect(1).await;
