Limit the rates of client accounts over the fleet

The ingress asks the node's rate limits in place of the stand-in that admitted all. Nodes count as alive for the choice of owners while gossip has brought news of them within a bound that grows with the logarithm of their number.

cut_off_node failed now and then with a request that a thawed node had sent: SIGSTOP takes milliseconds to reach every thread on a busy machine, and a peer answered gossip meanwhile, so the evidence was honest. The test now waits until every thread has stopped, and no longer waits for targets on frozen VMs.

--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -5,21 +5,24 @@
 
 use bytes::Bytes;
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
-use crate::config::Account;
 use crate::error::{Error, Result};
 use crate::fleet::{Member, NodeRecord};
+use crate::freshness::EVIDENCE_LIFETIME;
 use crate::ids::NodeId;
+use crate::limit::LEASE;
+use crate::metrics::Metrics;
+use crate::node::limits::RateLimits;
 use crate::node::links::Links;
-use crate::node::plug::{Admission, Parts, Policy};
+use crate::node::plug::{Parts, Policy};
 use crate::node::settings::Settings;
 use crate::node::sync::{Controls, Gossiper, serve_gossip};
 use crate::node::targets::Targets;
 use crate::node::view::View;
-use crate::node::{Handle, spawn_with};
-use crate::outcome::Refusal;
+use crate::node::{Handle, spawn_measured};
 use crate::time::Monotonic;
+use crate::units::Position;
 use crate::wire::{Channel, Handler, Hello, Protocol, Role};
 
 /// Shortest time between two updates of the request path from the view.
@@ -27,26 +30,24 @@
 /// Gossip changes the view many times a second; the request path needs a change only this often.
 const SPREAD_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Admits every request; stands in until limits are connected.
-#[derive(Debug, Default)]
-pub struct Unlimited;
+/// Time between two looks at which nodes are alive.
+const LIVENESS_INTERVAL: Duration = Duration::from_millis(250);
 
-impl Admission for Unlimited {
-    async fn admit(&self, _: &Account, _: Duration) -> std::result::Result<(), Refusal> {
-        Ok(())
-    }
-}
+/// Time after which no node honours keys or leases by an earlier registry than an accepted one.
+const SETTLE_TIME: Duration = EVIDENCE_LIFETIME.saturating_add(LEASE).saturating_mul(2);
 
 /// Answers frames of other nodes.
 #[derive(Debug)]
 struct Frames {
     view: Arc<View>,
+    limits: Arc<RateLimits>,
 }
 
 impl Handler for Frames {
-    async fn handle(&self, _: Hello, channel: Channel, payload: Bytes) -> Result<Bytes> {
+    async fn handle(&self, peer: Hello, channel: Channel, payload: Bytes) -> Result<Bytes> {
         match channel {
             Channel::Gossip => serve_gossip(&self.view, payload),
+            Channel::Limit => self.limits.serve(peer, payload),
             _ => Err(Error::unavailable(format!("{channel:?} is not served"))),
         }
     }
@@ -71,14 +72,22 @@
     };
     let policy = Arc::new(Policy::new());
     let view = Arc::new(View::new(member, Monotonic::new(), policy.clone()));
+    let (addrs, secret) = (settings.control.clone(), settings.secret.clone());
+    let metrics = Metrics::open(settings.statsd)?;
+    let limits = RateLimits::new(policy.clone(), secret.clone(), hello, metrics.clone());
+    let limits = Arc::new(limits);
     let parts = Parts {
         policy,
         freshness: view.clone(),
-        admission: Arc::new(Unlimited),
+        admission: Arc::new(limits.clone()),
     };
-    let frames = Arc::new(Frames { view: view.clone() });
-    let (addrs, secret) = (settings.control.clone(), settings.secret.clone());
-    let handle = spawn_with(settings, me, parts, frames).await?;
+    let frames = Arc::new(Frames {
+        view: view.clone(),
+        limits: limits.clone(),
+    });
+    let handle = spawn_measured(settings, me, parts, frames, metrics).await?;
+    handle.watch(limits.clone().run());
+    handle.watch(keep_members(view.clone(), limits));
     let controls = Arc::new(Controls::new(view.clone(), &addrs, &secret, hello));
     let waiting = controls.clone();
     handle.watch(async move { controls.prove().await });
@@ -91,6 +100,30 @@
     Ok(handle)
 }
 
+/// Tells the limits which nodes are registered and alive.
+async fn keep_members(view: Arc<View>, limits: Arc<RateLimits>) {
+    let mut accepted: Option<(Position, Instant)> = None;
+    let mut settled = None;
+    loop {
+        let members = view.members();
+        let is_live = |id| members.live.binary_search(&id).is_ok();
+        limits.set_members(&members.nodes, is_live);
+        accepted = match accepted {
+            _ if !members.accepted => None,
+            Some((position, since)) if position == members.registry => Some((position, since)),
+            _ => Some((members.registry, Instant::now())),
+        };
+        if let Some((position, since)) = accepted
+            && settled != Some(position)
+            && since.elapsed() > SETTLE_TIME
+        {
+            limits.settle_members();
+            settled = Some(position);
+        }
+        sleep(LIVENESS_INTERVAL).await;
+    }
+}
+
 /// Publishes each change of the node's own record.
 async fn publish_own(view: Arc<View>, mut records: watch::Receiver<NodeRecord>) {
     let started = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -130,6 +130,23 @@
     parts: Parts<F, A>,
     handler: Arc<H>,
 ) -> Result<Handle>
+where
+    F: Freshness,
+    A: Admission,
+    H: Handler + Send + Sync + 'static,
+{
+    let metrics = Metrics::open(settings.statsd)?;
+    spawn_measured(settings, me, parts, handler, metrics).await
+}
+
+/// Starts the node `me` with given parts and metrics.
+async fn spawn_measured<F, A, H>(
+    settings: Settings,
+    me: NodeId,
+    parts: Parts<F, A>,
+    handler: Arc<H>,
+    metrics: Metrics,
+) -> Result<Handle>
 where
     F: Freshness,
     A: Admission,
@@ -142,7 +159,6 @@
     let admins = listen::bind("admin", settings.admin_listen).await?;
     let link_addr = settings.link_public.unwrap_or(link.local_addr()?);
     let clock = Monotonic::new();
-    let metrics = Metrics::open(settings.statsd)?;
     let flight = Flight::default();
     let ending = Ending::default();
     let policy = parts.policy.clone();
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -9,8 +9,10 @@
 use tokio::sync::watch;
 
 use crate::error::Result;
+use crate::fleet::gossip::{GOSSIP_INTERVAL, GOSSIP_PEERS};
 use crate::fleet::{Answer, Ask, Gossip, Member, NodeRecord, Published, Push, Registry, Relayed};
-use crate::freshness::Heard;
+use crate::freshness::{AGE_UNIT, Heard};
+use crate::ids::NodeId;
 use crate::node::plug::{Freshness, Policy};
 use crate::replica::Entry;
 use crate::time::{Clock, Monotonic, Time};
@@ -25,6 +27,23 @@
 /// Bytes of entries in one answer to a peer.
 const RELAYED_MAX_BYTES: usize = 256 * 1024;
 
+/// Gossip rounds without news of a node, beyond those that news takes to spread, before it counts
+/// as dead for the choice of owners.
+const MISSED_ROUNDS_MAX: u32 = 5;
+
+/// The registered nodes as this node sees them.
+#[derive(Clone, Debug, Default)]
+pub struct Members {
+    /// Position of the entry that put the registry in force.
+    pub registry: Position,
+    /// True if that entry is known to be accepted.
+    pub accepted: bool,
+    /// The registered nodes, sorted by identity.
+    pub nodes: Vec<Member>,
+    /// The nodes that were heard of lately and do not leave, sorted.
+    pub live: Vec<NodeId>,
+}
+
 /// The node's view of the fleet; every method takes the lock only for a short computation.
 #[derive(Debug)]
 pub struct View {
@@ -86,6 +105,28 @@
         self.lock().gossip.registry().clone()
     }
 
+    /// Returns the registered nodes and which of them are alive.
+    pub fn members(&self) -> Members {
+        let inner = self.lock();
+        let gossip = &inner.gossip;
+        let state = inner.client.state();
+        let nodes = gossip.registry().members().to_vec();
+        let ages = gossip.evidence().ages(self.clock.now());
+        let age_max = age_max(nodes.len());
+        let is_live = |(member, age): &(&Member, &u8)| {
+            let record = gossip.records().get(member.id);
+            let leaves = record.is_some_and(|p| p.record.leaving);
+            !leaves && AGE_UNIT * u32::from(**age) <= age_max
+        };
+        let live = nodes.iter().zip(&ages.bytes).filter(is_live);
+        Members {
+            registry: state.registry_position(),
+            accepted: state.accepted() >= state.registry_position(),
+            live: live.map(|(member, _)| member.id).collect(),
+            nodes,
+        }
+    }
+
     /// Returns the records of all nodes.
     pub fn records(&self) -> Vec<Arc<Published>> {
         self.lock().gossip.records().iter().cloned().collect()
@@ -205,6 +246,14 @@
     }
 }
 
+/// Returns how old news of a live node may be among `nodes` nodes.
+///
+/// News reaches all nodes after about as many rounds as the logarithm of their number.
+fn age_max(nodes: usize) -> Duration {
+    let spread = nodes.max(1).ilog(GOSSIP_PEERS.max(2)) + 1;
+    GOSSIP_INTERVAL * (MISSED_ROUNDS_MAX + spread)
+}
+
 impl Inner {
     fn apply_entries(&mut self, entries: &[Bytes]) -> Result<()> {
         for bytes in entries {
--- a/tests/processes/caller.rs
+++ b/tests/processes/caller.rs
@@ -38,9 +38,24 @@
     method: &str,
     path: &str,
     headers: &[(&str, &str)],
+) -> std::io::Result<Answer> {
+    call_within(addr, method, path, headers, Duration::from_secs(30))
+}
+
+/// Sends one request and gives up after a silence of `patience`.
+///
+/// # Errors
+///
+/// As [`call`], and after the silence.
+pub fn call_within(
+    addr: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    patience: Duration,
 ) -> std::io::Result<Answer> {
     let mut stream = TcpStream::connect(addr)?;
-    stream.set_read_timeout(Some(Duration::from_secs(30)))?;
+    stream.set_read_timeout(Some(patience))?;
     let mut request = format!("{method} {path} HTTP/1.1\r\nhost: {addr}\r\nconnection: close\r\n");
     for (name, value) in headers {
         request.push_str(&format!("{name}: {value}\r\n"));
--- a/tests/processes/control_absence.rs
+++ b/tests/processes/control_absence.rs
@@ -2,9 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use rustix::process::Signal;
-
-use crate::caller::call_with_key;
+use crate::caller::{call_with_key, call_within};
 use crate::fleet::{Fleet, eventually};
 use crate::notes::{OFFICE_KEY, YARD_KEY};
 use crate::whole_path::served_fleet;
@@ -95,24 +93,33 @@
     for control in &mut fleet.controls {
         control.as_mut().unwrap().kill();
     }
-    fleet.nodes[0].as_ref().unwrap().signal(Signal::STOP);
-    fleet.nodes[2].as_ref().unwrap().signal(Signal::STOP);
+    for node in [0, 2] {
+        fleet.nodes[node].as_ref().unwrap().freeze();
+    }
     let start = Instant::now();
     loop {
-        let answer = call_with_key(fleet.caller_addr(1), "GET", "/records/1", YARD_KEY);
-        if answer.is_ok_and(|a| a.reason() == "stale-config") {
+        let asked = start.elapsed();
+        if is_stale(&fleet, 1) {
             break;
         }
-        assert!(
-            start.elapsed() < STALE_MAX,
-            "the node honours keys on old evidence"
-        );
-        std::thread::sleep(Duration::from_millis(50));
+        assert!(asked < STALE_MAX, "the node honours keys on old evidence");
     }
     // What was frozen must not honour a key when it continues, until it has new evidence.
     std::thread::sleep(STALE_MAX);
-    fleet.nodes[1].as_ref().unwrap().signal(Signal::STOP);
-    fleet.nodes[0].as_ref().unwrap().signal(Signal::CONT);
-    let answer = call_with_key(fleet.caller_addr(0), "GET", "/records/1", YARD_KEY).unwrap();
-    assert_eq!(answer.reason(), "stale-config", "{answer:?}");
+    fleet.nodes[1].as_ref().unwrap().freeze();
+    fleet.nodes[0].as_ref().unwrap().thaw();
+    assert!(
+        is_stale(&fleet, 0),
+        "a thawed node honours keys on old evidence"
+    );
+}
+
+/// Returns true if the node refuses a key as stale; targets on frozen VMs answer nothing.
+fn is_stale(fleet: &Fleet, node: usize) -> bool {
+    let key = format!("Bearer {YARD_KEY}");
+    let headers = [("authorization", key.as_str())];
+    let patience = Duration::from_millis(300);
+    let addr = fleet.caller_addr(node);
+    let answer = call_within(addr, "GET", "/records/1", &headers, patience);
+    answer.is_ok_and(|a| a.reason() == "stale-config")
 }
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -28,6 +28,33 @@
         kill_process(pid, signal).expect("the process was started here");
     }
 
+    /// Stops the process and waits until no thread of it runs.
+    ///
+    /// On a busy machine threads go on for milliseconds after the signal was sent.
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+        eventually("every thread has stopped", || self.is_frozen());
+    }
+
+    /// Lets a stopped process go on.
+    pub fn thaw(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    fn is_frozen(&self) -> bool {
+        let tasks = format!("/proc/{}/task", self.child.id());
+        let is_stopped = |task: std::fs::DirEntry| {
+            let stat = std::fs::read_to_string(task.path().join("stat")).unwrap_or_default();
+            stat.rsplit(')')
+                .next()
+                .is_some_and(|rest| rest.starts_with(" T"))
+        };
+        let mut tasks = std::fs::read_dir(tasks)
+            .expect("the process exists")
+            .flatten();
+        tasks.all(is_stopped)
+    }
+
     /// Ends the process as a power loss would.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
