Test requests through kills, freezes and shutdowns of real processes

Each order is hit while the target works on it; the target's own record shows that it ran once, and the caller never hears that it did not run.

--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -6,4 +6,5 @@
 mod fleet;
 mod notes;
 mod operator_client;
+mod request_faults;
 mod whole_path;
