--- a/tests/control_group.rs
+++ b/tests/control_group.rs
@@ -17,6 +17,7 @@
 use laburnumtide::wire::{Channel, Hello, Peer, Protocol, Role, Secret, accept};
 use tempfile::TempDir;
 use tokio::net::TcpListener;
+use tokio::task::JoinSet;
 
 const PATIENCE: Duration = Duration::from_secs(30);
 
@@ -139,6 +140,20 @@
     peers: Vec<Peer>,
     clock: Monotonic,
     client: SyncClient,
+    /// Ends with the node.
+    _listening: JoinSet<()>,
+}
+
+/// Binds an address as soon as the task that held it has ended.
+async fn bind(addr: SocketAddr) -> TcpListener {
+    let start = Instant::now();
+    loop {
+        match TcpListener::bind(addr).await {
+            Ok(listener) => return listener,
+            Err(e) => assert!(start.elapsed() < PATIENCE, "{addr}: {e}"),
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
 }
 
 impl Node {
@@ -153,8 +168,9 @@
             id: member.id.0,
             protocol: Protocol::Frames,
         };
-        let listener = TcpListener::bind(member.addr).await.unwrap();
-        tokio::spawn(async move {
+        let listener = bind(member.addr).await;
+        let mut listening = JoinSet::new();
+        listening.spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let _ = accept(stream, &fleet_secret(), hello).await;
             }
@@ -165,6 +181,7 @@
             peers: (0..group.size).map(peer).collect(),
             clock: Monotonic::new(),
             client: SyncClient::new(),
+            _listening: listening,
         }
     }
 
@@ -336,6 +353,48 @@
     run.abort();
 }
 
+/// Guards against notes that are never accepted once every node has restarted, since the processes
+/// of the old registry can't hold them any more.
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_nodes() {
+    let group = Group::start(3).await;
+    let mut client = group.client();
+    let mut ids = Vec::new();
+    for _ in 0..2 {
+        let (a, b) = (Node::new(&group, 0).await, Node::new(&group, 1).await);
+        ids = vec![a.member.id, b.member.id];
+        ids.sort();
+        let mut running = JoinSet::new();
+        running.spawn(a.run());
+        running.spawn(b.run());
+        let registered = |g: &Group| {
+            let registry = g.handles[0].as_ref().unwrap().view().state().registry();
+            registry.ids() == ids
+        };
+        group
+            .eventually("the registry names the nodes", registered)
+            .await;
+        running.shutdown().await;
+    }
+    let (a, b) = (Node::new(&group, 0).await, Node::new(&group, 1).await);
+    let mut running = JoinSet::new();
+    running.spawn(a.run());
+    running.spawn(b.run());
+    let state = submit(&mut client, &note(1, "yard")).await;
+    let start = Instant::now();
+    while !client.note(state.number, PATIENCE).await.unwrap().accepted {
+        assert!(start.elapsed() < PATIENCE, "the note is accepted");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let replaced = |g: &Group| {
+        let registry = g.handles[0].as_ref().unwrap().view().state().registry();
+        ids.iter().all(|id| registry.get(*id).is_none())
+    };
+    group
+        .eventually("the registry names no ended node", replaced)
+        .await;
+}
+
 /// Guards against nodes and replicas that can't come back once the log no longer holds what they
 /// missed.
 #[tokio::test(flavor = "multi_thread")]
