--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -13,6 +13,7 @@
 pub mod forward;
 pub mod ingress;
 pub mod join;
+pub mod limits;
 pub mod links;
 pub mod listen;
 pub mod local;
@@ -160,7 +161,13 @@
         &limits,
     );
     let ingress = Arc::new(ingress);
-    let egress = Arc::new(Egress::new(local.clone(), clock, flight.clone(), &limits));
+    let egress = Arc::new(Egress::new(
+        local.clone(),
+        freshness.clone(),
+        clock,
+        flight.clone(),
+        &limits,
+    ));
     let admin = Admin::new(
         local.clone(),
         policy.clone(),
