--- a/src/limit/bucket.rs
+++ b/src/limit/bucket.rs
@@ -12,13 +12,10 @@
 /// Share of the rate that is minted: a clock that is 1 % fast still mints no more than the rate.
 const MINT_PERCENT: i128 = 99;
 
-/// Share of the burst that may lie at holders beyond their waiting requests. The rest stays with
+/// Share of the existing tokens that may lie at holders beyond their waiting requests. The rest stays with
 /// the owner for nodes whose demand rises.
 const RESERVE_PERCENT: f64 = 75.0;
 
-/// Demand that a reserve covers: a lease, so that requests are admitted while a shard moves.
-const HORIZON: Duration = Duration::from_millis(3_300);
-
 /// Time of a holder's fair share that it may take at once while tokens are scarce.
 const FAIR_WINDOW: Duration = Duration::from_millis(500);
 
@@ -114,6 +111,8 @@
     }
 
     /// Books a holder's report and answers its request; grants end `valid_for` from now.
+    ///
+    /// Reserves cover the demand of the `horizon`, which is the time that a shard takes to move.
     pub(super) fn ask(
         &mut self,
         now: Time,
@@ -121,6 +120,7 @@
         ask: &Ask,
         lease: u64,
         valid_for: Duration,
+        horizon: Duration,
     ) -> Grant {
         self.settle(now);
         let Some(index) = self.report(now, node, ask, lease) else {
@@ -130,7 +130,7 @@
             self.share(now);
         }
         self.refill_fair(now, index);
-        let target = self.target(index);
+        let target = self.target(index, horizon);
         let denied = self.serve_waiting(now, index, ask.waiting);
         if denied == 0 {
             self.serve_reserve(index, target);
@@ -280,11 +280,12 @@
     }
 
     /// Returns the tokens that a holder should keep for its demand.
-    fn target(&self, index: usize) -> u64 {
+    fn target(&self, index: usize, horizon: Duration) -> u64 {
         let total: f64 = self.credits.iter().map(demand_of).sum();
         let demand = demand_of(&self.credits[index]);
-        let need = demand * HORIZON.as_secs_f64();
-        let pool = f64::from(self.allowance.burst.0) * RESERVE_PERCENT / 100.0;
+        let need = demand * horizon.as_secs_f64();
+        let level = (self.level / TOKEN).max(0) as f64;
+        let pool = (level + self.outstanding() as f64) * RESERVE_PERCENT / 100.0;
         (need + 2.0 * need.sqrt()).min(pool * demand / total) as u64
     }
 
--- a/src/limit/credit.rs
+++ b/src/limit/credit.rs
@@ -1,5 +1,7 @@
 //! A holder's line of credit at one owner for one account.
 
+use std::time::Duration;
+
 use crate::ids::AccountName;
 use crate::limit::{Ask, Grant, shrink, stretch};
 use crate::time::Time;
@@ -69,6 +71,11 @@
         (self.ready > now && self.settled < self.total).then_some(self.ready)
     }
 
+    /// Returns the time from `contact` to the expiry.
+    pub(super) fn valid_from(&self, contact: Time) -> Duration {
+        self.until.since(contact)
+    }
+
     pub(super) fn unreported(&self) -> u64 {
         self.spent - self.reported
     }
--- a/src/limit/holder.rs
+++ b/src/limit/holder.rs
@@ -21,11 +21,11 @@
 const IDLE_MIN: Duration = Duration::from_millis(300);
 const IDLE_MAX: Duration = Duration::from_millis(1_500);
 
-/// Longest time between contacts for a credit, so that it lasts almost as long as the lease.
-const CONTACT_PERIOD: Duration = Duration::from_secs(1);
+/// Contacts in the validity of a credit, so that it lasts almost as long as the lease.
+const CONTACTS: u32 = 3;
 
 /// The same for demand of at least [`BUSY_DEMAND`].
-const BUSY_CONTACT_PERIOD: Duration = Duration::from_millis(200);
+const BUSY_CONTACTS: u32 = 8;
 
 /// Requests per second at which a credit is refreshed more often.
 const BUSY_DEMAND: f64 = 4.0;
@@ -71,7 +71,7 @@
     due: BTreeSet<AccountName>,
     /// Accounts with waiting requests or an ask in flight.
     busy: BTreeSet<AccountName>,
-    owners: BTreeMap<Shard, NodeId>,
+    routes: BTreeMap<Shard, Route>,
     done: Vec<Done>,
     credits: u64,
     tickets: u64,
@@ -79,6 +79,15 @@
     ticked: Time,
 }
 
+/// Where asks about a shard go.
+#[derive(Clone, Copy, Debug, Default)]
+struct Route {
+    /// The owner, as another node has told.
+    hint: Option<NodeId>,
+    /// Which of the two candidates to ask; changes when one does not help.
+    turn: usize,
+}
+
 /// What the holder knows about an account in use.
 #[derive(Clone, Debug, Default)]
 struct Usage {
@@ -159,10 +168,11 @@
         let Some(credit) = &self.credit else {
             return self.lost.is_some();
         };
-        let period = match self.demand >= BUSY_DEMAND {
-            true => BUSY_CONTACT_PERIOD,
-            false => CONTACT_PERIOD,
+        let contacts = match self.demand >= BUSY_DEMAND {
+            true => BUSY_CONTACTS,
+            false => CONTACTS,
         };
+        let period = credit.valid_from(self.contact) / contacts;
         let unreported = credit.unreported();
         self.lost.is_some()
             || self.is_low(now)
@@ -191,7 +201,7 @@
             accounts: BTreeMap::new(),
             due: BTreeSet::new(),
             busy: BTreeSet::new(),
-            owners: BTreeMap::new(),
+            routes: BTreeMap::new(),
             done: Vec::new(),
             credits: rng.random_range(0..u64::MAX / 2),
             tickets: 0,
@@ -268,9 +278,13 @@
 
     /// Returns the node to ask about a shard.
     pub fn owner_of(&self, placement: &Placement, shard: Shard) -> Option<NodeId> {
-        let hint = self.owners.get(&shard).copied();
-        hint.filter(|node| placement.is_live(*node))
-            .or_else(|| placement.candidate(shard))
+        let route = self.routes.get(&shard).copied().unwrap_or_default();
+        let candidates = placement.candidates(shard);
+        route
+            .hint
+            .filter(|node| placement.is_live(*node))
+            .or(candidates[route.turn])
+            .or(candidates[0])
     }
 
     /// Books an owner's answer.
@@ -309,13 +323,11 @@
         usage.hops += 1;
         match hint {
             Some(node) if usage.hops < HOPS_MAX => {
-                self.owners.insert(shard, node);
+                self.routes.entry(shard).or_default().hint = Some(node);
                 usage.asked_at = None;
                 self.due.insert(name.clone());
             }
-            _ => {
-                self.owners.remove(&shard);
-            }
+            _ => self.routes.entry(shard).or_default().hint = None,
         }
     }
 
@@ -412,7 +424,11 @@
         {
             usage.asked_at = None;
             usage.hops = 0;
-            self.owners.remove(&Shard::of(name));
+            let route = self.routes.entry(Shard::of(name)).or_default();
+            route.turn = match route.hint.take() {
+                Some(_) => 0,
+                None => 1 - route.turn,
+            };
             self.due.insert(name.clone());
         }
         while usage.waiting.front().is_some_and(|w| w.until <= now) {
--- a/src/limit/message.rs
+++ b/src/limit/message.rs
@@ -13,6 +13,8 @@
     pub node: NodeId,
     /// Send time on the candidate's clock; grows with each claim and orders them at the seat.
     pub sent: Time,
+    /// Length of the vote that the candidate asks for, at most [`LEASE`](crate::limit::LEASE).
+    pub length: Duration,
     /// Digests of the seat layouts that the candidate follows, the newest last.
     pub layouts: Vec<u64>,
     /// Shards to vote for.
@@ -26,6 +28,8 @@
 pub struct Ballot {
     /// Send time of the claim, echoed.
     pub sent: Time,
+    /// Length of the votes, counted by the candidate from the send time.
+    pub length: Duration,
     /// Shards that the seat voted for.
     pub granted: Vec<Shard>,
     /// Shards that another node holds.
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -35,11 +35,17 @@
 /// Number of shards that accounts hash to.
 pub const SHARD_COUNT: u16 = 2_048;
 
-/// Length of a seat's vote for the owner of a shard.
+/// Longest vote of a seat for the owner of a shard, and how long a restarted seat abstains.
 pub const LEASE: Duration = Duration::from_secs(3);
 
-/// Time between renewals of a lease.
-pub const RENEW_PERIOD: Duration = Duration::from_secs(1);
+/// Length of votes in a fleet of at most [`SMALL_FLEET`] nodes.
+///
+/// An account has only the tokens at the nodes while its shard moves. A short lease makes that
+/// time short; a large fleet can't afford the renewals.
+pub const SHORT_LEASE: Duration = Duration::from_secs(1);
+
+/// Most nodes of a fleet that uses [`SHORT_LEASE`].
+pub const SMALL_FLEET: usize = 64;
 
 /// Period of batched reports from holders to owners.
 pub const BATCH_PERIOD: Duration = Duration::from_millis(100);
--- a/src/limit/owner.rs
+++ b/src/limit/owner.rs
@@ -8,10 +8,13 @@
 
 use crate::ids::{AccountName, NodeId};
 use crate::limit::bucket::Bucket;
-use crate::limit::{Answer, Ask, Ballot, Claim, LEASE, Placement, RENEW_PERIOD, Reply, Shard};
+use crate::limit::{Answer, Ask, Ballot, Claim, Placement, Reply, Shard};
 use crate::time::Time;
 use crate::units::{Burst, Rate};
 
+/// Time for which an ask makes a node a candidate for the shard.
+const WANTED_TIME: Duration = Duration::from_secs(1);
+
 /// Rate and burst of a client account.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Allowance {
@@ -42,6 +45,8 @@
 struct Tenure {
     votes: BTreeMap<SocketAddr, Time>,
     next_claim: Time,
+    /// Until when holders' asks make this node a candidate.
+    wanted: Time,
     /// Send time of the last release; ballots of earlier claims are void.
     released: Time,
     other: Option<Other>,
@@ -64,6 +69,14 @@
 }
 
 impl Tenure {
+    /// Creates a tenure; ballots of claims sent until `released` are void.
+    fn new(released: Time) -> Tenure {
+        Tenure {
+            released,
+            ..Tenure::default()
+        }
+    }
+
     /// Returns the time until which a majority of each set of seats has voted for this node.
     fn until(&self, placement: &Placement, shard: Shard) -> Time {
         placement
@@ -108,8 +121,8 @@
 
     /// Returns the claims that are due, one for each seat, among `shards`.
     ///
-    /// A node claims the shards that it holds and those whose first live candidate it is, unless a
-    /// seat has said that another node holds them. It gives back votes that it has no use for.
+    /// A node claims the shards that it holds, those whose first live candidate it is and those that
+    /// holders have asked it for, unless a seat has said that another node holds them. It gives back votes that it has no use for.
     pub fn claims(
         &mut self,
         now: Time,
@@ -136,26 +149,28 @@
         claims: &mut BTreeMap<SocketAddr, Claim>,
     ) {
         let released = self.released;
-        let tenure = self.shards.entry(shard).or_insert_with(|| Tenure {
-            released,
-            ..Tenure::default()
-        });
+        let tenure = self
+            .shards
+            .entry(shard)
+            .or_insert_with(|| Tenure::new(released));
         tenure.lapse(now, tenure.until(placement, shard));
         tenure.votes.retain(|_, until| *until > now);
         let held_by_other = tenure.other.is_some_and(|o| o.until > now);
-        let wants = tenure.lease.is_some() || (first && !held_by_other);
+        let candidate = first || tenure.wanted > now;
+        let wants = tenure.lease.is_some() || (candidate && !held_by_other);
         if wants && now < tenure.next_claim {
             return;
         }
         let new_claim = || Claim {
             node: self.node,
             sent: now,
+            length: placement.lease(),
             layouts: placement.layouts(),
             claim: Vec::new(),
             release: Vec::new(),
         };
         if wants {
-            tenure.next_claim = now + RENEW_PERIOD;
+            tenure.next_claim = now + placement.lease() * 3 / 10;
             for seat in placement.seats(shard) {
                 claims
                     .entry(seat)
@@ -173,7 +188,7 @@
                 .release
                 .push(shard);
         }
-        if !first && !held_by_other {
+        if !candidate && !held_by_other {
             self.released = self.released.max(tenure.released);
             self.shards.remove(&shard);
         }
@@ -183,7 +198,7 @@
     ///
     /// The vote counts from the claim's send time, which is before the seat's receive time.
     pub fn ballot(&mut self, now: Time, placement: &Placement, seat: SocketAddr, ballot: &Ballot) {
-        let until = ballot.sent + LEASE;
+        let until = ballot.sent + ballot.length;
         for &shard in &ballot.granted {
             self.book_vote(now, placement, shard, seat, ballot.sent, until);
         }
@@ -265,12 +280,16 @@
         accounts: &impl Accounts,
     ) -> Reply {
         let shard = Shard::of(&ask.account);
-        let Some(tenure) = self.shards.get_mut(&shard) else {
-            return Reply::Elsewhere(placement.candidate(shard).filter(|n| *n != self.node));
-        };
+        let released = self.released;
+        let tenure = self
+            .shards
+            .entry(shard)
+            .or_insert_with(|| Tenure::new(released));
         let until = tenure.until(placement, shard);
         tenure.lapse(now, until);
         let Some(lease) = &mut tenure.lease else {
+            // Holders ask here because they can't reach the owner or believe that this is it.
+            tenure.wanted = now + WANTED_TIME;
             let other = tenure.other.filter(|o| o.until > now);
             return Reply::Elsewhere(other.map(|o| o.node));
         };
@@ -282,7 +301,8 @@
             .entry(ask.account.clone())
             .or_insert_with(|| Bucket::new(allowance, lease.since, now));
         bucket.change(now, allowance);
-        Reply::Grant(bucket.ask(now, from, ask, lease.number, until.since(now)))
+        let horizon = placement.lease() * 11 / 10;
+        Reply::Grant(bucket.ask(now, from, ask, lease.number, until.since(now), horizon))
     }
 
     /// Takes over a changed allowance at once; `old` is what was in force until now.
--- a/src/limit/placement.rs
+++ b/src/limit/placement.rs
@@ -4,11 +4,12 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::OnceLock;
+use std::time::Duration;
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::ids::{AccountName, NodeId, ZoneName};
-use crate::limit::SHARD_COUNT;
+use crate::limit::{LEASE, SHARD_COUNT, SHORT_LEASE, SMALL_FLEET};
 
 /// Seats of a shard, as far as there are nodes.
 pub const SEAT_COUNT: usize = 3;
@@ -113,7 +114,7 @@
     /// Hashes of the live sites.
     hashes: BTreeMap<u64, NodeId>,
     /// First candidates, found when they are first asked for.
-    first: Vec<OnceLock<Option<NodeId>>>,
+    first: Vec<OnceLock<[Option<NodeId>; 2]>>,
     layouts: Vec<Layout>,
 }
 
@@ -165,9 +166,22 @@
 
     /// Returns the first live node in the rendezvous order of a shard.
     pub fn candidate(&self, shard: Shard) -> Option<NodeId> {
+        self.candidates(shard)[0]
+    }
+
+    /// Returns the first two live nodes in the rendezvous order of a shard.
+    pub fn candidates(&self, shard: Shard) -> [Option<NodeId>; 2] {
         *self.first[usize::from(shard.0)].get_or_init(|| self.find_first(shard))
     }
 
+    /// Returns the length of the leases that this node claims.
+    pub fn lease(&self) -> Duration {
+        match self.sites.len() <= SMALL_FLEET {
+            true => SHORT_LEASE,
+            false => LEASE,
+        }
+    }
+
     /// Returns true if this node believes that `node` is alive.
     pub fn is_live(&self, node: NodeId) -> bool {
         self.sites
@@ -211,10 +225,18 @@
         self.first.fill(OnceLock::new());
     }
 
-    fn find_first(&self, shard: Shard) -> Option<NodeId> {
+    fn find_first(&self, shard: Shard) -> [Option<NodeId>; 2] {
         let seed = u64::from(shard.0) + 1;
         let weight = |hash: &u64| xxh3_64_with_seed(&hash.to_le_bytes(), seed);
-        let best = self.hashes.iter().min_by_key(|(hash, _)| weight(hash));
-        best.map(|(_, id)| *id)
+        let mut best: [Option<(u64, NodeId)>; 2] = [None; 2];
+        for (hash, id) in &self.hashes {
+            let entry = (weight(hash), *id);
+            if best[0].is_none_or(|first| entry < first) {
+                best = [Some(entry), best[0]];
+            } else if best[1].is_none_or(|second| entry < second) {
+                best[1] = Some(entry);
+            }
+        }
+        best.map(|entry| entry.map(|(_, id)| id))
     }
 }
--- a/src/limit/seat.rs
+++ b/src/limit/seat.rs
@@ -52,6 +52,7 @@
         self.release(claim);
         let mut ballot = Ballot {
             sent: claim.sent,
+            length: claim.length.min(LEASE),
             abstains: self.abstains(now),
             ..Ballot::default()
         };
@@ -62,7 +63,7 @@
             match self.other_holder(now, shard, claim.node) {
                 Some(held) => ballot.held.push(held),
                 None => {
-                    self.grant(now, shard, claim.node);
+                    self.grant(now, shard, claim.node, ballot.length);
                     ballot.granted.push(shard);
                 }
             }
@@ -107,8 +108,8 @@
         })
     }
 
-    fn grant(&mut self, now: Time, shard: Shard, holder: NodeId) {
-        let until = now + stretch(LEASE);
+    fn grant(&mut self, now: Time, shard: Shard, holder: NodeId, length: Duration) {
+        let until = now + stretch(length);
         self.votes.insert(shard, Vote { holder, until });
     }
 }
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -336,6 +336,7 @@
         for (index, part) in self.parts.iter().enumerate() {
             let share = Ballot {
                 sent: ballot.sent,
+                length: ballot.length,
                 granted: shards_of(&ballot.granted, index),
                 held: ballot
                     .held
@@ -455,6 +456,7 @@
             let share = Claim {
                 node: claim.node,
                 sent: claim.sent,
+                length: claim.length,
                 layouts: claim.layouts.clone(),
                 claim: shards_of(&claim.claim, index),
                 release: shards_of(&claim.release, index),
--- a/src/wire/limit.rs
+++ b/src/wire/limit.rs
@@ -68,6 +68,8 @@
     claim: Vec<u32>,
     #[prost(uint32, repeated, tag = "5")]
     release: Vec<u32>,
+    #[prost(uint64, tag = "6")]
+    length: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -80,6 +82,8 @@
     held: Vec<HeldRecord>,
     #[prost(uint64, optional, tag = "4")]
     abstains: Option<u64>,
+    #[prost(uint64, tag = "5")]
+    length: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -195,6 +199,7 @@
             layouts: claim.layouts.clone(),
             claim: numbers(&claim.claim),
             release: numbers(&claim.release),
+            length: micros(claim.length),
         }
     }
 }
@@ -209,6 +214,7 @@
             layouts: record.layouts,
             claim: shards(record.claim)?,
             release: shards(record.release)?,
+            length: Duration::from_micros(record.length),
         })
     }
 }
@@ -225,6 +231,7 @@
             granted: numbers(&ballot.granted),
             held: held.collect(),
             abstains: ballot.abstains.map(micros_up),
+            length: micros(ballot.length),
         }
     }
 }
@@ -245,6 +252,7 @@
             granted: shards(record.granted)?,
             held: held.collect::<Result<_>>()?,
             abstains: record.abstains.map(Duration::from_micros),
+            length: Duration::from_micros(record.length),
         })
     }
 }
--- /dev/null
+++ b/tests/limit_sim/load.rs
@@ -0,0 +1,319 @@
+//! Loads and figures of admission in virtual time, also for static shares of each node.
+
+use super::{Book, Entry, MS, Net, SEC, Sim, WARM, allowance, name};
+use laburnumtide::limit::Allowance;
+use laburnumtide::prelude::*;
+use rand::RngExt;
+
+/// How requests of an account spread over the nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Spread {
+    Even,
+    /// Half of the requests enter at one node, a quarter at the next and so on.
+    Skewed,
+    /// All enter in one zone, and in the next zone from the middle of the run.
+    Moving,
+}
+
+/// A fault in the middle of the run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    None,
+    /// A VM that owns no account of the load.
+    Vm,
+    /// The VM that owns the first account.
+    Owner,
+    Zone,
+}
+
+/// One run of the benchmark.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub nodes: usize,
+    pub zones: usize,
+    /// Rates in requests per second; the burst is `burst_secs` of the rate.
+    pub rates: Vec<u64>,
+    pub burst_secs: f64,
+    /// Sent share of the rate of each account, in percent.
+    pub percent: Vec<u64>,
+    pub spread: Spread,
+    pub fault: Fault,
+    pub span: u64,
+    pub seed: u64,
+}
+
+/// Requests of one account and the refusals among them.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Share {
+    pub sent: u64,
+    pub refused: u64,
+    /// Refused by one ideal bucket that sees the same requests.
+    pub ideal: u64,
+    /// Refused by a static share of rate and burst at each node.
+    pub fixed: u64,
+}
+
+impl Share {
+    /// Returns refusals in 1,000 requests that one ideal bucket would have admitted.
+    pub fn per_mille(&self) -> f64 {
+        over(self.refused, self)
+    }
+
+    pub fn fixed_per_mille(&self) -> f64 {
+        over(self.fixed, self)
+    }
+}
+
+fn over(refused: u64, share: &Share) -> f64 {
+    let fair = (share.sent - share.ideal).max(1) as f64;
+    refused.saturating_sub(share.ideal) as f64 * 1_000.0 / fair
+}
+
+pub struct Figures {
+    pub shares: Vec<Share>,
+    /// Messages and bytes that each node sent a second.
+    pub messages: f64,
+    pub bytes: f64,
+    /// Waits for a token in µs, sorted; zero where a local token was spent.
+    pub waits: Vec<u64>,
+}
+
+impl Figures {
+    pub fn worst(&self) -> f64 {
+        self.shares.iter().map(Share::per_mille).fold(0.0, f64::max)
+    }
+
+    /// Returns the worst figure among accounts that stay within their rate.
+    pub fn worst_within(&self, plan: &Plan) -> f64 {
+        let within = |i: &usize| plan.percent[*i] <= 100;
+        let each = (0..self.shares.len()).filter(within);
+        each.map(|i| self.shares[i].per_mille()).fold(0.0, f64::max)
+    }
+
+    pub fn fixed_worst(&self) -> f64 {
+        let each = self.shares.iter().map(Share::fixed_per_mille);
+        each.fold(0.0, f64::max)
+    }
+
+    pub fn wait(&self, percentile: usize) -> u64 {
+        let last = self.waits.len().saturating_sub(1);
+        self.waits
+            .get(last * percentile / 100)
+            .copied()
+            .unwrap_or(0)
+    }
+}
+
+/// A bucket that sees every request.
+struct Bucket {
+    limit: Allowance,
+    tokens: f64,
+    at: u64,
+}
+
+impl Bucket {
+    fn new(rate: f64, burst: f64) -> Bucket {
+        let limit = Allowance {
+            rate: Rate::from_millis((rate * 1_000.0) as u64),
+            burst: Burst(burst as u32),
+        };
+        Bucket {
+            limit,
+            tokens: burst,
+            at: 0,
+        }
+    }
+
+    fn admit(&mut self, at: u64) -> bool {
+        let burst = f64::from(self.limit.burst.0.max(1));
+        let minted = (at - self.at) as f64 / 1e6 * self.limit.rate.as_f64();
+        self.tokens = (self.tokens + minted).min(burst);
+        self.at = at;
+        let admitted = self.tokens >= 1.0;
+        self.tokens -= f64::from(u8::from(admitted));
+        admitted
+    }
+}
+
+fn limits(plan: &Plan) -> Vec<Allowance> {
+    let of = |rate: &u64| allowance(*rate, (*rate as f64 * plan.burst_secs).max(1.0) as u32);
+    plan.rates.iter().map(of).collect()
+}
+
+/// Time of the fault, after half of the span.
+pub fn middle(plan: &Plan) -> u64 {
+    start(plan) + plan.span / 2
+}
+
+/// Start of the counted load; buckets are full and demand is known by then.
+fn start(plan: &Plan) -> u64 {
+    WARM + 5 * SEC + (plan.burst_secs * 1e6) as u64
+}
+
+fn node_for(sim: &mut Sim, plan: &Plan, at: u64) -> usize {
+    let n = plan.nodes;
+    let node = match plan.spread {
+        Spread::Even => sim.rng.random_range(0..n),
+        Spread::Skewed => {
+            let mut node = 0;
+            while node + 1 < n && sim.rng.random_bool(0.5) {
+                node += 1;
+            }
+            node
+        }
+        Spread::Moving => {
+            let zone = usize::from(at >= middle(plan));
+            let rows = n / plan.zones;
+            sim.rng.random_range(0..rows) * plan.zones + zone
+        }
+    };
+    // Callers of a lost node come to the next one that is up.
+    (node..node + n)
+        .map(|i| i % n)
+        .find(|i| sim.nodes[*i].up)
+        .unwrap_or(node)
+}
+
+/// Runs a plan and counts from `from` for `length` of it, as times since the start of the load.
+pub fn run(plan: &Plan, from: u64, length: u64) -> Figures {
+    let limits = limits(plan);
+    let mut book = Book::default();
+    for (i, limit) in limits.iter().enumerate() {
+        book.0.insert(name(i), *limit);
+    }
+    let mut sim = Sim::new(plan.seed, plan.nodes, plan.zones, Net::CLEAN, book);
+    let begin = start(plan);
+    let mut arrivals: Vec<(u64, usize, usize)> = Vec::new();
+    // Load also runs before the counted time, so that reserves are where they are in service.
+    let end = begin + plan.span;
+    let mut at = WARM;
+    while at < end {
+        let next = (at + 100 * MS).min(end);
+        sim.run_until(at);
+        if at <= middle(plan) && middle(plan) < next {
+            strike(&mut sim, plan);
+        }
+        if at <= middle(plan) + SEC && middle(plan) + SEC < next {
+            sim.learn_all();
+        }
+        if at == WARM + 100 * MS * 20 || (at <= begin + from && begin + from < next) {
+            (sim.messages, sim.bytes) = (0, 0);
+        }
+        for account in 0..limits.len() {
+            send(&mut sim, plan, account, at, next, &mut arrivals);
+        }
+        at = next;
+    }
+    let counted = length.min(end - begin - from) as f64 / 1e6;
+    let (messages, bytes) = (sim.messages as f64, sim.bytes as f64);
+    sim.run_until(end + SEC);
+    arrivals.sort();
+    let window = begin + from..begin + from + length;
+    let mut shares = vec![Share::default(); limits.len()];
+    count_ideal(plan, &limits, &arrivals, &window, &mut shares);
+    let mut waits = Vec::new();
+    for entry in &sim.record {
+        count(entry, &window, &mut shares, &mut waits);
+    }
+    waits.sort();
+    Figures {
+        shares,
+        messages: messages / counted / plan.nodes as f64,
+        bytes: bytes / counted / plan.nodes as f64,
+        waits,
+    }
+}
+
+fn send(
+    sim: &mut Sim,
+    plan: &Plan,
+    account: usize,
+    from: u64,
+    to: u64,
+    arrivals: &mut Vec<(u64, usize, usize)>,
+) {
+    let rate = plan.rates[account] as f64 * plan.percent[account] as f64 / 100.0;
+    let mut at = from as f64;
+    loop {
+        let u: f64 = sim.rng.random_range(f64::MIN_POSITIVE..1.0);
+        at += -u.ln() / rate * 1e6;
+        if at >= to as f64 {
+            return;
+        }
+        let node = node_for(sim, plan, at as u64);
+        sim.request(at as u64, node, &name(account));
+        arrivals.push((at as u64, node, account));
+    }
+}
+
+fn strike(sim: &mut Sim, plan: &Plan) {
+    let owner = sim.owner_of(&name(0)).expect("an owner before the fault");
+    match plan.fault {
+        Fault::None => {}
+        Fault::Owner => sim.nodes[owner].up = false,
+        Fault::Vm => {
+            let owners: Vec<_> = (0..plan.rates.len())
+                .map(|i| sim.owner_of(&name(i)))
+                .collect();
+            let vm = (0..plan.nodes).find(|i| !owners.contains(&Some(*i)));
+            sim.nodes[vm.expect("a VM that owns no account")].up = false;
+        }
+        Fault::Zone => {
+            let zone = sim.nodes[owner].site.zone.clone();
+            let lost = sim.nodes.iter_mut().filter(|n| n.site.zone == zone);
+            lost.for_each(|n| n.up = false);
+        }
+    }
+}
+
+fn count_ideal(
+    plan: &Plan,
+    limits: &[Allowance],
+    arrivals: &[(u64, usize, usize)],
+    window: &std::ops::Range<u64>,
+    shares: &mut [Share],
+) {
+    let n = plan.nodes as f64;
+    let bucket = |l: &Allowance| Bucket::new(l.rate.as_f64(), f64::from(l.burst.0));
+    let part = |l: &Allowance| Bucket::new(l.rate.as_f64() / n, (f64::from(l.burst.0) / n).floor());
+    let mut ideal: Vec<Bucket> = limits.iter().map(bucket).collect();
+    let mut fixed: Vec<Vec<Bucket>> = (0..plan.nodes)
+        .map(|_| limits.iter().map(part).collect())
+        .collect();
+    for (at, node, account) in arrivals {
+        let refused = !ideal[*account].admit(*at);
+        let fixed_refused = !fixed[*node][*account].admit(*at);
+        if window.contains(at) {
+            shares[*account].ideal += u64::from(refused);
+            shares[*account].fixed += u64::from(fixed_refused);
+        }
+    }
+}
+
+fn count(entry: &Entry, window: &std::ops::Range<u64>, shares: &mut [Share], waits: &mut Vec<u64>) {
+    if !window.contains(&(entry.at - entry.waited)) {
+        return;
+    }
+    let index = entry.account.as_str().rsplit('-').next();
+    let index: usize = index.and_then(|i| i.parse().ok()).unwrap_or(0);
+    shares[index].sent += 1;
+    shares[index].refused += u64::from(entry.refused.is_some());
+    if entry.refused.is_none() {
+        waits.push(entry.waited);
+    }
+}
+
+/// Deployment K or S with eight accounts, a few of them large.
+pub fn deployment(nodes: usize, zones: usize, percent: u64) -> Plan {
+    Plan {
+        nodes,
+        zones,
+        rates: vec![400, 200, 100, 40, 20, 20, 10, 10],
+        burst_secs: 2.0,
+        percent: vec![percent; 8],
+        spread: Spread::Even,
+        fault: Fault::None,
+        span: 60 * SEC,
+        seed: 1,
+    }
+}
--- a/tests/limit_sim/mod.rs
+++ b/tests/limit_sim/mod.rs
@@ -1,5 +1,7 @@
 //! A fleet of holders, owners and seats in virtual time, with a fake transport.
 
+pub mod load;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::net::SocketAddr;
