--- a/examples/limit_table.rs
+++ b/examples/limit_table.rs
@@ -3,11 +3,20 @@
 #[path = "../tests/limit_sim/mod.rs"]
 mod limit_sim;
 
-use limit_sim::load::{Fault, Figures, Plan, Spread, deployment, run};
+use limit_sim::load::{Fault, Figures, Plan, Spread, deployment, run_seeds};
 use limit_sim::{MS, SEC};
 
+/// Seeds of each run, added up.
+const SEEDS: u64 = 8;
+
 fn row(label: &str, plan: &Plan, from: u64, length: u64) -> Figures {
-    let figures = run(plan, from, length);
+    let seeds = if plan.nodes > 100 { 1 } else { SEEDS };
+    let figures = run_seeds(plan, seeds, from, length);
+    if std::env::var_os("ACCOUNTS").is_some() {
+        for (i, share) in figures.shares.iter().enumerate() {
+            println!("    {} {share:?} {:.2}", plan.rates[i], share.per_mille());
+        }
+    }
     let sum = |f: fn(&limit_sim::load::Share) -> u64| figures.shares.iter().map(f).sum::<u64>();
     println!(
         "{label:<42} {:>8} {:>8.2} {:>8.2} {:>6} {:>8.2} {:>7.1} {:>7.1} {:>6.1} {:>8.0}",
--- a/src/limit/bucket.rs
+++ b/src/limit/bucket.rs
@@ -286,6 +286,9 @@
         let need = demand * horizon.as_secs_f64();
         let level = (self.level / TOKEN).max(0) as f64;
         let pool = (level + self.outstanding() as f64) * RESERVE_PERCENT / 100.0;
+        if need < 1.0 {
+            return 0;
+        }
         (need + 2.0 * need.sqrt()).min(pool * demand / total) as u64
     }
 
@@ -336,7 +339,7 @@
     }
 
     fn is_scarce(&self) -> bool {
-        self.level < self.kept() && self.water < f64::MAX
+        self.level * 4 < self.kept() && self.water < f64::MAX
     }
 
     fn minted_in(&self, d: Duration) -> i128 {
--- a/src/limit/holder.rs
+++ b/src/limit/holder.rs
@@ -268,7 +268,7 @@
             Credit::new(*credits)
         });
         if wanted == 0 && usage.waiting.is_empty() {
-            credit.give_back(now, target + target / 4 + 1);
+            credit.give_back(now, target + target / 4);
         }
         let mut ask = credit.ask(now, name);
         ask.waiting = wanted as u32;
--- a/tests/limit_sim/load.rs
+++ b/tests/limit_sim/load.rs
@@ -79,6 +79,20 @@
 }
 
 impl Figures {
+    /// Adds the requests of another run of the same plan; messages become the mean.
+    pub fn add(&mut self, other: &Figures, runs: f64) {
+        for (own, more) in self.shares.iter_mut().zip(&other.shares) {
+            own.sent += more.sent;
+            own.refused += more.refused;
+            own.ideal += more.ideal;
+            own.fixed += more.fixed;
+        }
+        self.messages += (other.messages - self.messages) / runs;
+        self.bytes += (other.bytes - self.bytes) / runs;
+        self.waits.extend(&other.waits);
+        self.waits.sort();
+    }
+
     pub fn worst(&self) -> f64 {
         self.shares.iter().map(Share::per_mille).fold(0.0, f64::max)
     }
@@ -174,6 +188,19 @@
         .unwrap_or(node)
 }
 
+/// Runs a plan with several seeds and adds up the figures.
+pub fn run_seeds(plan: &Plan, seeds: u64, from: u64, length: u64) -> Figures {
+    let mut total = run(plan, from, length);
+    for k in 1..seeds {
+        let plan = Plan {
+            seed: plan.seed + k,
+            ..plan.clone()
+        };
+        total.add(&run(&plan, from, length), (k + 1) as f64);
+    }
+    total
+}
+
 /// Runs a plan and counts from `from` for `length` of it, as times since the start of the load.
 pub fn run(plan: &Plan, from: u64, length: u64) -> Figures {
     let limits = limits(plan);
