Acquit targets when the rest turns as bad and measure dear ones still

Reports of a service that turns bad as a whole arrive one after the other, so the first targets looked like outliers and stayed out. Of two drawn targets the dearer one is now taken sometimes; one failure in 2 s had starved a target at low load. Tests keep the floor under any events.

--- a/examples/health_table/model.rs
+++ b/examples/health_table/model.rs
@@ -251,8 +251,10 @@
             Step::Publish(server) => self.publish(server),
             Step::Gossip(to, from, version, health) => {
                 let record = self.record(from, version, *health);
-                self.ingresses[to].balancer.update(self.now, &record);
-                self.note_events(to);
+                if self.plan.rule == Rule::Balancer {
+                    self.ingresses[to].balancer.update(self.now, &record);
+                    self.note_events(to);
+                }
             }
         }
     }
--- a/src/route/balancer.rs
+++ b/src/route/balancer.rs
@@ -7,8 +7,9 @@
 
 use super::floor::Capacity;
 use super::judge::Cause;
-use super::service::{Service, Target};
+use super::service::Service;
 use super::standing::Standing;
+use super::target::Target;
 use crate::fleet::{Health, NodeRecord};
 use crate::gate::Load;
 use crate::ids::{NodeId, ServiceName, TargetId, TargetName, ZoneName};
--- a/src/route/evidence.rs
+++ b/src/route/evidence.rs
@@ -103,11 +103,27 @@
     odds(observed) / odds(expected).max(1e-9)
 }
 
-/// Returns for each share the pooled middle half of the others.
-///
-/// The middle half keeps a minority of bad targets out of the comparison; if most are bad, the
-/// pool is bad as well and nobody stands out.
-pub(super) fn pool_of_others(shares: &[Share]) -> Vec<Share> {
+/// Which of the other targets a target is compared with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Middle {
+    /// The middle half, which leaves out a minority of bad targets and still holds many requests.
+    Half,
+    /// The median, which tells whether most of the others are bad.
+    Median,
+}
+
+impl Middle {
+    /// Returns how many of `others` are left out at each end.
+    fn cut(self, others: usize) -> usize {
+        match self {
+            Middle::Half => others / 4,
+            Middle::Median => others.saturating_sub(1) / 2,
+        }
+    }
+}
+
+/// Returns for each share the pooled middle of the others.
+pub(super) fn pool_of_others(shares: &[Share], middle: Middle) -> Vec<Share> {
     let mut order: Vec<usize> = (0..shares.len()).collect();
     order.sort_by(|a, b| shares[*a].value().total_cmp(&shares[*b].value()));
     let mut sums = vec![Share::default()];
@@ -117,15 +133,15 @@
     }
     let mut pools = vec![Share::default(); shares.len()];
     for (rank, at) in order.iter().enumerate() {
-        pools[*at] = middle_without(&sums, rank, shares[*at]);
+        pools[*at] = middle_without(&sums, rank, shares[*at], middle);
     }
     pools
 }
 
-/// Returns the middle half of a sorted list without the entry at `rank`.
-fn middle_without(sums: &[Share], rank: usize, own: Share) -> Share {
+/// Returns the middle of a sorted list without the entry at `rank`.
+fn middle_without(sums: &[Share], rank: usize, own: Share, middle: Middle) -> Share {
     let others = sums.len() - 2;
-    let cut = others / 4;
+    let cut = middle.cut(others);
     let (mut from, mut to) = (cut, others - cut);
     let inside = (from..to).contains(&rank);
     if rank < from {
--- a/src/route/judge.rs
+++ b/src/route/judge.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::evidence::{
-    Share, count_from, evidence, median_band, middle_of, odds_ratio, pool_of_others,
+    Middle, Share, count_from, evidence, median_band, middle_of, odds_ratio, pool_of_others,
 };
 use crate::fleet::{Health, Window};
 
@@ -62,16 +62,13 @@
     weight: 1.0,
 };
 
-/// Slow requests come in groups more often than errors, because a long one delays others.
-const SLOW_EVIDENCE: f64 = 14.0;
-
 /// More than twice the usual service time.
 const SLOW: Test = Test {
     cause: Cause::Slow,
     least: 0.02,
     effect: 0.3,
     odds: 4.5,
-    evidence: SLOW_EVIDENCE,
+    evidence: 12.0,
     weight: 0.5,
 };
 
@@ -81,7 +78,8 @@
     least: 0.005,
     effect: 0.05,
     odds: 4.5,
-    evidence: SLOW_EVIDENCE,
+    // Three of seven requests in the far tail happened by chance within an hour at 11.
+    evidence: 14.0,
     weight: 0.9,
 };
 
@@ -99,6 +97,8 @@
     pub use_recent: bool,
     /// True if the target was ejected a short time ago.
     pub suspect: bool,
+    /// True if this is what the target was ejected for; it is acquitted if most others do the same.
+    pub is_charge: bool,
 }
 
 /// Compares the targets of a service; the findings are in the order of `exhibits`.
@@ -145,9 +145,14 @@
     findings: &mut [Finding],
 ) {
     let long: Vec<Share> = exhibits.iter().map(|e| share(&e.health.long)).collect();
-    let pools = pool_of_others(&long);
+    let halves = pool_of_others(&long, Middle::Half);
+    let medians = pool_of_others(&long, Middle::Median);
     for (at, exhibit) in exhibits.iter().enumerate() {
-        let pool = pools[at];
+        let pool = if exhibit.is_charge {
+            medians[at]
+        } else {
+            halves[at]
+        };
         if pool.total < POOL_MIN {
             continue;
         }
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -14,6 +14,7 @@
 mod retry;
 mod service;
 mod standing;
+mod target;
 
 pub use balancer::{Balancer, Event, Request, Sample};
 pub use floor::Capacity;
--- a/src/route/service.rs
+++ b/src/route/service.rs
@@ -6,12 +6,11 @@
 
 use super::floor::{Capacity, Losses, floor_slots};
 use super::judge::{Cause, Exhibit, Finding, judge, usual_service};
-use super::kinds::KindBans;
-use super::path::Path;
-use super::standing::{Record, Standing};
+use super::standing::Standing;
+use super::target::Target;
 use super::{Event, Request, Sample};
-use crate::fleet::{Health, TargetRecord, TargetState};
-use crate::gate::{Load, WARM_UP};
+use crate::fleet::Health;
+use crate::gate::Load;
 use crate::ids::{TargetId, ZoneName};
 use crate::time::Time;
 use crate::units::Slots;
@@ -22,9 +21,6 @@
 /// Time between reviews when nothing new is known.
 const REVIEW: Duration = Duration::from_millis(100);
 
-/// Evidence older than this no longer counts.
-const EVIDENCE_LIFE: Duration = Duration::from_secs(150);
-
 /// Use of the slots from which requests spill over to other zones.
 const SPILL_USE: f64 = 0.7;
 
@@ -39,11 +35,8 @@
 /// Draws until a target with a reduced share is accepted; after them the next one is taken.
 const DRAWS: usize = 8;
 
-/// Weight of the newest report in the backlog of other ingresses.
-const BACKLOG_GAIN: f64 = 0.3;
-
-/// Extra cost of a target that fails every request, as a multiple of its expected wait.
-const FAILURE_COST: f64 = 10.0;
+/// Power of the costs with which one of two targets is chosen.
+const CHOICE_POWER: i32 = 4;
 
 /// Service time that is assumed before anything is measured.
 const ASSUMED_SERVICE: Duration = Duration::from_millis(25);
@@ -51,131 +44,6 @@
 /// Severity must differ by this factor before an ejected target and a worse one change places.
 const SWAP_FACTOR: f64 = 2.0;
 
-/// A target as one ingress sees it.
-#[derive(Clone, Debug)]
-pub(super) struct Target {
-    pub id: TargetId,
-    pub zone: ZoneName,
-    pub record: TargetRecord,
-    pub leaving: bool,
-    pub standing: Record,
-    path: Path,
-    bans: KindBans,
-    /// When the health was received.
-    health_at: Time,
-    cold_since: Time,
-    /// Requests of other ingresses at the target, smoothed.
-    backlog: f64,
-    service: Option<Duration>,
-}
-
-impl Target {
-    pub fn new(
-        now: Time,
-        id: TargetId,
-        zone: ZoneName,
-        record: TargetRecord,
-        leaving: bool,
-    ) -> Target {
-        Target {
-            id,
-            zone,
-            record,
-            leaving,
-            standing: Record::new(),
-            path: Path::default(),
-            bans: KindBans::default(),
-            health_at: now,
-            cold_since: now,
-            backlog: 0.0,
-            service: None,
-        }
-    }
-
-    /// Takes over a newer record and keeps what this ingress learned itself.
-    pub fn renew(&mut self, now: Time, zone: &ZoneName, record: &TargetRecord, leaving: bool) {
-        if self.record.health != record.health {
-            self.health_at = now;
-        }
-        if self.record.state != TargetState::Cold && record.state == TargetState::Cold {
-            self.cold_since = now;
-        }
-        self.zone = zone.clone();
-        self.record = record.clone();
-        self.leaving = leaving;
-    }
-
-    /// Returns true if the target accepts new work.
-    fn is_open(&self) -> bool {
-        !self.leaving && self.record.state != TargetState::Draining
-    }
-
-    /// Returns true if the target counts as capacity, apart from ejection.
-    fn is_ready(&self) -> bool {
-        !self.leaving && self.record.state == TargetState::Ready
-    }
-
-    fn slots(&self) -> f64 {
-        f64::from(self.record.slots.0.max(1))
-    }
-
-    fn is_in_use(&self, now: Time) -> bool {
-        self.is_open() && self.share(now) > 0.0
-    }
-
-    /// Returns the share of its usual work that the target gets.
-    fn share(&self, now: Time) -> f64 {
-        let cold = match self.record.state {
-            TargetState::Cold => {
-                let warmth = now.since(self.cold_since).as_secs_f64() / WARM_UP.as_secs_f64();
-                (0.1 + 0.9 * warmth).min(1.0)
-            }
-            _ => 1.0,
-        };
-        cold * self.standing.share(now)
-    }
-
-    fn use_of_slots(&self) -> f64 {
-        (f64::from(self.path.outstanding) + self.backlog) / self.slots()
-    }
-
-    /// Returns the expected cost of a request in seconds: wait, service and likely failure.
-    fn cost(&self, usual: Duration) -> f64 {
-        let service = self.service.unwrap_or(usual).as_secs_f64();
-        let wait = self.use_of_slots() * service;
-        let window = &self.record.health.recent;
-        let failing = f64::from(window.bad()) / f64::from(window.requests.max(1));
-        (wait + service) * (1.0 + FAILURE_COST * failing)
-    }
-
-    fn exhibit(&self, now: Time) -> Exhibit<'_> {
-        let health = &self.record.health;
-        let from = self.standing.fresh_from;
-        let recent = self.health_at - health.recent.span() >= from;
-        let long = self.health_at - health.long.span() >= from;
-        let alive = now.since(self.health_at) < EVIDENCE_LIFE;
-        Exhibit {
-            health,
-            use_recent: alive && recent,
-            use_long: alive && long,
-            suspect: self.standing.is_suspect(),
-        }
-    }
-
-    /// Returns true if the probes of the ejection that ends now went badly.
-    fn probes_failed(&self, now: Time, usual: Duration) -> bool {
-        let exhibit = self.exhibit(now);
-        if self.path.is_bad(now, usual) {
-            return true;
-        }
-        if !exhibit.use_recent {
-            return false;
-        }
-        let window = &exhibit.health.recent;
-        window.requests > 0 && window.bad() * 2 >= window.requests
-    }
-}
-
 /// The targets of one service and the decisions about them.
 #[derive(Clone, Debug)]
 pub(super) struct Service {
@@ -253,15 +121,7 @@
 
     pub fn observe(&mut self, now: Time, id: &TargetId, load: Load, health: Option<&Health>) {
         if let Ok(at) = self.targets.binary_search_by(|t| t.id.cmp(id)) {
-            let target = &mut self.targets[at];
-            let present = f64::from(load.running + load.queued);
-            let others = (present - f64::from(target.path.outstanding)).max(0.0);
-            target.backlog += (others - target.backlog) * BACKLOG_GAIN;
-            target.service = Some(load.service);
-            if let Some(health) = health {
-                target.record.health = health.clone();
-                target.health_at = now;
-            }
+            self.targets[at].observe(now, load, health);
         }
     }
 
@@ -290,6 +150,7 @@
         self.usual = usual_service(healths).unwrap_or(ASSUMED_SERVICE);
         self.advance(now, events);
         let findings = self.findings(now);
+        self.acquit(&findings, events);
         self.eject(now, &findings, events);
         self.keep_floor(now, events);
         self.ban_kinds(now, events);
@@ -327,6 +188,19 @@
         findings
     }
 
+    /// Returns targets that no longer stand out, because the others have turned as bad.
+    ///
+    /// When a whole service turns bad, the reports arrive one after the other; the first ones look
+    /// like outliers until the rest is known.
+    fn acquit(&mut self, findings: &[Finding], events: &mut Vec<Event>) {
+        for (target, finding) in self.targets.iter_mut().zip(findings) {
+            if target.standing.charge.is_some() && finding.cause.is_none() {
+                target.standing.acquit();
+                events.push(Event::Returned(target.id.clone()));
+            }
+        }
+    }
+
     /// Ejects the worst targets as far as the floor allows.
     fn eject(&mut self, now: Time, findings: &[Finding], events: &mut Vec<Event>) {
         let mut accused: Vec<(usize, Cause, f64)> = (0..self.targets.len())
@@ -340,6 +214,9 @@
             }
             let target = &mut self.targets[at];
             target.standing.eject(now, cause, severity);
+            if cause != Cause::Path {
+                target.standing.charge = Some(target.record.health.clone());
+            }
             events.push(Event::Ejected {
                 target: target.id.clone(),
                 cause,
@@ -500,7 +377,7 @@
     ) -> Option<usize> {
         let first = self.draw(now, among, request, None, rng)?;
         match self.draw(now, among, request, Some(first), rng) {
-            Some(second) => Some(self.cheaper(first, second)),
+            Some(second) => Some(self.cheaper(first, second, rng)),
             None => Some(first),
         }
     }
@@ -544,9 +421,19 @@
         }
     }
 
-    fn cheaper(&self, a: usize, b: usize) -> usize {
-        let cost = |at: usize| self.targets[at].cost(self.usual);
-        if cost(a) <= cost(b) { a } else { b }
+    /// Returns the cheaper of two targets most of the time.
+    ///
+    /// If the dearer one were never taken, small differences would starve it at low load, and it
+    /// would not be measured.
+    fn cheaper(&self, a: usize, b: usize, rng: &mut impl Rng) -> usize {
+        let weight = |at: usize| self.targets[at].cost(self.usual).powi(-CHOICE_POWER);
+        let (first, second) = (weight(a), weight(b));
+        let likely = first / (first + second);
+        if rng.random_bool(likely.clamp(0.0, 1.0)) {
+            a
+        } else {
+            b
+        }
     }
 
     /// Returns `far` if it is cheaper than `near` in spite of the way to its zone.
--- a/src/route/standing.rs
+++ b/src/route/standing.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::judge::Cause;
+use crate::fleet::Health;
 use crate::time::Time;
 
 /// First ejection time; it doubles with each further ejection.
@@ -48,6 +49,8 @@
     pub standing: Standing,
     /// Severity at the last ejection.
     pub severity: f64,
+    /// The health that led to the present ejection, unless the path did.
+    pub charge: Option<Health>,
     /// Evidence from before this time belongs to an earlier standing.
     pub fresh_from: Time,
     level: u32,
@@ -60,6 +63,7 @@
         Record {
             standing: Standing::Active,
             severity: 0.0,
+            charge: None,
             fresh_from: Time::ZERO,
             level: 0,
             level_at: Time::ZERO,
@@ -108,12 +112,20 @@
 
     pub fn begin_return(&mut self, now: Time) {
         self.standing = Standing::Returning { since: now };
+        self.charge = None;
         self.fresh_from = now;
     }
 
     /// Puts the target back into full rotation.
     pub fn restore(&mut self) {
         self.standing = Standing::Active;
+        self.charge = None;
+    }
+
+    /// Ends an ejection that proved to be wrong, and does not count it.
+    pub fn acquit(&mut self) {
+        self.level = self.level.saturating_sub(1);
+        self.restore();
     }
 
     /// Returns true if the ejection time is over.
--- /dev/null
+++ b/tests/floor_kept.rs
@@ -0,0 +1,334 @@
+//! The floor of a service, ejection and return, under any order of events.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use laburnumtide::fleet::{Health, KindHealth, NodeRecord, TargetRecord, TargetState, Window};
+use laburnumtide::prelude::*;
+use laburnumtide::route::{Balancer, Event, Request, Sample, Standing};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const START: Time = Time::from_millis(3_600_000);
+
+fn service() -> ServiceName {
+    "records".parse().unwrap()
+}
+
+fn target_id(node: u64) -> TargetId {
+    TargetId {
+        node: NodeId(node),
+        name: "t".parse().unwrap(),
+    }
+}
+
+/// Health with `bad` failures among 100 requests, all in latency band `band`.
+fn health(bad: u32, band: usize) -> Health {
+    let window = |span_ms| {
+        let mut latency = vec![0; band + 1];
+        latency[band] = 100 - bad;
+        Window {
+            span_ms,
+            requests: 100,
+            failures: bad,
+            latency,
+            ..Window::default()
+        }
+    };
+    Health {
+        recent: window(2_000),
+        long: window(10_000),
+        worst: None,
+    }
+}
+
+fn record(node: u64, version: u64, slots: u32, state: TargetState, health: Health) -> NodeRecord {
+    NodeRecord {
+        node: NodeId(node),
+        version,
+        zone: format!("zone-{}", node % 3).parse().unwrap(),
+        leaving: false,
+        targets: vec![TargetRecord {
+            name: target_id(node).name,
+            service: service(),
+            addr: SocketAddr::from(([127, 0, 0, 1], 1_000 + node as u16)),
+            slots: Slots(slots),
+            connections: 100,
+            state,
+            health,
+        }],
+    }
+}
+
+/// A balancer that knows `count` ready targets of 3 slots, with a floor of `floor` percent.
+fn balancer(count: u64, floor: u8) -> Balancer {
+    let mut balancer = Balancer::new("zone-0".parse().unwrap());
+    balancer.set_floor(&service(), floor);
+    for node in 1..=count {
+        let record = record(node, 1, 3, TargetState::Ready, health(0, 10));
+        balancer.update(START, &record);
+    }
+    balancer
+}
+
+#[derive(Clone, Debug)]
+enum Change {
+    Record(u64, u32, u8, u32, usize, bool),
+    Lose(u64),
+    Path(u64, u8),
+    Wait(u64),
+    Floor(u8),
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    let bad = prop_oneof![Just(0u32), Just(0), Just(20), Just(100)];
+    let band = prop_oneof![Just(10usize), Just(10), Just(18)];
+    prop_oneof![
+        8 => (1..9u64, 1..8u32, 0..6u8, bad, band, proptest::bool::weighted(0.1))
+            .prop_map(|(n, s, t, b, l, leaving)| Change::Record(n, s, t, b, l, leaving)),
+        1 => (1..9u64).prop_map(Change::Lose),
+        4 => (1..9u64, 0..4u8).prop_map(|(n, s)| Change::Path(n, s)),
+        3 => (0..20_000u64).prop_map(Change::Wait),
+        1 => (0..=100u8).prop_map(Change::Floor),
+    ]
+}
+
+/// The state that the floor is computed from, kept apart from the balancer.
+struct Book {
+    balancer: Balancer,
+    now: Time,
+    version: u64,
+    floor: u8,
+    known: BTreeMap<u64, NodeRecord>,
+    /// Slots of targets that vanished without draining, and when.
+    lost: BTreeMap<u64, (u32, Time)>,
+}
+
+impl Book {
+    fn apply(&mut self, change: &Change) {
+        match *change {
+            Change::Record(node, slots, state, bad, band, leaving) => {
+                let state = match state {
+                    0 => TargetState::Cold,
+                    1 => TargetState::Draining,
+                    _ => TargetState::Ready,
+                };
+                self.version += 1;
+                let mut record = record(node, self.version, slots, state, health(bad, band));
+                record.leaving = leaving;
+                self.balancer.update(self.now, &record);
+                self.lost.remove(&node);
+                self.known.insert(node, record);
+            }
+            Change::Lose(node) => {
+                self.balancer.lose(self.now, NodeId(node));
+                if let Some(record) = self.known.remove(&node) {
+                    let target = &record.targets[0];
+                    if !record.leaving && target.state != TargetState::Draining {
+                        self.lost.insert(node, (target.slots.0, self.now));
+                    }
+                }
+            }
+            Change::Path(node, sample) => {
+                let samples = [
+                    Sample::Sent,
+                    Sample::ConnectFailed,
+                    Sample::LostLink,
+                    Sample::Answered,
+                ];
+                let id = target_id(node);
+                self.balancer
+                    .report(self.now, &id, samples[sample as usize]);
+            }
+            Change::Wait(ms) => self.now = self.now + Duration::from_millis(ms),
+            Change::Floor(floor) => {
+                self.floor = floor;
+                self.balancer.set_floor(&service(), floor);
+            }
+        }
+        self.balancer.tick(self.now);
+    }
+
+    fn check(&mut self) {
+        let memory = Duration::from_secs(600);
+        let now = self.now;
+        self.lost.retain(|_, (_, at)| now.since(*at) < memory);
+        let present: u32 = self.known.values().map(|r| r.targets[0].slots.0).sum();
+        let announced = present + self.lost.values().map(|l| l.0).sum::<u32>();
+        let floor = (announced * u32::from(self.floor)).div_ceil(100);
+        let ready = |r: &&NodeRecord| !r.leaving && r.targets[0].state == TargetState::Ready;
+        let (mut healthy, mut out) = (0, 0);
+        for (node, record) in self.known.iter().filter(|(_, r)| ready(r)) {
+            match self.balancer.standing(&target_id(*node)) {
+                Some(Standing::Active) => healthy += record.targets[0].slots.0,
+                standing => {
+                    assert!(standing.is_some());
+                    out += 1;
+                }
+            }
+        }
+        assert!(
+            healthy >= floor || out == 0,
+            "{healthy} of {announced}, {out} out"
+        );
+        let capacity = self.balancer.capacity(now, &service());
+        assert_eq!((capacity.announced, capacity.healthy), (announced, healthy));
+    }
+}
+
+proptest! {
+    /// Guards against ejection below the floor, with draining, leaving, cold and lost targets
+    /// counted as gone, after each of any events.
+    #[test]
+    fn any_events(
+        floor in 0..=100u8,
+        changes in proptest::collection::vec(change(), 1..120),
+    ) {
+        let mut book = Book {
+            balancer: balancer(0, floor),
+            now: START,
+            version: 0,
+            floor,
+            known: BTreeMap::new(),
+            lost: BTreeMap::new(),
+        };
+        for change in &changes {
+            book.apply(change);
+            book.check();
+        }
+    }
+}
+
+fn out_of(balancer: &Balancer, count: u64) -> Vec<u64> {
+    let active = |n: &u64| balancer.standing(&target_id(*n)) == Some(Standing::Active);
+    (1..=count).filter(|n| !active(n)).collect()
+}
+
+fn report_health(balancer: &mut Balancer, now: Time, node: u64, version: u64, health: Health) {
+    balancer.update(now, &record(node, version, 3, TargetState::Ready, health));
+}
+
+/// Guards against ejecting from a service that is bad as a whole, slow as a whole, or whose
+/// evidence is a handful of requests.
+#[test]
+fn whole_service() {
+    for sick in [health(40, 10), health(0, 20)] {
+        let mut balancer = balancer(8, 0);
+        for node in 1..=8 {
+            report_health(&mut balancer, START, node, 2, sick.clone());
+        }
+        balancer.tick(START + Duration::from_secs(1));
+        assert_eq!(out_of(&balancer, 8), [0; 0]);
+    }
+    let mut balancer = balancer(8, 0);
+    let mut thin = health(0, 10);
+    for window in [&mut thin.recent, &mut thin.long] {
+        (window.requests, window.failures) = (4, 2);
+    }
+    report_health(&mut balancer, START, 1, 2, thin);
+    assert_eq!(out_of(&balancer, 8), [0; 0]);
+}
+
+/// Guards against a floor that keeps the worst targets while less bad ones are out: of three bad
+/// ones the worst are out, and the least bad returns when a good one is lost.
+#[test]
+fn least_bad_returns() {
+    let mut balancer = balancer(8, 60);
+    for (node, bad) in [(1, 30), (2, 60), (3, 100)] {
+        report_health(&mut balancer, START, node, 2, health(bad, 10));
+    }
+    assert_eq!(out_of(&balancer, 8), [1, 2, 3]);
+    balancer.lose(START, NodeId(8));
+    assert_eq!(out_of(&balancer, 7), [2, 3]);
+    let events = balancer.take_events();
+    assert!(events.contains(&Event::KeptByFloor(target_id(1))));
+}
+
+/// Ejects target 1 and returns the length of the ejection.
+fn ejection(balancer: &mut Balancer, now: Time, version: u64) -> Duration {
+    report_health(balancer, now, 1, version, health(100, 10));
+    let Some(Standing::Ejected { until, .. }) = balancer.standing(&target_id(1)) else {
+        panic!("target 1 is in rotation at {now}");
+    };
+    report_health(balancer, now, 1, version + 1, health(0, 10));
+    until.since(now)
+}
+
+/// Guards against an ejection time that stays short for a flapping target or long for good.
+#[test]
+fn doubling_and_decay() {
+    let mut balancer = balancer(8, 0);
+    let first = ejection(&mut balancer, START, 2);
+    let mut now = START + first + Duration::from_secs(25);
+    balancer.tick(now - Duration::from_secs(20));
+    balancer.tick(now);
+    let second = ejection(&mut balancer, now, 4);
+    assert_eq!(second, first * 2);
+    now = now + second;
+    balancer.tick(now);
+    now = now + Duration::from_secs(300);
+    balancer.tick(now);
+    assert_eq!(ejection(&mut balancer, now, 6), first);
+}
+
+/// Returns the part of `count` picks that go to target 1.
+fn part_of_picks(balancer: &mut Balancer, now: Time, kind: &str, rng: &mut SmallRng) -> f64 {
+    let service = service();
+    let request = Request {
+        service: &service,
+        kind,
+        idempotent: false,
+        tried: &[],
+    };
+    let picks = (0..2_000).filter_map(|_| balancer.pick_for(now, &request, rng));
+    picks.filter(|id| *id == target_id(1)).count() as f64 / 2_000.0
+}
+
+/// Guards against a target that gets all its work back at once after an ejection.
+#[test]
+fn gradual_return() {
+    let mut rng = SmallRng::seed_from_u64(51);
+    let mut balancer = Balancer::new("zone-1".parse().unwrap());
+    for node in [1, 4, 7, 10] {
+        report_health(&mut balancer, START, node, 1, health(0, 10));
+    }
+    let whole = part_of_picks(&mut balancer, START, "", &mut rng);
+    let length = ejection(&mut balancer, START, 2);
+    assert_eq!(part_of_picks(&mut balancer, START, "", &mut rng), 0.0);
+    let back = START + length;
+    balancer.tick(back);
+    let early = part_of_picks(&mut balancer, back + Duration::from_secs(1), "", &mut rng);
+    let later = part_of_picks(&mut balancer, back + Duration::from_secs(7), "", &mut rng);
+    assert!(early > 0.0 && early < 0.5 * whole, "{early} of {whole}");
+    assert!(later > early && later < whole, "{later} of {whole}");
+}
+
+/// Guards against a target that fails for one route only and goes unnoticed among its good ones,
+/// and against blaming a target for a route that fails everywhere.
+#[test]
+fn failing_kind() {
+    let mut rng = SmallRng::seed_from_u64(52);
+    let failing = |at| {
+        let mut health = health(1, 10);
+        health.worst = Some(KindHealth {
+            kind: "export".to_owned(),
+            requests: at,
+            bad: at,
+        });
+        health
+    };
+    let mut balancer = Balancer::new("zone-1".parse().unwrap());
+    for node in [1, 4, 7, 10] {
+        report_health(&mut balancer, START, node, 1, health(0, 10));
+    }
+    report_health(&mut balancer, START, 1, 2, failing(8));
+    assert_eq!(part_of_picks(&mut balancer, START, "export", &mut rng), 0.0);
+    assert!(part_of_picks(&mut balancer, START, "read", &mut rng) > 0.1);
+    let mut balancer = Balancer::new("zone-1".parse().unwrap());
+    for node in [1, 4, 7, 10] {
+        report_health(&mut balancer, START, node, 1, failing(8));
+    }
+    assert!(part_of_picks(&mut balancer, START, "export", &mut rng) > 0.1);
+}
