Use a few links to a busy node and a longer accept queue

One HTTP/2 link is one task: when its thread is not scheduled, every request on it waits. Listeners had a backlog of 128, whose overflow costs a caller the second until its next SYN.

--- a/examples/added_latency.rs
+++ b/examples/added_latency.rs
@@ -28,6 +28,17 @@
 /// Time for the first link and the first connections.
 const WARM_UP: Duration = Duration::from_secs(1);
 
+/// Microseconds of one tick of the processor times that the kernel reports.
+const TICK_US: u64 = 10_000;
+
+/// Returns the processor time that this process has used, in ticks.
+fn cpu_ticks() -> anyhow::Result<u64> {
+    let text = std::fs::read_to_string("/proc/self/stat")?;
+    let fields = text.rsplit(')').next().unwrap_or_default();
+    let ticks = fields.split_whitespace().skip(11).take(2);
+    ticks.map(|t| Ok(t.parse::<u64>()?)).sum()
+}
+
 /// Added latency of two nodes at a share of the target's capacity.
 #[derive(FromArgs)]
 struct Args {
@@ -40,6 +51,9 @@
     /// share of the capacity (default 0.5)
     #[argh(option, default = "0.5")]
     share: f64,
+    /// requests a second, in place of a share of the capacity
+    #[argh(option)]
+    rate: Option<f64>,
     /// targets, each beside the second node (default 1)
     #[argh(option, default = "1")]
     targets: usize,
@@ -83,12 +97,13 @@
     front.learn(back.link_addr(), &record);
     let delay = Duration::from_millis(args.delay_ms);
     let capacity = f64::from(args.slots) * args.targets as f64 / delay.as_secs_f64();
+    let rate = args.rate.unwrap_or(capacity * args.share);
     let load = |addrs: Vec<SocketAddr>, duration: Duration| Load {
         addrs,
         keys: vec![KEY.to_owned()],
         method: "GET".to_owned(),
         path: "/work?bytes=1000".to_owned(),
-        rate: capacity * args.share,
+        rate,
         duration,
         body_bytes: 0,
     };
@@ -98,15 +113,20 @@
     Generator::run(load(direct.clone(), WARM_UP), Results::new()).await;
     Generator::run(load(proxied.clone(), WARM_UP), Results::new()).await;
     let (mut through, mut around) = (Results::new(), Results::new());
+    let mut cpu = [0; 2];
     for _ in 0..args.rounds {
+        let start = cpu_ticks()?;
         around = Generator::run(load(direct.clone(), secs), around).await;
+        let middle = cpu_ticks()?;
         through = Generator::run(load(proxied.clone(), secs), through).await;
+        cpu[0] += middle - start;
+        cpu[1] += cpu_ticks()? - middle;
     }
     targets.iter().for_each(|target| target.stop());
-    report(capacity * args.share, &around.summary(), &through.summary())
+    report(rate, cpu, &around.summary(), &through.summary())
 }
 
-fn report(rate: f64, direct: &Summary, proxied: &Summary) -> anyhow::Result<()> {
+fn report(rate: f64, cpu: [u64; 2], direct: &Summary, proxied: &Summary) -> anyhow::Result<()> {
     println!("{rate:.0} requests/s; latency in us from the intended send time");
     for (name, s) in [("direct", direct), ("proxied", proxied)] {
         println!(
@@ -120,6 +140,12 @@
         added(direct.p50_us, proxied.p50_us),
         added(direct.p99_us, proxied.p99_us)
     );
+    let each = |ticks: u64, s: &Summary| ticks * TICK_US / s.sent.max(1);
+    println!(
+        "     cpu: {} us a request for two nodes, {} us for load generator and target",
+        each(cpu[1], proxied).saturating_sub(each(cpu[0], direct)),
+        each(cpu[0], direct)
+    );
     println!("{}", serde_json::to_string(&[direct, proxied])?);
     Ok(())
 }
--- a/src/node/forward.rs
+++ b/src/node/forward.rs
@@ -137,8 +137,8 @@
         authorize: impl Fn() -> Result<(), Refusal>,
     ) -> Result<Response<Incoming>, Outcome> {
         let opened = self.links.sender(pick.id.node, pick.addr);
-        let mut sender = match timeout_at(call.deadline, opened).await {
-            Ok(Ok(sender)) => sender,
+        let mut loan = match timeout_at(call.deadline, opened).await {
+            Ok(Ok(loan)) => loan,
             Ok(Err(e)) => {
                 log::info!(event = "link-failed", target:% = pick.id, error:% = e; "link failed");
                 self.targets.report(&pick.id, Sample::ConnectFailed);
@@ -154,7 +154,7 @@
         authorize().map_err(|refusal| call.give_up(refusal))?;
         let exposed = call.expose();
         let mut trial = Trial::start(&self.targets, &pick.id);
-        let sent = timeout_at(call.deadline, sender.try_send_request(request)).await;
+        let sent = timeout_at(call.deadline, loan.sender.try_send_request(request)).await;
         let result = match sent {
             Err(_) => {
                 trial.sample = Sample::NoAnswer;
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -1,7 +1,8 @@
-//! HTTP/2 links to the egress of other nodes, one for each node.
+//! HTTP/2 links to the egress of other nodes, a few for each node.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -43,16 +44,61 @@
     me: NodeId,
     secret: Secret,
     patience: Duration,
-    links: Mutex<HashMap<NodeId, Arc<Entry>>>,
+    links: Mutex<HashMap<NodeId, Arc<Bundle>>>,
 }
 
-/// The link to one node; `open` is held while it is being opened, so that one is opened only.
+/// Most links to one node; requests take one at random, so that a slow link delays few of them.
+const LINKS_PER_NODE: usize = 4;
+
+/// Requests in flight for which one more link is used.
+///
+/// A fleet of hundreds of nodes has few requests between two of them and needs one link only.
+const FLIGHT_PER_LINK: usize = 4;
+
+/// One link to a node; `open` is held while it is being opened, so that one is opened only.
 #[derive(Debug, Default)]
 struct Entry {
     sender: Mutex<Option<Sender>>,
     open: tokio::sync::Mutex<()>,
 }
 
+/// The links to one node.
+#[derive(Debug, Default)]
+struct Bundle {
+    links: [Entry; LINKS_PER_NODE],
+    flight: AtomicUsize,
+}
+
+/// A sender for one request; the request counts as in flight until this is dropped.
+#[derive(Debug)]
+pub struct Loan {
+    /// Sends the request.
+    pub sender: Sender,
+    bundle: Arc<Bundle>,
+}
+
+impl Bundle {
+    /// Returns one of the links that the requests in flight call for.
+    fn draw(&self) -> &Entry {
+        let needed = 1 + self.flight.load(Ordering::Relaxed) / FLIGHT_PER_LINK;
+        &self.links[rand::random_range(0..needed.min(LINKS_PER_NODE))]
+    }
+
+    fn lend(self: &Arc<Self>, sender: Sender) -> Loan {
+        self.flight.fetch_add(1, Ordering::Relaxed);
+        Loan {
+            sender,
+            bundle: self.clone(),
+        }
+    }
+}
+
+impl Drop for Loan {
+    fn drop(&mut self) {
+        self.bundle.flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl Entry {
     fn usable(&self) -> Option<Sender> {
         let sender = self.sender.lock().unwrap_or_else(PoisonError::into_inner);
@@ -80,20 +126,21 @@
     /// # Errors
     ///
     /// Fails if the link can't be opened; nothing has been sent then.
-    pub async fn sender(&self, node: NodeId, addr: SocketAddr) -> Result<Sender> {
-        let entry = self.entry(node);
+    pub async fn sender(&self, node: NodeId, addr: SocketAddr) -> Result<Loan> {
+        let bundle = self.bundle(node);
+        let entry = bundle.draw();
         if let Some(sender) = entry.usable() {
-            return Ok(sender);
+            return Ok(bundle.lend(sender));
         }
         let _opening = entry.open.lock().await;
         if let Some(sender) = entry.usable() {
-            return Ok(sender);
+            return Ok(bundle.lend(sender));
         }
         let sender = timeout(self.patience, self.open(node, addr))
             .await
             .map_err(|_| Error::unavailable(format!("link to {addr} timed out")))??;
         entry.keep(sender.clone());
-        Ok(sender)
+        Ok(bundle.lend(sender))
     }
 
     /// Closes the link to a node that is gone.
@@ -101,11 +148,11 @@
         self.lock().remove(&node);
     }
 
-    fn entry(&self, node: NodeId) -> Arc<Entry> {
+    fn bundle(&self, node: NodeId) -> Arc<Bundle> {
         self.lock().entry(node).or_default().clone()
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<NodeId, Arc<Entry>>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<NodeId, Arc<Bundle>>> {
         self.links.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
--- a/src/node/listen.rs
+++ b/src/node/listen.rs
@@ -10,7 +10,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
@@ -29,6 +29,9 @@
 use crate::node::settings::Limits;
 use crate::wire::{Handler, Hello, Protocol, Role, Secret, accept, serve_frames};
 
+/// Connections that wait to be accepted; an overflow costs a caller a second until it tries again.
+const BACKLOG: u32 = 4_096;
+
 /// Pause after a failed accept, such as one for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -67,10 +70,19 @@
 /// # Errors
 ///
 /// Fails if the address can't be bound.
-pub async fn bind(name: &str, addr: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(addr)
-        .await
-        .map_err(|e| Error::io(format!("{name} address {addr}"), e))
+pub fn bind(name: &str, addr: SocketAddr) -> Result<TcpListener> {
+    listen(addr).map_err(|e| Error::io(format!("{name} address {addr}"), e))
+}
+
+fn listen(addr: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match addr {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    // A restarted node takes over its address while old connections linger.
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    socket.listen(BACKLOG)
 }
 
 /// Accepts connections until the end and serves each by `serve`.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -132,9 +132,9 @@
 {
     settings.check()?;
     let limits = settings.limits.clone();
-    let callers = listen::bind("caller", settings.caller_listen).await?;
-    let link = listen::bind("link", settings.link_listen).await?;
-    let admins = listen::bind("admin", settings.admin_listen).await?;
+    let callers = listen::bind("caller", settings.caller_listen)?;
+    let link = listen::bind("link", settings.link_listen)?;
+    let admins = listen::bind("admin", settings.admin_listen)?;
     let link_addr = settings.link_public.unwrap_or(link.local_addr()?);
     let clock = Monotonic::new();
     let metrics = Metrics::open(settings.statsd)?;
--- a/src/node/pool.rs
+++ b/src/node/pool.rs
@@ -146,8 +146,12 @@
 
     fn pop(&self) -> Option<Idle> {
         let mut all = self.lock();
-        all.retain(Idle::is_usable);
-        all.pop()
+        while let Some(idle) = all.pop() {
+            if idle.is_usable() {
+                return Some(idle);
+            }
+        }
+        None
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Idle>> {
--- a/tests/data_path/body_limits.rs
+++ b/tests/data_path/body_limits.rs
@@ -138,3 +138,18 @@
     assert!(answer.contains("laburnum-outcome: unknown"), "{answer}");
     eventually("the slot is free", || site.target.running().0 == 0).await;
 }
+
+/// Guards against a caller that holds a slot by taking nothing of its answer.
+#[tokio::test]
+async fn stalled_reader_times_out() {
+    let limits = Limits {
+        write_time: Duration::from_millis(200),
+        ..Limits::default()
+    };
+    let site = Site::with(limits, 1, Duration::ZERO).await;
+    let path = format!("/bulk?bytes={}", 256 * MIB);
+    let request = request("GET", &path).body(http_body_util::Empty::new());
+    let response = start(&site, request.unwrap()).await;
+    eventually("the run is cancelled", || site.runs()[0].cancelled).await;
+    drop(response);
+}
--- a/tests/data_path/graceful_drain.rs
+++ b/tests/data_path/graceful_drain.rs
@@ -101,3 +101,32 @@
     assert!(std::net::TcpStream::connect(caller).is_err());
     assert!(site.target.runs().iter().all(|run| run.finished));
 }
+
+/// Guards against new work for a target that leaves, sent by a node that has not heard of it.
+#[tokio::test]
+async fn leaving_target_gets_no_new_work() {
+    let site = Site::open().await;
+    let other = crate::site::target(&site.back, "oven-2", 7, Duration::ZERO).await;
+    site.connect(2).await;
+    let long = site.get("/bulk?delay_ms=3000");
+    let leave = async {
+        eventually("the long request runs", || {
+            site.target.running().0 + other.running().0 == 1
+        })
+        .await;
+        let (leaving, staying) = match site.target.running().0 {
+            1 => (&site.target, &other),
+            _ => (&other, &site.target),
+        };
+        leaving.drain();
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let before = leaving.runs().len();
+        for _ in 0..30 {
+            assert_eq!(outcome(&site.get("/bake").await).0, "answer");
+        }
+        assert_eq!(leaving.runs().len(), before);
+        assert_eq!(staying.runs().len(), 30);
+    };
+    let (long, ()) = tokio::join!(long, leave);
+    assert_eq!(outcome(&long).0, "answer");
+}
