--- a/src/control/operator.rs
+++ b/src/control/operator.rs
@@ -25,10 +25,10 @@
 use crate::control::core::{Command, Submitted};
 use crate::control::nodes::Nodes;
 use crate::control::state::NoteHead;
-use crate::control::view::View;
+use crate::control::view::{Meta, View};
 use crate::metrics::Metrics;
 use crate::replica;
-use crate::time::{Clock, Monotonic};
+use crate::time::{Clock, Monotonic, Time};
 use crate::units::NoteNumber;
 use crate::wire::Secret;
 
@@ -45,10 +45,10 @@
 const CONNECTION_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Time in which a note must commit before the submitter is told to send it again.
-const COMMIT_TIMEOUT: Duration = Duration::from_millis(2_000);
+const COMMIT_TIMEOUT: Duration = Duration::from_millis(1_800);
 
 /// Time in which the answer waits for the acceptance of a committed note.
-const ACCEPT_TIMEOUT: Duration = Duration::from_millis(500);
+const ACCEPT_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Connections that are open at the same time.
 const CONNECTIONS_MAX: usize = 256;
@@ -279,7 +279,7 @@
         });
         let status = Status {
             replica: meta.id,
-            role: role_name(&meta).to_owned(),
+            role: role_name(&meta, now).to_owned(),
             term: meta.term,
             leader: meta.leader_operator(),
             committed: meta.committed,
@@ -291,12 +291,13 @@
     }
 }
 
-fn role_name(meta: &crate::control::view::Meta) -> &'static str {
+/// A leader without its lease counts as a candidate, since another may have been elected.
+fn role_name(meta: &Meta, now: Time) -> &'static str {
     match meta.role {
-        replica::Role::Leader => "leader",
-        replica::Role::PreCandidate | replica::Role::Candidate => "candidate",
+        replica::Role::Leader if meta.leads(now) => "leader",
         replica::Role::Follower if meta.replicas.is_voter(meta.id) => "follower",
         replica::Role::Follower => "learner",
+        _ => "candidate",
     }
 }
 
--- a/src/fleet/registry.rs
+++ b/src/fleet/registry.rs
@@ -1,134 +1,175 @@
-//! The registered nodes.
+//! The registered nodes and how log entries change them.
 
 use std::net::SocketAddr;
 
-use prost::Message;
-
 use crate::error::{Error, Result};
 use crate::ids::{NodeId, ZoneName};
+use crate::units::Position;
+
+/// Most registered nodes; the planned size is 560.
+pub const MEMBERS_MAX: usize = 1_024;
 
-/// One registered node.
+/// A registered node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Member {
-    /// The identity of this run of the node.
+    /// The run of the node process.
     pub id: NodeId,
-    /// The link address.
+    /// The address on which it accepts links.
     pub addr: SocketAddr,
-    /// The availability zone.
+    /// Its availability zone.
     pub zone: ZoneName,
 }
 
-/// The registered nodes, sorted by identity.
+/// The registered nodes at one position of the log, sorted by id, with one node on an address.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Registry {
     members: Vec<Member>,
 }
 
-/// A change of the registry, as the replicated log holds it.
+/// What one log entry does to the registry; both lists are sorted by id.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RegistryChange {
     /// Nodes that are registered.
-    pub added: Vec<Member>,
-    /// Nodes that are no longer registered.
-    pub removed: Vec<NodeId>,
+    pub joined: Vec<Member>,
+    /// Nodes that are removed.
+    pub left: Vec<NodeId>,
+}
+
+impl RegistryChange {
+    /// Returns true if nothing changes.
+    pub fn is_empty(&self) -> bool {
+        self.joined.is_empty() && self.left.is_empty()
+    }
 }
 
 impl Registry {
-    /// Creates a registry; of several members with one identity the first is kept.
-    pub fn new(mut members: Vec<Member>) -> Registry {
-        members.sort_by_key(|m| m.id);
-        members.dedup_by_key(|m| m.id);
-        Registry { members }
+    /// Creates the empty registry before the first change.
+    pub fn new() -> Self {
+        Registry::default()
     }
 
-    /// Returns the members, sorted by identity.
+    /// Returns the members, sorted by id.
     pub fn members(&self) -> &[Member] {
         &self.members
     }
 
-    /// Returns the member `id`.
+    /// Returns the ids of the members, sorted.
+    pub fn ids(&self) -> Vec<NodeId> {
+        self.members.iter().map(|m| m.id).collect()
+    }
+
+    /// Returns the member with `id`.
     pub fn get(&self, id: NodeId) -> Option<&Member> {
         let i = self.members.binary_search_by_key(&id, |m| m.id).ok()?;
         Some(&self.members[i])
     }
 
-    /// Returns how many members are a majority; zero if there are none.
-    pub fn majority(&self) -> usize {
-        match self.members.len() {
-            0 => 0,
-            n => n / 2 + 1,
-        }
+    /// Returns the member on `addr`.
+    pub fn on_addr(&self, addr: SocketAddr) -> Option<&Member> {
+        self.members.iter().find(|m| m.addr == addr)
     }
 
-    /// Returns the registry after a change.
-    pub fn changed(&self, change: &RegistryChange) -> Registry {
-        let mut members = self.members.clone();
-        members.retain(|m| !change.removed.contains(&m.id));
-        members.extend(change.added.iter().cloned());
-        Registry::new(members)
+    /// Returns true if more than half of the members satisfy `test`, or if there are none.
+    pub fn is_majority(&self, test: impl Fn(NodeId) -> bool) -> bool {
+        let count = self.members.iter().filter(|m| test(m.id)).count();
+        self.members.is_empty() || count > self.members.len() / 2
     }
-}
 
-#[derive(Clone, PartialEq, Message)]
-struct MemberRecord {
-    #[prost(fixed64, tag = "1")]
-    id: u64,
-    #[prost(string, tag = "2")]
-    addr: String,
-    #[prost(string, tag = "3")]
-    zone: String,
+    /// Returns the registry after `change`.
+    ///
+    /// # Errors
+    ///
+    /// [`Category::Invalid`](crate::error::Category::Invalid) if a node that leaves is absent, one
+    /// that joins is present, an address has two nodes, or there are too many.
+    pub fn changed(&self, change: &RegistryChange) -> Result<Registry> {
+        let mut members = self.members.clone();
+        for id in &change.left {
+            let i = members.binary_search_by_key(id, |m| m.id);
+            let i = i.map_err(|_| Error::invalid(format!("node {id} is not registered")))?;
+            members.remove(i);
+        }
+        for member in &change.joined {
+            match members.binary_search_by_key(&member.id, |m| m.id) {
+                Err(i) => members.insert(i, member.clone()),
+                Ok(_) => {
+                    let message = format!("node {} is registered already", member.id);
+                    return Err(Error::invalid(message));
+                }
+            }
+        }
+        let mut addrs: Vec<_> = members.iter().map(|m| m.addr).collect();
+        addrs.sort();
+        if let Some(pair) = addrs.windows(2).find(|p| p[0] == p[1]) {
+            return Err(Error::invalid(format!("two nodes on {}", pair[0])));
+        }
+        if members.len() > MEMBERS_MAX {
+            return Err(Error::invalid(format!("more than {MEMBERS_MAX} nodes")));
+        }
+        Ok(Registry { members })
+    }
 }
 
-#[derive(Clone, PartialEq, Message)]
-struct ChangeRecord {
-    #[prost(message, repeated, tag = "1")]
-    added: Vec<MemberRecord>,
-    #[prost(fixed64, repeated, tag = "2")]
-    removed: Vec<u64>,
+/// The registry by position, back to the last accepted entry.
+#[derive(Clone, Debug, Default)]
+pub struct RegistryLog {
+    /// The first version holds from its position on; others follow.
+    versions: Vec<(Position, Registry)>,
 }
 
-impl RegistryChange {
-    /// Returns the change that registers all members of `registry`.
-    pub fn all(registry: &Registry) -> RegistryChange {
-        RegistryChange {
-            added: registry.members.clone(),
-            removed: Vec::new(),
+impl RegistryLog {
+    /// Creates a log that starts with `registry`, which the entry at `position` put in force.
+    pub fn new(position: Position, registry: Registry) -> Self {
+        RegistryLog {
+            versions: vec![(position, registry)],
         }
     }
 
-    /// Encodes the change.
-    pub fn encode(&self) -> Vec<u8> {
-        let added = self.added.iter().map(|m| MemberRecord {
-            id: m.id.0,
-            addr: m.addr.to_string(),
-            zone: m.zone.to_string(),
-        });
-        let record = ChangeRecord {
-            added: added.collect(),
-            removed: self.removed.iter().map(|id| id.0).collect(),
+    /// Returns the registry after the entry at `position`.
+    pub fn at(&self, position: Position) -> &Registry {
+        static EMPTY: Registry = Registry {
+            members: Vec::new(),
         };
-        record.encode_to_vec()
+        let after = self.versions.partition_point(|(p, _)| *p <= position);
+        after.checked_sub(1).map_or(&EMPTY, |i| &self.versions[i].1)
+    }
+
+    /// Returns the registry before the entry at `position`.
+    pub fn before(&self, position: Position) -> &Registry {
+        self.at(Position(position.0.saturating_sub(1)))
     }
 
-    /// Decodes a change.
+    /// Lists the versions, oldest first.
+    pub fn versions(&self) -> impl Iterator<Item = &Registry> {
+        self.versions.iter().map(|(_, registry)| registry)
+    }
+
+    /// Returns the latest registry.
+    pub fn latest(&self) -> &Registry {
+        self.at(Position(u64::MAX))
+    }
+
+    /// Returns the position of the latest change.
+    pub fn changed_at(&self) -> Position {
+        self.versions.last().map_or(Position(0), |(p, _)| *p)
+    }
+
+    /// Applies the change at `position`.
     ///
     /// # Errors
     ///
-    /// [`Category::Corrupt`](crate::error::Category::Corrupt) for malformed bytes.
-    pub fn decode(bytes: &[u8]) -> Result<RegistryChange> {
-        let bad = || Error::corrupt("malformed change of the node registry");
-        let record = ChangeRecord::decode(bytes).map_err(|_| bad())?;
-        let mut added = Vec::with_capacity(record.added.len());
-        for m in record.added {
-            added.push(Member {
-                id: NodeId(m.id),
-                addr: m.addr.parse().map_err(|_| bad())?,
-                zone: m.zone.parse().map_err(|_| bad())?,
-            });
+    /// As for [`Registry::changed`], and if a change at this position or later was applied.
+    pub fn apply(&mut self, position: Position, change: &RegistryChange) -> Result<()> {
+        if !self.versions.is_empty() && position <= self.changed_at() {
+            return Err(Error::invalid(format!("change {position} is out of order")));
         }
-        Ok(RegistryChange {
-            added,
-            removed: record.removed.into_iter().map(NodeId).collect(),
-        })
+        let next = self.latest().changed(change)?;
+        self.versions.push((position, next));
+        Ok(())
+    }
+
+    /// Drops the versions that no entry after `accepted` refers to.
+    pub fn forget_before(&mut self, accepted: Position) {
+        let after = self.versions.partition_point(|(p, _)| *p <= accepted);
+        self.versions.drain(..after.saturating_sub(1));
     }
 }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -3,12 +3,16 @@
 //! A link is a TCP connection on which both sides have proved that they hold the fleet secret. It
 //! then carries either frames ([`Peer`], [`serve_frames`]) or HTTP/2 requests.
 
+pub mod fleet;
 pub mod frame;
+pub mod limit;
 pub mod link;
+pub mod registry;
 pub mod replica;
 pub mod rpc;
 pub mod sync;
 
 pub use frame::{Channel, Frame, FrameCodec};
+pub use limit::{LimitReply, LimitRequest};
 pub use link::{Hello, Link, Protocol, Role, Secret, accept, connect};
 pub use rpc::{Handler, Peer, serve_frames};
--- /dev/null
+++ b/src/wire/registry.rs
@@ -0,0 +1,76 @@
+//! Encoding of registry changes in log entries and snapshots.
+
+use prost::Message;
+
+use crate::error::{Error, Result};
+use crate::fleet::{Member, Registry, RegistryChange};
+use crate::ids::NodeId;
+
+#[derive(Clone, PartialEq, Message)]
+struct MemberRecord {
+    #[prost(fixed64, tag = "1")]
+    id: u64,
+    #[prost(string, tag = "2")]
+    addr: String,
+    #[prost(string, tag = "3")]
+    zone: String,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct ChangeRecord {
+    #[prost(message, repeated, tag = "1")]
+    joined: Vec<MemberRecord>,
+    #[prost(fixed64, repeated, tag = "2")]
+    left: Vec<u64>,
+}
+
+/// Encodes a change.
+pub fn encode_change(change: &RegistryChange) -> Vec<u8> {
+    let joined = change.joined.iter().map(|m| MemberRecord {
+        id: m.id.0,
+        addr: m.addr.to_string(),
+        zone: m.zone.to_string(),
+    });
+    let record = ChangeRecord {
+        joined: joined.collect(),
+        left: change.left.iter().map(|id| id.0).collect(),
+    };
+    record.encode_to_vec()
+}
+
+/// Decodes a change.
+///
+/// # Errors
+///
+/// [`Category::Corrupt`](crate::error::Category::Corrupt) for malformed bytes.
+pub fn decode_change(bytes: &[u8]) -> Result<RegistryChange> {
+    let bad = || Error::corrupt("malformed change of the node registry");
+    let record = ChangeRecord::decode(bytes).map_err(|_| bad())?;
+    let mut joined = Vec::with_capacity(record.joined.len());
+    for m in record.joined {
+        joined.push(Member {
+            id: NodeId(m.id),
+            addr: m.addr.parse().map_err(|_| bad())?,
+            zone: m.zone.parse().map_err(|_| bad())?,
+        });
+    }
+    let left = record.left.into_iter().map(NodeId).collect();
+    Ok(RegistryChange { joined, left })
+}
+
+/// Encodes a whole registry.
+pub fn encode_registry(registry: &Registry) -> Vec<u8> {
+    encode_change(&RegistryChange {
+        joined: registry.members().to_vec(),
+        left: Vec::new(),
+    })
+}
+
+/// Decodes a whole registry.
+///
+/// # Errors
+///
+/// As [`decode_change`], and if the members contradict each other.
+pub fn decode_registry(bytes: &[u8]) -> Result<Registry> {
+    Registry::new().changed(&decode_change(bytes)?)
+}
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -1,4 +1,9 @@
 //! Tests with real processes on loopback.
 
+mod caller;
+mod control_absence;
+mod control_faults;
+mod fleet;
 mod notes;
 mod operator_client;
+mod whole_path;
