Keep an older configuration from replacing a later one

Sync and gossip may both learn of changes and store what they built after they released their lock, so the order of the calls is not that of the changes.

--- a/src/node/plug.rs
+++ b/src/node/plug.rs
@@ -44,9 +44,16 @@
         }
     }
 
-    /// Puts `config` in force.
+    /// Puts `config` in force unless a later one is in force already.
+    ///
+    /// Two tasks that learn of changes at the same time may come here in the wrong order.
     pub fn store(&self, config: Config) {
-        self.current.store(Some(Arc::new(config)));
+        let number = config.number();
+        let config = Arc::new(config);
+        self.current.rcu(|current| match current {
+            Some(current) if current.number() > number => Some(current.clone()),
+            _ => Some(config.clone()),
+        });
         self.changes.send_modify(|n| *n += 1);
     }
 
--- a/tests/data_path/key_withdrawal.rs
+++ b/tests/data_path/key_withdrawal.rs
@@ -97,3 +97,13 @@
     eventually("the run ends", || site.runs()[0].finished).await;
     drop(stream);
 }
+
+/// Guards against a withdrawal that is undone by an older configuration that arrives late.
+#[tokio::test]
+async fn older_configuration_is_ignored() {
+    let site = Site::open().await;
+    site.front.policy().store(config_without_key());
+    site.front.policy().store(config());
+    let response = site.get("/bake").await;
+    assert_eq!(response.status(), 401);
+}
