--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,8 @@
 //! describes the architecture; the daemons in `src/bin` are thin.
 //!
 //! Decision modules take time, randomness and messages as arguments and use no sockets, files or
-//! clocks: [`config`], [`replica`], [`fleet`], [`freshness`], [`limit`], [`route`] and [`gate`].
+//! clocks: [`config`], [`replica`], [`fleet`], [`freshness`], [`limit`], [`repeat`], [`route`] and
+//! [`gate`].
 //! The edge connects them: [`storage`], [`wire`], [`http`], [`node`], [`control`] and [`ctl`].
 
 pub mod config;
@@ -23,6 +24,7 @@
 pub mod node;
 pub mod outcome;
 pub mod prelude;
+pub mod repeat;
 pub mod replica;
 pub mod route;
 pub mod settings;
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -31,6 +31,7 @@
 pub use owner::{Accounts, Allowance, Owner};
 pub use placement::{Placement, SEAT_COUNT, Shard, Site};
 pub use seat::Seat;
+pub(crate) use seat::follows;
 
 /// Number of shards that accounts hash to.
 pub const SHARD_COUNT: u16 = 2_048;
@@ -66,6 +67,6 @@
 }
 
 /// Returns a duration that ends on this clock after `d` ends on the clock that measured it.
-fn stretch(d: Duration) -> Duration {
+pub(crate) fn stretch(d: Duration) -> Duration {
     d * (1_000 + DRIFT_PER_MILLE) / 1_000
 }
--- a/src/limit/seat.rs
+++ b/src/limit/seat.rs
@@ -115,6 +115,6 @@
 }
 
 /// Returns true if the claim's layouts end like the seat's and contain all of them.
-fn follows(claim: &[u64], seat: &[u64]) -> bool {
+pub(crate) fn follows(claim: &[u64], seat: &[u64]) -> bool {
     claim.last() == seat.last() && seat.iter().all(|digest| claim.contains(digest))
 }
--- a/src/node/forward.rs
+++ b/src/node/forward.rs
@@ -272,5 +272,6 @@
     Err(Outcome::NotRun(Refusal {
         reason,
         retry_after: delay.map(Duration::from_millis),
+        first: None,
     }))
 }
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::error::{Error, Result};
+use crate::ids::RequestId;
 
 /// How a request ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -27,6 +28,26 @@
     pub reason: Reason,
     /// When the caller may try again, if that is known.
     pub retry_after: Option<Duration>,
+    /// The earlier request with the same idempotency key, if that is the cause and it is known.
+    pub first: Option<First>,
+}
+
+/// An earlier request with the same idempotency key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct First {
+    /// Its identity.
+    pub request: RequestId,
+    /// How it ended, as far as that is known.
+    pub end: Option<FirstEnd>,
+}
+
+/// How the first request with an idempotency key ended, if it ran or may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FirstEnd {
+    /// A target answered with this HTTP status.
+    Answer(u16),
+    /// It may have run.
+    Unknown,
 }
 
 impl Refusal {
@@ -35,6 +56,7 @@
         Refusal {
             reason,
             retry_after: None,
+            first: None,
         }
     }
 
@@ -43,6 +65,15 @@
         Refusal {
             reason,
             retry_after: Some(delay),
+            first: None,
+        }
+    }
+
+    /// Returns the refusal with what is known of the first request with the idempotency key.
+    pub fn with_first(self, first: First) -> Self {
+        Refusal {
+            first: Some(first),
+            ..self
         }
     }
 }
@@ -143,6 +174,15 @@
     Connect, "connect", BAD_GATEWAY, false,
         "No connection to the target could be made, so nothing was sent.",
         "Check the target and the links between the nodes.";
+    RepeatRunning, "repeat-running", CONFLICT, false,
+        "The first request with this idempotency key still runs; this one did not run.",
+        "Wait for the answer to the first request, or repeat after the stated time to learn its end.";
+    Repeat, "repeat", CONFLICT, false,
+        "The first request with this idempotency key has ended; this one did not run.",
+        "Look up the first request by its id; use a new key only for a request that is to run again.";
+    RepeatUnknown, "repeat-unknown", SERVICE_UNAVAILABLE, false,
+        "The fleet can't tell whether the idempotency key was used before; this request did not run.",
+        "Repeat with the same key after the stated time.";
     LostLink, "lost-link", BAD_GATEWAY, true,
         "The connection was lost after the request was sent.",
         "Check by reading whether the request ran before it is sent again.";
--- /dev/null
+++ b/src/repeat/keeper.rs
@@ -0,0 +1,205 @@
+//! The records of one seat.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::ids::{AccountName, NodeId, RequestId};
+use crate::limit::{Placement, SHARD_COUNT, Shard, follows, stretch};
+use crate::repeat::{Answer, Claim, End, Ending, Held, IdempotencyKey, State, Terms};
+use crate::time::Time;
+
+/// Most records that a seat keeps.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Capacity {
+    /// Records of all client accounts.
+    pub records: usize,
+    /// Records of one client account.
+    pub account: usize,
+}
+
+impl Default for Capacity {
+    /// About 50 MB of records with keys of usual length, well inside the 128 MB of a node.
+    fn default() -> Self {
+        Capacity {
+            records: 200_000,
+            account: 50_000,
+        }
+    }
+}
+
+/// The part of a node that keeps records as a seat.
+#[derive(Clone, Debug)]
+pub struct Keeper {
+    terms: Terms,
+    capacity: Capacity,
+    layouts: Vec<u64>,
+    /// Since when this node has been a seat of each shard without a gap.
+    since: Vec<Option<Time>>,
+    /// When the registry was last proved current.
+    confirmed: Time,
+    accounts: BTreeMap<AccountName, BTreeMap<IdempotencyKey, Record>>,
+    count: usize,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    request: RequestId,
+    node: NodeId,
+    state: State,
+    until: Time,
+}
+
+impl Keeper {
+    /// Creates the keeper of a process that starts at `now` and is no seat yet.
+    pub fn new(now: Time, terms: Terms, capacity: Capacity) -> Keeper {
+        Keeper {
+            terms,
+            capacity,
+            layouts: Vec::new(),
+            since: vec![None; usize::from(SHARD_COUNT)],
+            confirmed: now,
+            accounts: BTreeMap::new(),
+            count: 0,
+        }
+    }
+
+    /// Takes over the layouts of seats.
+    pub fn follow(&mut self, now: Time, placement: &Placement) {
+        let addr = placement.addr(placement.me());
+        for (number, since) in self.since.iter_mut().enumerate() {
+            let shard = Shard(number as u16);
+            let is_seat =
+                addr.is_some_and(|a| placement.seat_sets(shard).any(|set| set.contains(&a)));
+            *since = is_seat.then(|| since.unwrap_or(now));
+        }
+        self.layouts = placement.layouts();
+    }
+
+    /// Notes that the registry is proved current at `now`.
+    pub fn confirm(&mut self, now: Time) {
+        self.check_gap(now);
+        self.confirmed = now;
+    }
+
+    /// Starts anew to abstain after a long time without proof of the registry.
+    ///
+    /// The node may have missed a layout of which it was no seat.
+    fn check_gap(&mut self, now: Time) {
+        if now.since(self.confirmed) > self.terms.gap() {
+            let restart = |since: &mut Option<Time>| *since = since.map(|_| now);
+            self.since.iter_mut().for_each(restart);
+        }
+    }
+
+    /// Answers a claim and records it if it is new.
+    pub fn claim(&mut self, now: Time, claim: &Claim) -> Answer {
+        self.check_gap(now);
+        let unable = Answer::Abstains { wait: None };
+        if !follows(&claim.layouts, &self.layouts) {
+            return unable;
+        }
+        let known = self.find(now, &claim.account, &claim.key);
+        match known {
+            Some(record) if record.request == claim.request => match record.state {
+                State::Claimed => return Answer::New,
+                State::Ended(_) | State::Freed => return unable,
+            },
+            Some(record) if record.state != State::Freed => {
+                return Answer::Held(Held {
+                    request: record.request,
+                    node: record.node,
+                    end: match record.state {
+                        State::Ended(end) => Some(end),
+                        State::Claimed | State::Freed => None,
+                    },
+                });
+            }
+            _ => {}
+        }
+        if let Some(wait) = self.abstains(now, Shard::of(&claim.account)) {
+            return Answer::Abstains { wait: Some(wait) };
+        }
+        let record = Record {
+            request: claim.request,
+            node: claim.node,
+            state: State::Claimed,
+            until: now + stretch(self.terms.lifetime()),
+        };
+        match self.insert(&claim.account, &claim.key, record) {
+            true => Answer::New,
+            false => unable,
+        }
+    }
+
+    /// Books the end of a request.
+    ///
+    /// The report that a request did not run may overtake the claim of that request.
+    pub fn end(&mut self, now: Time, end: &End) {
+        let until = now + self.terms.permit();
+        let known = self.find(now, &end.account, &end.key);
+        let record = match (known, end.ending) {
+            (Some(known), _) if known.request != end.request => return,
+            (Some(known), _) if known.state != State::Claimed => return,
+            (Some(known), Ending::Ran(ran)) => Record {
+                state: State::Ended(ran),
+                ..known
+            },
+            (None, Ending::Ran(_)) => return,
+            (_, Ending::NotRun) => Record {
+                request: end.request,
+                node: end.node,
+                state: State::Freed,
+                until,
+            },
+        };
+        // Without room for the note, only a late copy of the claim could block the key.
+        let _ = self.insert(&end.account, &end.key, record);
+    }
+
+    /// Drops records that have ended.
+    pub fn expire(&mut self, now: Time) {
+        for records in self.accounts.values_mut() {
+            records.retain(|_, record| record.until > now);
+        }
+        self.accounts.retain(|_, records| !records.is_empty());
+        self.count = self.accounts.values().map(BTreeMap::len).sum();
+    }
+
+    /// Returns the number of records.
+    pub fn record_count(&self) -> usize {
+        self.count
+    }
+
+    /// Returns how long the seat still says nothing new about a shard, if it does.
+    fn abstains(&self, now: Time, shard: Shard) -> Option<Duration> {
+        let whole = stretch(self.terms.lifetime());
+        match self.since[usize::from(shard.0)] {
+            None => Some(whole),
+            Some(since) => {
+                let left = (since + whole).since(now);
+                (!left.is_zero()).then_some(left)
+            }
+        }
+    }
+
+    fn find(&self, now: Time, account: &AccountName, key: &IdempotencyKey) -> Option<Record> {
+        let record = self.accounts.get(account)?.get(key)?;
+        (record.until > now).then_some(*record)
+    }
+
+    /// Puts a record in place of an ended or freed one, or returns false for want of room.
+    fn insert(&mut self, account: &AccountName, key: &IdempotencyKey, record: Record) -> bool {
+        if let Some(slot) = self.accounts.get_mut(account).and_then(|a| a.get_mut(key)) {
+            *slot = record;
+            return true;
+        }
+        let held = self.accounts.get(account).map_or(0, BTreeMap::len);
+        if self.count >= self.capacity.records || held >= self.capacity.account {
+            return false;
+        }
+        let records = self.accounts.entry(account.clone()).or_default();
+        records.insert(key.clone(), record);
+        self.count += 1;
+        true
+    }
+}
