--- a/examples/added_latency.rs
+++ b/examples/added_latency.rs
@@ -156,6 +156,7 @@
         policy: Arc::default(),
         freshness: Arc::new(Fresh),
         admission: Arc::new(Fresh),
+        repeats: Arc::new(Unsynced),
     };
     parts.policy.store(config()?);
     let settings = Settings {
@@ -168,6 +169,7 @@
         zone: "zone-a".parse()?,
         secret: Secret::new(b"fleet-secret-0123456789")?,
         statsd: None,
+        retention: laburnumtide::repeat::RETENTION,
         limits: Limits::default(),
     };
     Ok(node::spawn_with(settings, NodeId::random(), parts, Arc::new(Unsynced)).await?)
--- a/src/http/headers.rs
+++ b/src/http/headers.rs
@@ -32,6 +32,15 @@
 /// Time until a refused request may be sent again, in milliseconds, between nodes only.
 pub const RETRY_MS: HeaderName = HeaderName::from_static("laburnum-retry-ms");
 
+/// Name that a caller gives to a request, so that a repeat of it does not run again.
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// Identity of the first request with the idempotency key, on refusals of repeats.
+pub const FIRST_REQUEST_ID: HeaderName = HeaderName::from_static("laburnum-first-request-id");
+/// How the first request ended, where known.
+pub const FIRST_OUTCOME: HeaderName = HeaderName::from_static("laburnum-first-outcome");
+/// HTTP status of the answer to the first request, where known.
+pub const FIRST_STATUS: HeaderName = HeaderName::from_static("laburnum-first-status");
+
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
--- a/src/http/refusal.rs
+++ b/src/http/refusal.rs
@@ -4,13 +4,15 @@
 
 use bytes::Bytes;
 use http::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
-use http::{Response, StatusCode};
+use http::{HeaderMap, Response, StatusCode};
 use http_body_util::Full;
 use serde::Serialize;
 
-use crate::http::headers::{OUTCOME, REASON, REQUEST_ID};
+use crate::http::headers::{
+    FIRST_OUTCOME, FIRST_REQUEST_ID, FIRST_STATUS, OUTCOME, REASON, REQUEST_ID,
+};
 use crate::ids::RequestId;
-use crate::outcome::{Outcome, Reason, Refusal};
+use crate::outcome::{First, FirstEnd, Outcome, Reason, Refusal};
 
 /// Value of the outcome header for a request that a target answered.
 pub const ANSWER: HeaderValue = HeaderValue::from_static("answer");
@@ -26,6 +28,8 @@
     request_id: String,
     #[serde(skip_serializing_if = "Option::is_none")]
     retry_after_ms: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    first_request_id: Option<String>,
     message: &'a str,
     action: &'a str,
 }
@@ -51,12 +55,30 @@
     if let Some(delay) = refusal.retry_after {
         headers.insert(RETRY_AFTER, HeaderValue::from(whole_seconds(delay)));
     }
+    if let Some(first) = refusal.first {
+        insert_first(headers, first);
+    }
     if refusal.reason.status() == StatusCode::UNAUTHORIZED {
         headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
     }
     Some(response)
 }
 
+/// Says what is known of the first request with the same idempotency key.
+fn insert_first(headers: &mut HeaderMap, first: First) {
+    headers.insert(FIRST_REQUEST_ID, id_value(first.request));
+    match first.end {
+        None => {}
+        Some(FirstEnd::Answer(status)) => {
+            headers.insert(FIRST_OUTCOME, ANSWER);
+            headers.insert(FIRST_STATUS, HeaderValue::from(status));
+        }
+        Some(FirstEnd::Unknown) => {
+            headers.insert(FIRST_OUTCOME, UNKNOWN);
+        }
+    }
+}
+
 /// Returns a request id as a header value.
 pub fn id_value(request: RequestId) -> HeaderValue {
     HeaderValue::try_from(request.to_string()).expect("hexadecimal digits are legal in a header")
@@ -73,6 +95,7 @@
         reason: refusal.reason,
         request_id: request.to_string(),
         retry_after_ms: refusal.retry_after.map(|d| d.as_millis() as u64),
+        first_request_id: refusal.first.map(|first| first.request.to_string()),
         message: refusal.reason.meaning(),
         action: refusal.reason.action(),
     };
--- a/src/node/call.rs
+++ b/src/node/call.rs
@@ -11,6 +11,7 @@
 use crate::http::UploadSlot;
 use crate::ids::{KeyDigest, RequestId};
 use crate::outcome::{Outcome, Reason, Refusal};
+use crate::repeat::IdempotencyKey;
 use crate::units::Rate;
 
 /// The key that came with a request and the account that it stands for.
@@ -42,6 +43,8 @@
     pub route: &'a Route,
     /// Who sent it; none on open routes.
     pub identity: Option<Identity>,
+    /// Idempotency key; only with a client account.
+    pub key: Option<IdempotencyKey>,
     /// Weight in the queue of a target.
     pub weight: Rate,
     /// Time by which the answer must have started.
@@ -59,6 +62,7 @@
         head: Parts,
         route: &'a Route,
         identity: Option<Identity>,
+        key: Option<IdempotencyKey>,
         weight: Rate,
         body: Arc<UploadSlot>,
     ) -> Call<'a> {
@@ -67,6 +71,7 @@
             head,
             route,
             identity,
+            key,
             weight,
             deadline: Instant::now() + route.deadline,
             body,
@@ -79,9 +84,11 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Returns true if the route permits the method to be sent twice.
+    /// Returns true if the request may be sent twice.
+    ///
+    /// A request with an idempotency key runs at most once, whatever the route permits.
     pub fn is_idempotent(&self) -> bool {
-        self.route.is_idempotent(self.head.method.as_str())
+        self.key.is_none() && self.route.is_idempotent(self.head.method.as_str())
     }
 
     /// Notes that an attempt is about to be sent; returns what to restore if it did not run.
@@ -94,11 +101,16 @@
         self.exposed.store(earlier, Ordering::SeqCst);
     }
 
+    /// Returns true if an attempt may have reached a target.
+    pub fn may_have_run(&self) -> bool {
+        self.exposed.load(Ordering::SeqCst)
+    }
+
     /// Returns the outcome of giving up for `refusal`.
     ///
     /// After an attempt of unknown outcome, a later refusal doesn't prove that nothing ran.
     pub fn give_up(&self, refusal: Refusal) -> Outcome {
-        if self.exposed.load(Ordering::SeqCst) {
+        if self.may_have_run() {
             Outcome::Unknown(refusal.reason)
         } else {
             Outcome::NotRun(refusal)
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -12,6 +12,7 @@
 
 use crate::config::{Account, Config, Route, RouteMatch};
 use crate::http::body::{Paced, UploadSlot};
+use crate::http::headers::IDEMPOTENCY_KEY;
 use crate::http::path::{is_safe, resolve};
 use crate::http::refusal::{ANSWER, id_value, refusal_response};
 use crate::http::{FAULT_METHOD, headers};
@@ -22,10 +23,11 @@
 use crate::node::flight::{Flight, Step, Ticket};
 use crate::node::forward::Forwarder;
 use crate::node::open::OpenLimit;
-use crate::node::plug::{Admission, Freshness, Parts};
+use crate::node::plug::{Admission, Freshness, Parts, Repeats};
 use crate::node::sessions::{Session, Sessions};
 use crate::node::settings::Limits;
-use crate::outcome::{Outcome, Reason, Refusal};
+use crate::outcome::{FirstEnd, Outcome, Reason, Refusal};
+use crate::repeat::{Ending, IdempotencyKey};
 use crate::time::{Clock, Monotonic};
 use crate::units::Rate;
 
@@ -42,8 +44,8 @@
 pub type CallerBody = Either<Download, Full<Bytes>>;
 
 /// The ingress of a node.
-pub struct Ingress<F, A> {
-    parts: Parts<F, A>,
+pub struct Ingress<F, A, R> {
+    parts: Parts<F, A, R>,
     forwarder: Forwarder,
     sessions: Arc<Sessions>,
     open: OpenLimit,
@@ -53,10 +55,10 @@
     body_time: Duration,
 }
 
-impl<F: Freshness, A: Admission> Ingress<F, A> {
+impl<F: Freshness, A: Admission, R: Repeats> Ingress<F, A, R> {
     /// Creates an ingress that sends requests by `forwarder`.
     pub fn new(
-        parts: Parts<F, A>,
+        parts: Parts<F, A, R>,
         forwarder: Forwarder,
         clock: Monotonic,
         flight: Flight,
@@ -132,11 +134,15 @@
             true => None,
             false => Some(identify(&config, &head.headers).map_err(refused)?),
         };
+        let key = match identity {
+            Some(_) => idempotency_key(&head.headers).map_err(refused)?,
+            None => None,
+        };
         let session = identity.as_ref().map(|i| self.enter(i));
         headers::strip_request(&mut head.headers);
         headers::set_host(&mut head.headers, &head.uri);
         let weight = weight(&config, route, identity.as_ref());
-        let call = Call::new(id, head, route, identity, weight, slot.clone());
+        let call = Call::new(id, head, route, identity, key, weight, slot.clone());
         let response = self.run(&call, &config, session.as_ref()).await?;
         Ok(self.answer(&call, response, session, ticket))
     }
@@ -175,7 +181,38 @@
             None => self.admit_open(call, config),
         }
         .map_err(refused)?;
-        self.forwarder.send(call, || self.authorize(call)).await
+        match (&call.identity, &call.key) {
+            (Some(identity), Some(key)) => self.send_once(call, &identity.account, key).await,
+            _ => self.forwarder.send(call, || self.authorize(call)).await,
+        }
+    }
+
+    /// Sends a request with an idempotency key if it is the first with that key.
+    async fn send_once(
+        &self,
+        call: &Call<'_>,
+        account: &Account,
+        key: &IdempotencyKey,
+    ) -> Result<Response<Incoming>, Outcome> {
+        let repeats = &*self.parts.repeats;
+        let permit = repeats.claim(&account.name, key, call.id).await;
+        let report = EndReport {
+            repeats,
+            permit: permit.map_err(refused)?,
+            call,
+            ending: None,
+        };
+        let authorize = || match repeats.is_valid(&report.permit) {
+            true => self.authorize(call),
+            false => Err(Refusal::after(Reason::RepeatUnknown, RETRY_LATER)),
+        };
+        let result = self.forwarder.send(call, authorize).await;
+        report.finish(match &result {
+            Ok(response) => Ending::Ran(FirstEnd::Answer(response.status().as_u16())),
+            Err(Outcome::NotRun(_)) => Ending::NotRun,
+            Err(_) => Ending::Ran(FirstEnd::Unknown),
+        });
+        result
     }
 
     /// Checks evidence and key against the configuration in force now.
@@ -251,6 +288,30 @@
     }
 }
 
+/// Reports the end of a request with an idempotency key, also if its caller went away.
+struct EndReport<'a, R: Repeats> {
+    repeats: &'a R,
+    permit: R::Permit,
+    call: &'a Call<'a>,
+    ending: Option<Ending>,
+}
+
+impl<R: Repeats> EndReport<'_, R> {
+    fn finish(mut self, ending: Ending) {
+        self.ending = Some(ending);
+    }
+}
+
+impl<R: Repeats> Drop for EndReport<'_, R> {
+    fn drop(&mut self) {
+        let ending = self.ending.unwrap_or(match self.call.may_have_run() {
+            true => Ending::Ran(FirstEnd::Unknown),
+            false => Ending::NotRun,
+        });
+        self.repeats.end(&self.permit, ending);
+    }
+}
+
 /// Counts a request whose caller went away before there was an outcome.
 struct CallWatch<'a> {
     id: RequestId,
@@ -373,6 +434,19 @@
     Ok(Identity { digest, account })
 }
 
+/// Returns the idempotency key of a request; a malformed one is a fault.
+fn idempotency_key(headers: &HeaderMap) -> Result<Option<IdempotencyKey>, Refusal> {
+    let mut values = headers.get_all(IDEMPOTENCY_KEY).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    let key = value.to_str().ok().and_then(|text| text.parse().ok());
+    match (key, values.next()) {
+        (Some(key), None) => Ok(Some(key)),
+        _ => Err(Refusal::new(Reason::BadRequest)),
+    }
+}
+
 /// Returns the token of `Bearer token`; the scheme's case doesn't matter.
 fn bearer(value: &HeaderValue) -> Option<&[u8]> {
     let (scheme, token) = value.as_bytes().split_at_checked(b"bearer ".len())?;
--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -1,4 +1,4 @@
-//! Joins a node to its fleet: configuration, gossip and limits.
+//! Joins a node to its fleet: configuration, gossip, limits and records of idempotency keys.
 
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -15,12 +15,14 @@
 use crate::metrics::Metrics;
 use crate::node::limits::RateLimits;
 use crate::node::links::Links;
-use crate::node::plug::{Parts, Policy};
+use crate::node::plug::{Freshness, Parts, Policy};
+use crate::node::repeats::RepeatRecords;
 use crate::node::settings::Settings;
 use crate::node::sync::{Controls, Gossiper, serve_gossip};
 use crate::node::targets::Targets;
 use crate::node::view::View;
 use crate::node::{Handle, spawn_measured};
+use crate::repeat::Terms;
 use crate::time::Monotonic;
 use crate::units::Position;
 use crate::wire::{Channel, Handler, Hello, Protocol, Role};
@@ -41,6 +43,7 @@
 struct Frames {
     view: Arc<View>,
     limits: Arc<RateLimits>,
+    repeats: Arc<RepeatRecords>,
 }
 
 impl Handler for Frames {
@@ -48,6 +51,7 @@
         match channel {
             Channel::Gossip => serve_gossip(&self.view, payload),
             Channel::Limit => self.limits.serve(peer, payload),
+            Channel::Repeat => self.repeats.serve(peer, payload),
             _ => Err(Error::unavailable(format!("{channel:?} is not served"))),
         }
     }
@@ -76,18 +80,26 @@
     let metrics = Metrics::open(settings.statsd)?;
     let limits = RateLimits::new(policy.clone(), secret.clone(), hello, metrics.clone());
     let limits = Arc::new(limits);
+    let terms = Terms {
+        retention: settings.retention,
+    };
+    let repeats = RepeatRecords::new(terms, secret.clone(), hello, metrics.clone());
+    let repeats = Arc::new(repeats);
     let parts = Parts {
         policy,
         freshness: view.clone(),
         admission: Arc::new(limits.clone()),
+        repeats: Arc::new(repeats.clone()),
     };
     let frames = Arc::new(Frames {
         view: view.clone(),
         limits: limits.clone(),
+        repeats: repeats.clone(),
     });
     let handle = spawn_measured(settings, me, parts, frames, metrics).await?;
     handle.watch(limits.clone().run());
-    handle.watch(keep_members(view.clone(), limits));
+    handle.watch(repeats.clone().run());
+    handle.watch(keep_members(view.clone(), limits, repeats));
     let controls = Arc::new(Controls::new(view.clone(), &addrs, &secret, hello));
     let waiting = controls.clone();
     handle.watch(async move { controls.prove().await });
@@ -100,25 +112,32 @@
     Ok(handle)
 }
 
-/// Tells the limits which nodes are registered and alive.
-async fn keep_members(view: Arc<View>, limits: Arc<RateLimits>) {
+/// Tells limits and records which nodes are registered and alive.
+async fn keep_members(view: Arc<View>, limits: Arc<RateLimits>, repeats: Arc<RepeatRecords>) {
     let mut accepted: Option<(Position, Instant)> = None;
-    let mut settled = None;
+    let (mut limits_settled, mut repeats_settled) = (None, None);
     loop {
         let members = view.members();
         let is_live = |id| members.live.binary_search(&id).is_ok();
         limits.set_members(&members.nodes, is_live);
+        repeats.set_members(&members.nodes, is_live);
+        if view.is_fresh() {
+            repeats.confirm();
+        }
         accepted = match accepted {
             _ if !members.accepted => None,
             Some((position, since)) if position == members.registry => Some((position, since)),
             _ => Some((members.registry, Instant::now())),
         };
-        if let Some((position, since)) = accepted
-            && settled != Some(position)
-            && since.elapsed() > SETTLE_TIME
-        {
-            limits.settle_members();
-            settled = Some(position);
+        if let Some((position, since)) = accepted {
+            if limits_settled != Some(position) && since.elapsed() > SETTLE_TIME {
+                limits.settle_members();
+                limits_settled = Some(position);
+            }
+            if repeats_settled != Some(position) && since.elapsed() > repeats.settle_time() {
+                repeats.settle_members();
+                repeats_settled = Some(position);
+            }
         }
         sleep(LIVENESS_INTERVAL).await;
     }
--- a/src/node/listen.rs
+++ b/src/node/listen.rs
@@ -25,7 +25,7 @@
 use crate::node::links::{
     HEADER_LIST_BYTES, LINK_WINDOW_BYTES, SEND_BUFFER_BYTES, STREAM_WINDOW_BYTES,
 };
-use crate::node::plug::{Admission, Freshness};
+use crate::node::plug::{Admission, Freshness, Repeats};
 use crate::node::settings::Limits;
 use crate::wire::{Handler, Hello, Protocol, Role, Secret, accept, serve_frames};
 
@@ -117,9 +117,9 @@
 }
 
 /// Serves callers.
-pub async fn serve_callers<F: Freshness, A: Admission>(
+pub async fn serve_callers<F: Freshness, A: Admission, R: Repeats>(
     listener: TcpListener,
-    ingress: Arc<Ingress<F, A>>,
+    ingress: Arc<Ingress<F, A, R>>,
     limits: Limits,
     ending: Ending,
 ) {
@@ -132,9 +132,9 @@
     .await;
 }
 
-async fn serve_caller<F: Freshness, A: Admission>(
+async fn serve_caller<F: Freshness, A: Admission, R: Repeats>(
     stream: TcpStream,
-    ingress: Arc<Ingress<F, A>>,
+    ingress: Arc<Ingress<F, A, R>>,
     limits: Limits,
     closing: CancellationToken,
 ) {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -21,6 +21,7 @@
 pub mod open;
 pub mod plug;
 pub mod pool;
+pub mod repeats;
 pub mod sessions;
 pub mod settings;
 pub mod slots;
@@ -38,15 +39,16 @@
 use tokio_util::sync::CancellationToken;
 
 pub use join::spawn;
-pub use plug::{Admission, Freshness, Parts, Policy};
+pub use plug::{Admission, Freshness, Parts, Policy, Repeats};
 pub use settings::{Limits, Settings};
 
 use crate::config::Account;
 use crate::error::{Error, Result};
 use crate::fleet::NodeRecord;
-use crate::ids::NodeId;
+use crate::ids::{AccountName, NodeId, RequestId};
 use crate::metrics::Metrics;
 use crate::outcome::{Reason, Refusal};
+use crate::repeat::{self, IdempotencyKey};
 use crate::time::Monotonic;
 use crate::wire::{Channel, Handler, Hello};
 use admin::Admin;
@@ -99,6 +101,25 @@
     }
 }
 
+impl Repeats for Unsynced {
+    type Permit = ();
+
+    async fn claim(
+        &self,
+        _: &AccountName,
+        _: &IdempotencyKey,
+        _: RequestId,
+    ) -> std::result::Result<(), Refusal> {
+        Err(Refusal::after(Reason::Starting, Duration::from_secs(1)))
+    }
+
+    fn is_valid(&self, (): &()) -> bool {
+        false
+    }
+
+    fn end(&self, (): &(), _: repeat::Ending) {}
+}
+
 impl Handler for Unsynced {
     async fn handle(&self, _: Hello, channel: Channel, _: Bytes) -> Result<Bytes> {
         Err(Error::unavailable(format!("{channel:?} is not served")))
@@ -115,6 +136,7 @@
         policy: Arc::default(),
         freshness: Arc::new(Unsynced),
         admission: Arc::new(Unsynced),
+        repeats: Arc::new(Unsynced),
     };
     spawn_with(settings, NodeId::random(), parts, Arc::new(Unsynced)).await
 }
@@ -124,15 +146,16 @@
 /// # Errors
 ///
 /// Fails if a setting breaks a rule or an address can't be bound.
-pub async fn spawn_with<F, A, H>(
+pub async fn spawn_with<F, A, R, H>(
     settings: Settings,
     me: NodeId,
-    parts: Parts<F, A>,
+    parts: Parts<F, A, R>,
     handler: Arc<H>,
 ) -> Result<Handle>
 where
     F: Freshness,
     A: Admission,
+    R: Repeats,
     H: Handler + Send + Sync + 'static,
 {
     let metrics = Metrics::open(settings.statsd)?;
@@ -140,16 +163,17 @@
 }
 
 /// Starts the node `me` with given parts and metrics.
-async fn spawn_measured<F, A, H>(
+async fn spawn_measured<F, A, R, H>(
     settings: Settings,
     me: NodeId,
-    parts: Parts<F, A>,
+    parts: Parts<F, A, R>,
     handler: Arc<H>,
     metrics: Metrics,
 ) -> Result<Handle>
 where
     F: Freshness,
     A: Admission,
+    R: Repeats,
     H: Handler + Send + Sync + 'static,
 {
     settings.check()?;
@@ -234,8 +258,8 @@
 
 /// Ends open requests at each change of the configuration and when the evidence runs out, and
 /// reviews the targets.
-async fn keep_swept<F: Freshness, A: Admission>(
-    ingress: Arc<Ingress<F, A>>,
+async fn keep_swept<F: Freshness, A: Admission, R: Repeats>(
+    ingress: Arc<Ingress<F, A, R>>,
     targets: Arc<Targets>,
     policy: Arc<Policy>,
     metrics: Metrics,
--- a/src/node/plug.rs
+++ b/src/node/plug.rs
@@ -8,7 +8,9 @@
 use tokio::sync::watch;
 
 use crate::config::{Account, Config};
+use crate::ids::{AccountName, RequestId};
 use crate::outcome::Refusal;
+use crate::repeat::{Ending, IdempotencyKey};
 
 /// Proof that the configuration is current.
 pub trait Freshness: Send + Sync + 'static {
@@ -26,6 +28,28 @@
     ) -> impl Future<Output = Result<(), Refusal>> + Send;
 }
 
+/// The record of idempotency keys.
+pub trait Repeats: Send + Sync + 'static {
+    /// The right to run a request that is the first with its key.
+    type Permit: Send + Sync;
+
+    /// Claims `key` for `request`, or refuses a request that may be a repeat.
+    ///
+    /// Waits for a bounded time; a claim that is dropped meanwhile frees the key.
+    fn claim(
+        &self,
+        account: &AccountName,
+        key: &IdempotencyKey,
+        request: RequestId,
+    ) -> impl Future<Output = Result<Self::Permit, Refusal>> + Send;
+
+    /// Returns true while the request may be handed over.
+    fn is_valid(&self, permit: &Self::Permit) -> bool;
+
+    /// Reports how the request ended.
+    fn end(&self, permit: &Self::Permit, ending: Ending);
+}
+
 /// The configuration in force, with a signal at each change.
 ///
 /// It is empty until the first configuration has arrived; requests are refused as `starting` then.
@@ -75,11 +99,13 @@
 }
 
 /// What the request path of one node is built from.
-pub struct Parts<F, A> {
+pub struct Parts<F, A, R> {
     /// The configuration, also written by the sync task.
     pub policy: Arc<Policy>,
     /// Proof that the configuration is current.
     pub freshness: Arc<F>,
     /// The rate limit of client accounts.
     pub admission: Arc<A>,
+    /// The record of idempotency keys.
+    pub repeats: Arc<R>,
 }
--- /dev/null
+++ b/src/node/repeats.rs
@@ -0,0 +1,318 @@
+//! Runs the records of idempotency keys on a node: its seat and its claims.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use tokio::sync::oneshot;
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+
+use crate::error::{Error, Result};
+use crate::fleet::Member;
+use crate::freshness::EVIDENCE_LIFETIME;
+use crate::ids::{AccountName, NodeId, RequestId};
+use crate::limit::{Placement, Site, stretch};
+use crate::metrics::Metrics;
+use crate::node::plug::Repeats;
+use crate::outcome::{First, FirstEnd, Reason, Refusal};
+use crate::repeat::{
+    Answer, Capacity, Claim, Claimant, End, Ending, IdempotencyKey, Keeper, Permit, Terms, Verdict,
+};
+use crate::time::{Clock, Monotonic};
+use crate::wire::{Channel, Hello, Peer, RepeatReply, RepeatRequest, Role, Secret};
+
+/// Longest time that a request waits for the seats; one round trip with room for a new link.
+const CLAIM_TIME: Duration = Duration::from_millis(200);
+
+/// Longest time for the report of an end.
+const END_TIME: Duration = Duration::from_millis(500);
+
+/// Reports of an end to one seat; a lost one leaves the key claimed.
+const END_TRIES: u32 = 3;
+
+/// When a caller may come back if it is not known when the fleet can tell.
+const RETRY_LATER: Duration = Duration::from_secs(1);
+
+/// Time between two sweeps of ended records.
+const SWEEP_PERIOD: Duration = Duration::from_secs(5);
+
+/// The records and claims of one node.
+#[derive(Debug)]
+pub struct RepeatRecords {
+    terms: Terms,
+    clock: Monotonic,
+    secret: Secret,
+    hello: Hello,
+    metrics: Metrics,
+    placement: ArcSwap<Placement>,
+    keeper: Mutex<Keeper>,
+    peers: Mutex<BTreeMap<SocketAddr, Peer>>,
+}
+
+impl RepeatRecords {
+    /// Creates the records of the node `hello`, which has just started.
+    pub fn new(terms: Terms, secret: Secret, hello: Hello, metrics: Metrics) -> RepeatRecords {
+        let clock = Monotonic::new();
+        RepeatRecords {
+            terms,
+            clock,
+            secret,
+            hello,
+            metrics,
+            placement: ArcSwap::from_pointee(Placement::new(NodeId(hello.id))),
+            keeper: Mutex::new(Keeper::new(clock.now(), terms, Capacity::default())),
+            peers: Mutex::default(),
+        }
+    }
+
+    /// Returns how long a registry must have been accepted before earlier seats are forgotten.
+    ///
+    /// Until then no record that only earlier seats hold is left.
+    pub fn settle_time(&self) -> Duration {
+        EVIDENCE_LIFETIME * 2 + stretch(self.terms.lifetime())
+    }
+
+    /// Takes over the registered nodes and which of them are alive.
+    pub fn set_members(&self, members: &[Member], live: impl Fn(NodeId) -> bool) {
+        let site = |m: &Member| Site {
+            id: m.id,
+            addr: m.addr,
+            zone: m.zone.clone(),
+        };
+        let sites: Vec<Site> = members.iter().map(site).collect();
+        self.change_placement(|placement| placement.set_members(&sites, &live));
+        self.lock_peers()
+            .retain(|addr, _| sites.iter().any(|site| site.addr == *addr));
+    }
+
+    /// Forgets the seats of earlier registries; see [`RepeatRecords::settle_time`].
+    pub fn settle_members(&self) {
+        self.change_placement(Placement::settle);
+    }
+
+    /// Notes that the node's registry is proved current.
+    pub fn confirm(&self) {
+        let mut keeper = self.lock_keeper();
+        let now = self.clock.now();
+        keeper.confirm(now);
+    }
+
+    fn change_placement(&self, change: impl Fn(&mut Placement)) {
+        let old = self.placement.load_full();
+        let mut placement = Placement::clone(&old);
+        change(&mut placement);
+        let me = placement.me();
+        let follows = placement.layouts() == old.layouts() && placement.addr(me) == old.addr(me);
+        // The keeper goes first, so that it never votes by layouts that this node's claims no
+        // longer follow.
+        if !follows {
+            let mut keeper = self.lock_keeper();
+            let now = self.clock.now();
+            keeper.follow(now, &placement);
+        }
+        self.placement.store(Arc::new(placement));
+    }
+
+    /// Drops ended records until the future is dropped.
+    pub async fn run(self: Arc<Self>) {
+        let mut ticks = interval(SWEEP_PERIOD);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let mut keeper = self.lock_keeper();
+            keeper.expire(self.clock.now());
+            let count = keeper.record_count();
+            drop(keeper);
+            self.metrics.gauge("repeat.records", count as u64);
+        }
+    }
+
+    /// Answers a payload of [`Channel::Repeat`] from another node.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the payload is malformed or its sender is no node.
+    pub fn serve(&self, peer: Hello, payload: Bytes) -> Result<Bytes> {
+        if peer.role != Role::Node {
+            return Err(Error::invalid("repeat messages come from nodes only"));
+        }
+        let node = NodeId(peer.id);
+        let reply = match RepeatRequest::decode(payload)? {
+            RepeatRequest::Claim(claim) => {
+                RepeatReply::Answer(self.answer(&Claim { node, ..claim }))
+            }
+            RepeatRequest::End(end) => {
+                self.book(&End { node, ..end });
+                RepeatReply::Booked
+            }
+        };
+        Ok(reply.encode())
+    }
+
+    fn answer(&self, claim: &Claim) -> Answer {
+        let mut keeper = self.lock_keeper();
+        // Read under the lock, so that a wait for it makes no claim look earlier than it is.
+        let now = self.clock.now();
+        keeper.claim(now, claim)
+    }
+
+    fn book(&self, end: &End) {
+        let mut keeper = self.lock_keeper();
+        let now = self.clock.now();
+        keeper.end(now, end);
+    }
+
+    /// Asks the seats and returns what they say after at most one bounded round trip.
+    async fn ask(self: &Arc<Self>, mut claimant: Claimant) -> Verdict {
+        let ask_one = |seat: SocketAddr| {
+            let claim = claimant.claim().clone();
+            async move { (seat, self.ask_seat(seat, claim).await.ok()) }
+        };
+        let mut calls: FuturesUnordered<_> =
+            claimant.seats().iter().copied().map(ask_one).collect();
+        let collect = async {
+            loop {
+                if let Some(verdict) = claimant.verdict() {
+                    return verdict;
+                }
+                match calls.next().await {
+                    Some((seat, answer)) => claimant.hear(seat, answer),
+                    None => return claimant.give_up(),
+                }
+            }
+        };
+        let collected = timeout(CLAIM_TIME, collect).await;
+        let verdict = collected.unwrap_or_else(|_| claimant.give_up());
+        if !matches!(verdict, Verdict::Run(_)) {
+            self.tell(claimant.seats(), claimant.release());
+        }
+        verdict
+    }
+
+    async fn ask_seat(&self, seat: SocketAddr, claim: Claim) -> Result<Answer> {
+        if self.is_own(seat) {
+            return Ok(self.answer(&claim));
+        }
+        let request = RepeatRequest::Claim(claim);
+        match self.call(seat, &request, CLAIM_TIME).await? {
+            RepeatReply::Answer(answer) => Ok(answer),
+            RepeatReply::Booked => Err(Error::invalid("a claim was answered as an end")),
+        }
+    }
+
+    /// Tells the seats how a request ended, without waiting for them.
+    fn tell(self: &Arc<Self>, seats: &[SocketAddr], end: End) {
+        for &seat in seats {
+            if self.is_own(seat) {
+                self.book(&end);
+                continue;
+            }
+            let (this, request) = (self.clone(), RepeatRequest::End(end.clone()));
+            tokio::spawn(async move {
+                for _ in 0..END_TRIES {
+                    if this.call(seat, &request, END_TIME).await.is_ok() {
+                        return;
+                    }
+                    sleep(END_TIME).await;
+                }
+                this.metrics.count("repeat.lost_ends");
+            });
+        }
+    }
+
+    fn is_own(&self, seat: SocketAddr) -> bool {
+        let placement = self.placement.load();
+        placement.addr(placement.me()) == Some(seat)
+    }
+
+    async fn call(
+        &self,
+        addr: SocketAddr,
+        request: &RepeatRequest,
+        limit: Duration,
+    ) -> Result<RepeatReply> {
+        let peer = self.peer(addr);
+        let reply = peer.call(Channel::Repeat, request.encode(), limit).await?;
+        RepeatReply::decode(reply)
+    }
+
+    fn peer(&self, addr: SocketAddr) -> Peer {
+        self.lock_peers()
+            .entry(addr)
+            .or_insert_with(|| Peer::new(addr, self.secret.clone(), self.hello))
+            .clone()
+    }
+
+    fn lock_peers(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Peer>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lock_keeper(&self) -> MutexGuard<'_, Keeper> {
+        self.keeper.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn refusal(&self, verdict: Verdict) -> std::result::Result<Permit, Refusal> {
+        let (refusal, request, end) = match verdict {
+            Verdict::Run(permit) => return Ok(permit),
+            Verdict::Unknown { wait } => {
+                let wait = wait.unwrap_or(RETRY_LATER).max(RETRY_LATER);
+                return Err(Refusal::after(Reason::RepeatUnknown, wait));
+            }
+            Verdict::Ended { request, end } => (Refusal::new(Reason::Repeat), request, Some(end)),
+            Verdict::Running { request, node } => match self.placement.load().is_live(node) {
+                true => {
+                    let refusal = Refusal::after(Reason::RepeatRunning, RETRY_LATER);
+                    (refusal, request, None)
+                }
+                // Nobody is left who could tell how it ended.
+                false => {
+                    let refusal = Refusal::new(Reason::Repeat);
+                    (refusal, request, Some(FirstEnd::Unknown))
+                }
+            },
+        };
+        Err(refusal.with_first(First { request, end }))
+    }
+}
+
+impl Repeats for Arc<RepeatRecords> {
+    type Permit = Permit;
+
+    async fn claim(
+        &self,
+        account: &AccountName,
+        key: &IdempotencyKey,
+        request: RequestId,
+    ) -> std::result::Result<Permit, Refusal> {
+        let claimant = {
+            let placement = self.placement.load();
+            let now = self.clock.now();
+            Claimant::new(now, self.terms, &placement, account, key, request)
+        };
+        let (sender, receiver) = oneshot::channel();
+        let this = self.clone();
+        // A task of its own frees the key if the caller goes away during the claim.
+        tokio::spawn(async move {
+            let verdict = this.ask(claimant).await;
+            if let Err(Verdict::Run(permit)) = sender.send(verdict) {
+                this.end(&permit, Ending::NotRun);
+            }
+        });
+        let verdict = receiver.await.unwrap_or(Verdict::Unknown { wait: None });
+        self.refusal(verdict)
+    }
+
+    fn is_valid(&self, permit: &Permit) -> bool {
+        permit.is_valid(self.clock.now())
+    }
+
+    fn end(&self, permit: &Permit, ending: Ending) {
+        let (seats, end) = permit.end(ending);
+        self.tell(seats, end);
+    }
+}
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -7,6 +7,7 @@
 use crate::http::GuardLimits;
 use crate::http::framing::HEADER_COUNT_MAX;
 use crate::ids::ZoneName;
+use crate::repeat::RETENTION_MIN;
 use crate::wire::Secret;
 
 /// Settings of a node, checked by [`Settings::check`] before anything is opened.
@@ -30,6 +31,9 @@
     pub secret: Secret,
     /// Where metrics go by UDP.
     pub statsd: Option<SocketAddr>,
+    /// Time in which a repeat of a request with an idempotency key is refused; the same on every
+    /// node.
+    pub retention: Duration,
     /// Limits on callers, links and targets.
     pub limits: Limits,
 }
@@ -85,7 +89,7 @@
     /// # Errors
     ///
     /// Fails if the admin listener is reachable from other VMs without permission, if there are
-    /// too many control processes, or if a limit is zero.
+    /// too many control processes, if the retention is too short, or if a limit is zero.
     pub fn check(&self) -> Result<()> {
         if !self.admin_listen.ip().is_loopback() && !self.admin_public {
             return Err(Error::invalid(format!(
@@ -99,6 +103,11 @@
                 self.control.len()
             )));
         }
+        if self.retention < RETENTION_MIN {
+            return Err(Error::invalid(format!(
+                "retention must be at least {RETENTION_MIN:?}"
+            )));
+        }
         self.limits.check()
     }
 }
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -178,8 +178,8 @@
         "The first request with this idempotency key still runs; this one did not run.",
         "Wait for the answer to the first request, or repeat after the stated time to learn its end.";
     Repeat, "repeat", CONFLICT, false,
-        "The first request with this idempotency key has ended; this one did not run.",
-        "Look up the first request by its id; use a new key only for a request that is to run again.";
+        "The first request with this idempotency key has ended or its node is lost; this one did not run.",
+        "Read the headers on the first request; use a new key only if the request is to run again.";
     RepeatUnknown, "repeat-unknown", SERVICE_UNAVAILABLE, false,
         "The fleet can't tell whether the idempotency key was used before; this request did not run.",
         "Repeat with the same key after the stated time.";
--- a/src/repeat/claimant.rs
+++ b/src/repeat/claimant.rs
@@ -179,15 +179,14 @@
     }
 
     fn may_reach(&self, set: &[SocketAddr], is_meant: impl Fn(&Answer) -> bool) -> bool {
-        let missing = set
-            .iter()
-            .filter(|s| !self.answers.contains_key(s))
-            .count();
+        let missing = set.iter().filter(|s| !self.answers.contains_key(s)).count();
         self.count(set, is_meant) + missing >= majority(set)
     }
 
     fn count(&self, set: &[SocketAddr], is_meant: impl Fn(&Answer) -> bool) -> usize {
-        let answers = set.iter().filter_map(|seat| self.answers.get(seat)?.as_ref());
+        let answers = set
+            .iter()
+            .filter_map(|seat| self.answers.get(seat)?.as_ref());
         answers.filter(|answer| is_meant(answer)).count()
     }
 }
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -7,6 +7,7 @@
 use super::{Checker, Errors, Span};
 use crate::ids::ZoneName;
 use crate::node::{Limits, Settings};
+use crate::repeat::RETENTION;
 
 /// The node of a VM: takes callers, guards the targets on its VM.
 #[derive(FromArgs, Clone, Debug, Default)]
@@ -101,6 +102,11 @@
     #[argh(option)]
     pub drain_max: Option<String>,
 
+    /// time in which a repeated idempotency key is refused; the same on every node, at least 30s
+    /// (default 10m)
+    #[argh(option)]
+    pub retention: Option<String>,
+
     /// print the version and exit
     #[argh(switch)]
     pub version: bool,
@@ -127,6 +133,7 @@
     {
         let log = checker.default("log", self.log.clone(), "info".to_owned());
         let limits = self.limits(&mut checker);
+        let Span(retention) = checker.default("retention", self.retention.clone(), Span(RETENTION));
         let admin: SocketAddr = ([127, 0, 0, 1], 7202).into();
         let caller = checker.required("caller-listen", self.caller_listen);
         let link = checker.required("link-listen", self.link_listen);
@@ -154,6 +161,7 @@
             zone,
             secret,
             statsd,
+            retention,
             limits,
         };
         if let Err(e) = node.check() {
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -21,6 +21,8 @@
     Gossip = 2,
     /// Leases and grants for rates.
     Limit = 3,
+    /// Claims of idempotency keys.
+    Repeat = 4,
 }
 
 /// One message on a link.
--- /dev/null
+++ b/src/wire/repeat.rs
@@ -0,0 +1,272 @@
+//! Messages of claims of idempotency keys.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use prost::{Message, Oneof};
+
+use crate::error::{Error, Result};
+use crate::ids::{NodeId, RequestId};
+use crate::outcome::FirstEnd;
+use crate::repeat::{Answer, Claim, End, Ending, Held};
+
+/// A call on the repeat channel.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RepeatRequest {
+    /// A claim, for the receiver's seat.
+    Claim(Claim),
+    /// The end of a request that claimed a key.
+    End(End),
+}
+
+/// The reply to a [`RepeatRequest`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RepeatReply {
+    /// The seat's answer to a claim.
+    Answer(Answer),
+    /// An end was booked.
+    Booked,
+}
+
+/// Value of an `ended` field for an outcome that is not known; no HTTP status is zero.
+const UNKNOWN_STATUS: u32 = 0;
+
+#[derive(Clone, PartialEq, Message)]
+struct RequestRecord {
+    #[prost(oneof = "RequestBody", tags = "1, 2")]
+    body: Option<RequestBody>,
+}
+
+#[derive(Clone, PartialEq, Oneof)]
+enum RequestBody {
+    #[prost(message, tag = "1")]
+    Claim(ClaimRecord),
+    #[prost(message, tag = "2")]
+    End(EndRecord),
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct ClaimRecord {
+    #[prost(fixed64, tag = "1")]
+    node: u64,
+    #[prost(fixed64, tag = "2")]
+    request: u64,
+    #[prost(fixed64, repeated, tag = "3")]
+    layouts: Vec<u64>,
+    #[prost(string, tag = "4")]
+    account: String,
+    #[prost(string, tag = "5")]
+    key: String,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct EndRecord {
+    #[prost(fixed64, tag = "1")]
+    node: u64,
+    #[prost(fixed64, tag = "2")]
+    request: u64,
+    #[prost(string, tag = "3")]
+    account: String,
+    #[prost(string, tag = "4")]
+    key: String,
+    /// HTTP status of the answer or [`UNKNOWN_STATUS`]; none if the request did not run.
+    #[prost(uint32, optional, tag = "5")]
+    ended: Option<u32>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct ReplyRecord {
+    #[prost(oneof = "ReplyBody", tags = "1, 2, 3, 4")]
+    body: Option<ReplyBody>,
+}
+
+#[derive(Clone, PartialEq, Oneof)]
+enum ReplyBody {
+    #[prost(message, tag = "1")]
+    New(EmptyRecord),
+    #[prost(message, tag = "2")]
+    Held(HeldRecord),
+    #[prost(message, tag = "3")]
+    Abstains(AbstainsRecord),
+    #[prost(message, tag = "4")]
+    Booked(EmptyRecord),
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct EmptyRecord {}
+
+#[derive(Clone, PartialEq, Message)]
+struct HeldRecord {
+    #[prost(fixed64, tag = "1")]
+    node: u64,
+    #[prost(fixed64, tag = "2")]
+    request: u64,
+    /// As in [`EndRecord`]; none if the seat has not been told of an end.
+    #[prost(uint32, optional, tag = "3")]
+    ended: Option<u32>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct AbstainsRecord {
+    /// Microseconds.
+    #[prost(uint64, optional, tag = "1")]
+    wait: Option<u64>,
+}
+
+fn status_of(end: FirstEnd) -> u32 {
+    match end {
+        FirstEnd::Answer(status) => u32::from(status),
+        FirstEnd::Unknown => UNKNOWN_STATUS,
+    }
+}
+
+fn end_of(status: u32) -> Result<FirstEnd> {
+    match u16::try_from(status) {
+        Ok(0) => Ok(FirstEnd::Unknown),
+        Ok(status @ 100..=999) => Ok(FirstEnd::Answer(status)),
+        _ => Err(Error::invalid(format!("no HTTP status {status}"))),
+    }
+}
+
+impl From<&Claim> for ClaimRecord {
+    fn from(claim: &Claim) -> Self {
+        ClaimRecord {
+            node: claim.node.0,
+            request: claim.request.0,
+            layouts: claim.layouts.clone(),
+            account: claim.account.to_string(),
+            key: claim.key.to_string(),
+        }
+    }
+}
+
+impl TryFrom<ClaimRecord> for Claim {
+    type Error = Error;
+
+    fn try_from(record: ClaimRecord) -> Result<Self> {
+        Ok(Claim {
+            node: NodeId(record.node),
+            request: RequestId(record.request),
+            layouts: record.layouts,
+            account: record.account.parse()?,
+            key: record.key.parse()?,
+        })
+    }
+}
+
+impl From<&End> for EndRecord {
+    fn from(end: &End) -> Self {
+        EndRecord {
+            node: end.node.0,
+            request: end.request.0,
+            account: end.account.to_string(),
+            key: end.key.to_string(),
+            ended: match end.ending {
+                Ending::NotRun => None,
+                Ending::Ran(first) => Some(status_of(first)),
+            },
+        }
+    }
+}
+
+impl TryFrom<EndRecord> for End {
+    type Error = Error;
+
+    fn try_from(record: EndRecord) -> Result<Self> {
+        Ok(End {
+            node: NodeId(record.node),
+            request: RequestId(record.request),
+            account: record.account.parse()?,
+            key: record.key.parse()?,
+            ending: match record.ended {
+                None => Ending::NotRun,
+                Some(status) => Ending::Ran(end_of(status)?),
+            },
+        })
+    }
+}
+
+impl From<&Answer> for ReplyBody {
+    fn from(answer: &Answer) -> Self {
+        match answer {
+            Answer::New => ReplyBody::New(EmptyRecord {}),
+            Answer::Held(held) => ReplyBody::Held(HeldRecord {
+                node: held.node.0,
+                request: held.request.0,
+                ended: held.end.map(status_of),
+            }),
+            Answer::Abstains { wait } => ReplyBody::Abstains(AbstainsRecord {
+                wait: wait.map(|d| d.as_micros() as u64),
+            }),
+        }
+    }
+}
+
+impl TryFrom<HeldRecord> for Held {
+    type Error = Error;
+
+    fn try_from(record: HeldRecord) -> Result<Self> {
+        Ok(Held {
+            node: NodeId(record.node),
+            request: RequestId(record.request),
+            end: record.ended.map(end_of).transpose()?,
+        })
+    }
+}
+
+impl RepeatRequest {
+    /// Encodes the request as a payload.
+    pub fn encode(&self) -> Bytes {
+        let body = match self {
+            RepeatRequest::Claim(claim) => RequestBody::Claim(claim.into()),
+            RepeatRequest::End(end) => RequestBody::End(end.into()),
+        };
+        RequestRecord { body: Some(body) }.encode_to_vec().into()
+    }
+
+    /// Decodes a payload.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the payload is malformed or breaks the rules of a name or key.
+    pub fn decode(payload: Bytes) -> Result<RepeatRequest> {
+        let record = RequestRecord::decode(payload)
+            .map_err(|e| Error::invalid(format!("repeat request: {e}")))?;
+        match record.body {
+            Some(RequestBody::Claim(claim)) => Ok(RepeatRequest::Claim(claim.try_into()?)),
+            Some(RequestBody::End(end)) => Ok(RepeatRequest::End(end.try_into()?)),
+            None => Err(Error::invalid("repeat request without a body")),
+        }
+    }
+}
+
+impl RepeatReply {
+    /// Encodes the reply as a payload.
+    pub fn encode(&self) -> Bytes {
+        let body = match self {
+            RepeatReply::Answer(answer) => answer.into(),
+            RepeatReply::Booked => ReplyBody::Booked(EmptyRecord {}),
+        };
+        ReplyRecord { body: Some(body) }.encode_to_vec().into()
+    }
+
+    /// Decodes a payload.
+    ///
+    /// # Errors
+    ///
+    /// As [`RepeatRequest::decode`].
+    pub fn decode(payload: Bytes) -> Result<RepeatReply> {
+        let record = ReplyRecord::decode(payload)
+            .map_err(|e| Error::invalid(format!("repeat reply: {e}")))?;
+        let answer = match record.body {
+            Some(ReplyBody::New(_)) => Answer::New,
+            Some(ReplyBody::Held(held)) => Answer::Held(held.try_into()?),
+            Some(ReplyBody::Abstains(record)) => Answer::Abstains {
+                wait: record.wait.map(Duration::from_micros),
+            },
+            Some(ReplyBody::Booked(_)) => return Ok(RepeatReply::Booked),
+            None => return Err(Error::invalid("repeat reply without a body")),
+        };
+        Ok(RepeatReply::Answer(answer))
+    }
+}
--- a/tests/data_path/graceful_drain.rs
+++ b/tests/data_path/graceful_drain.rs
@@ -41,8 +41,9 @@
         fresh,
         back_fresh,
         admits,
+        records,
     } = Site::with(limits(), 7, Duration::ZERO).await;
-    let spare = crate::site::node(&limits(), &fresh, &admits).await;
+    let spare = crate::site::node(&limits(), &fresh, &admits, &records).await;
     let site = Site {
         front,
         back: spare,
@@ -50,6 +51,7 @@
         fresh,
         back_fresh,
         admits,
+        records,
     };
     let (stop, answered) = (AtomicBool::new(false), AtomicU32::new(0));
     let callers = (0..8).map(|_| load(&site, &stop, &answered));
--- a/tests/data_path/lost_links.rs
+++ b/tests/data_path/lost_links.rs
@@ -23,7 +23,8 @@
             .build()
             .unwrap();
         let (fresh, admits) = (site.back_fresh.clone(), site.admits.clone());
-        let start = async move { node(&Default::default(), &fresh, &admits).await };
+        let records = site.records.clone();
+        let start = async move { node(&Default::default(), &fresh, &admits, &records).await };
         let node = runtime.spawn(start).await.unwrap();
         Mortal { runtime, node }
     }
@@ -82,7 +83,13 @@
 async fn restarted_egress_is_another_node() {
     let site = Site::open().await;
     let record = site.back.records().borrow().clone();
-    let other = node(&Default::default(), &site.back_fresh, &site.admits).await;
+    let other = node(
+        &Default::default(),
+        &site.back_fresh,
+        &site.admits,
+        &site.records,
+    )
+    .await;
     site.front.learn(other.link_addr(), &record);
     let response = site.send(Request::post("/bake")).await;
     assert_eq!(outcome(&response), ("not-run", "connect"));
--- a/tests/data_path/main.rs
+++ b/tests/data_path/main.rs
@@ -10,6 +10,7 @@
 mod header_rules;
 mod key_withdrawal;
 mod lost_links;
+mod repeat_rules;
 mod request_framing;
 mod request_path;
 mod retry_rules;
--- a/tests/data_path/site.rs
+++ b/tests/data_path/site.rs
@@ -2,17 +2,20 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
 use laburnumtide::config::{Account, Config, Note};
-use laburnumtide::node::{self, Admission, Freshness, Handle, Limits, Parts, Settings, Unsynced};
-use laburnumtide::outcome::Refusal;
+use laburnumtide::node::{
+    self, Admission, Freshness, Handle, Limits, Parts, Repeats, Settings, Unsynced,
+};
+use laburnumtide::outcome::{First, Refusal};
 use laburnumtide::prelude::*;
+use laburnumtide::repeat::{Ending, IdempotencyKey, RETENTION};
 use laburnumtide::wire::Secret;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -52,6 +55,60 @@
     }
 }
 
+/// A record of keys that both nodes share and that forgets nothing.
+#[derive(Default)]
+pub struct Records {
+    known: Mutex<HashMap<(AccountName, IdempotencyKey), First>>,
+    /// While true, nobody can tell.
+    pub blind: AtomicBool,
+    /// While true, permits have ended.
+    pub late: AtomicBool,
+}
+
+impl Repeats for Records {
+    type Permit = (AccountName, IdempotencyKey);
+
+    async fn claim(
+        &self,
+        account: &AccountName,
+        key: &IdempotencyKey,
+        request: RequestId,
+    ) -> std::result::Result<Self::Permit, Refusal> {
+        if self.blind.load(Ordering::SeqCst) {
+            return Err(Refusal::after(
+                Reason::RepeatUnknown,
+                Duration::from_secs(1),
+            ));
+        }
+        let entry = (account.clone(), key.clone());
+        let mut known = self.known.lock().unwrap();
+        match known.get(&entry) {
+            Some(first) if first.end.is_some() => {
+                Err(Refusal::new(Reason::Repeat).with_first(*first))
+            }
+            Some(first) => Err(Refusal::new(Reason::RepeatRunning).with_first(*first)),
+            None => {
+                known.insert(entry.clone(), First { request, end: None });
+                Ok(entry)
+            }
+        }
+    }
+
+    fn is_valid(&self, _: &Self::Permit) -> bool {
+        !self.late.load(Ordering::SeqCst)
+    }
+
+    fn end(&self, permit: &Self::Permit, ending: Ending) {
+        let mut known = self.known.lock().unwrap();
+        match ending {
+            Ending::NotRun => {
+                known.remove(permit);
+            }
+            Ending::Ran(end) => known.get_mut(permit).unwrap().end = Some(end),
+        }
+    }
+}
+
 pub struct Site {
     /// Where the caller connects.
     pub front: Handle,
@@ -63,6 +120,7 @@
     /// Freshness of the back node.
     pub back_fresh: Arc<Switch>,
     pub admits: Arc<Admits>,
+    pub records: Arc<Records>,
 }
 
 impl Site {
@@ -73,9 +131,10 @@
     pub async fn with(limits: Limits, slots: u32, delay: Duration) -> Site {
         let fresh = Arc::new(Switch(AtomicBool::new(true)));
         let admits = Arc::new(Admits::default());
-        let front = node(&limits, &fresh, &admits).await;
+        let records = Arc::new(Records::default());
+        let front = node(&limits, &fresh, &admits, &records).await;
         let back_fresh = Arc::new(Switch(AtomicBool::new(true)));
-        let back = node(&limits, &back_fresh, &admits).await;
+        let back = node(&limits, &back_fresh, &admits, &records).await;
         let target = target(&back, "oven-1", slots, delay).await;
         let site = Site {
             front,
@@ -84,6 +143,7 @@
             fresh,
             back_fresh,
             admits,
+            records,
         };
         site.connect(1).await;
         site
@@ -147,15 +207,22 @@
         zone: "zone-a".parse().unwrap(),
         secret: Secret::new(b"fleet-secret-0123456789").unwrap(),
         statsd: None,
+        retention: RETENTION,
         limits: limits.clone(),
     }
 }
 
-pub async fn node(limits: &Limits, fresh: &Arc<Switch>, admits: &Arc<Admits>) -> Handle {
+pub async fn node(
+    limits: &Limits,
+    fresh: &Arc<Switch>,
+    admits: &Arc<Admits>,
+    records: &Arc<Records>,
+) -> Handle {
     let parts = Parts {
         policy: Arc::default(),
         freshness: fresh.clone(),
         admission: admits.clone(),
+        repeats: records.clone(),
     };
     parts.policy.store(config());
     let me = NodeId::random();
--- /dev/null
+++ b/tests/repeat_once.rs
@@ -0,0 +1,503 @@
+//! A request with an idempotency key runs at most once in the retention period, whatever fails.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use laburnumtide::limit::{Placement, Site};
+use laburnumtide::outcome::FirstEnd;
+use laburnumtide::prelude::*;
+use laburnumtide::repeat::{
+    Answer, Capacity, Claim, Claimant, End, Ending, Keeper, Permit, RETENTION_MIN, Terms, Verdict,
+};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+const MS: u64 = 1_000;
+const SEC: u64 = 1_000_000;
+const TERMS: Terms = Terms {
+    retention: RETENTION_MIN,
+};
+const NODES: usize = 8;
+const KEYS: usize = 6;
+const TICK: u64 = 250 * MS;
+const SPAN: u64 = 240 * SEC;
+
+/// Lifetime of evidence; a node that missed an accepted registry honours no key after it.
+const EVIDENCE: u64 = 3 * SEC;
+
+/// Seeds in a usual run; `REPEAT_SEEDS=first..end` chooses others.
+const SEEDS: std::ops::Range<u64> = 0..60;
+
+enum Event {
+    Tick(u64),
+    Request(usize),
+    Claim(usize, Claim),
+    Answer(u64, SocketAddr, Answer),
+    GiveUp(u64),
+    HandOver(u64, Permit),
+    End(End),
+}
+
+struct Node {
+    id: NodeId,
+    skew: u64,
+    drift: f64,
+    paused_until: u64,
+    /// Number of the registry that it holds, and since when; none after a start.
+    registry: Option<(usize, u64)>,
+    learns_at: u64,
+    settled: usize,
+    placement: Placement,
+    keeper: Keeper,
+    claims: BTreeMap<u64, Claimant>,
+}
+
+impl Node {
+    fn now(&self, at: u64) -> Time {
+        Time(self.skew + (at as f64 * (1.0 + self.drift)) as u64)
+    }
+}
+
+struct Sim {
+    at: u64,
+    rng: StdRng,
+    nodes: Vec<Node>,
+    /// Accepted registries with the time of their acceptance.
+    registries: Vec<(u64, Vec<Site>)>,
+    events: BTreeMap<(u64, u64), (usize, NodeId, Event)>,
+    count: u64,
+    /// Times of hand-over by key.
+    runs: BTreeMap<usize, Vec<u64>>,
+    verdicts: [u32; 4],
+}
+
+fn addr(i: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, i as u8 + 1], 7201))
+}
+
+fn key(i: usize) -> (AccountName, laburnumtide::repeat::IdempotencyKey) {
+    let account = format!("account-{}", i % 2).parse().unwrap();
+    (account, format!("key-{i}").parse().unwrap())
+}
+
+impl Sim {
+    fn new(seed: u64) -> Sim {
+        let mut sim = Sim {
+            at: 0,
+            rng: StdRng::seed_from_u64(seed),
+            nodes: Vec::new(),
+            registries: Vec::new(),
+            events: BTreeMap::new(),
+            count: 0,
+            runs: BTreeMap::new(),
+            verdicts: [0; 4],
+        };
+        for i in 0..NODES {
+            let node = sim.process();
+            sim.nodes.push(node);
+            sim.schedule(0, i, Event::Tick(0));
+        }
+        sim.accept(&(0..NODES).collect::<Vec<_>>());
+        sim
+    }
+
+    /// Creates a process that has just started.
+    fn process(&mut self) -> Node {
+        let id = NodeId(self.rng.random_range(1..=u64::MAX));
+        let skew = self.rng.random_range(3_600 * SEC..7_200 * SEC);
+        let drift = self.rng.random_range(-0.01..=0.01);
+        let now = Time(skew + (self.at as f64 * (1.0 + drift)) as u64);
+        Node {
+            id,
+            skew,
+            drift,
+            paused_until: 0,
+            registry: None,
+            learns_at: self.at + self.rng.random_range(0..3 * SEC),
+            settled: 0,
+            placement: Placement::new(id),
+            keeper: Keeper::new(now, TERMS, Capacity::default()),
+            claims: BTreeMap::new(),
+        }
+    }
+
+    fn restart(&mut self, i: usize) {
+        self.nodes[i] = self.process();
+        self.schedule(self.at, i, Event::Tick(0));
+        let members = self.registries.last().unwrap().1.clone();
+        let places: Vec<usize> = (0..NODES)
+            .filter(|j| *j == i || members.iter().any(|site| site.addr == addr(*j)))
+            .collect();
+        self.accept(&places);
+    }
+
+    /// Accepts a registry of the nodes at `places`; a minority may learn of it late.
+    fn accept(&mut self, places: &[usize]) {
+        let site = |&i: &usize| Site {
+            id: self.nodes[i].id,
+            addr: addr(i),
+            zone: format!("zone-{}", i % 3).parse().unwrap(),
+        };
+        let sites = places.iter().map(site).collect();
+        self.registries.push((self.at, sites));
+        for i in 0..NODES {
+            let late = self.rng.random_bool(0.2);
+            let most = if late { 80 * SEC } else { SEC };
+            self.nodes[i].learns_at = self.at + self.rng.random_range(0..most);
+        }
+    }
+
+    fn schedule(&mut self, at: u64, node: usize, event: Event) {
+        self.count += 1;
+        let id = self.nodes[node].id;
+        self.events.insert((at, self.count), (node, id, event));
+    }
+
+    /// Delivers a message to the address of `to`, perhaps late, twice or never.
+    fn send(&mut self, from: usize, to: usize, make: impl Fn() -> Event) {
+        let lost = from != to && self.rng.random_bool(0.04);
+        let copies = if lost {
+            0
+        } else {
+            1 + usize::from(self.rng.random_bool(0.05))
+        };
+        for _ in 0..copies {
+            let late = self.rng.random_bool(0.05);
+            let most = if late { 20 * SEC } else { 3 * MS };
+            let delay = self.rng.random_range(100..most);
+            self.schedule(self.at + delay, to, make());
+        }
+    }
+
+    fn place(seat: SocketAddr) -> usize {
+        (0..NODES).find(|i| addr(*i) == seat).unwrap()
+    }
+
+    fn is_fresh(&self, i: usize) -> bool {
+        let Some((held, _)) = self.nodes[i].registry else {
+            return false;
+        };
+        let missed = self.registries.get(held + 1);
+        missed.is_none_or(|(accepted, _)| self.at < accepted + EVIDENCE)
+    }
+
+    fn run_until(&mut self, end: u64) {
+        while let Some((key, _)) = self.events.first_key_value()
+            && key.0 < end
+        {
+            let (key, (i, id, event)) = self.events.pop_first().unwrap();
+            self.at = key.0;
+            let node = &self.nodes[i];
+            // Messages go to an address, everything else belongs to one process.
+            let for_address = matches!(event, Event::Claim(..) | Event::End(_) | Event::Request(_));
+            if !for_address && node.id != id {
+                continue;
+            }
+            if node.paused_until > self.at {
+                let until = node.paused_until;
+                self.count += 1;
+                self.events.insert((until, self.count), (i, id, event));
+                continue;
+            }
+            self.step(i, event);
+        }
+        self.at = end;
+    }
+
+    fn step(&mut self, i: usize, event: Event) {
+        let now = self.nodes[i].now(self.at);
+        match event {
+            Event::Tick(n) => self.tick(i, n, now),
+            Event::Request(key) => self.request(i, key, now),
+            Event::Claim(from, claim) => {
+                let answer = self.nodes[i].keeper.claim(now, &claim);
+                if self.nodes[from].id == claim.node {
+                    let request = claim.request.0;
+                    self.send(i, from, || Event::Answer(request, addr(i), answer.clone()));
+                }
+            }
+            Event::Answer(request, seat, answer) => {
+                if let Some(claimant) = self.nodes[i].claims.get_mut(&request) {
+                    claimant.hear(seat, Some(answer));
+                }
+                self.decide(i, request, false);
+            }
+            Event::GiveUp(request) => self.decide(i, request, true),
+            Event::HandOver(key, permit) => self.hand_over(i, key as usize, &permit, now),
+            Event::End(end) => self.nodes[i].keeper.end(now, &end),
+        }
+    }
+
+    fn tick(&mut self, i: usize, n: u64, now: Time) {
+        self.schedule(self.at + TICK, i, Event::Tick(n + 1));
+        let newest = self.registries.len() - 1;
+        let fresh = self.is_fresh(i);
+        let node = &mut self.nodes[i];
+        let held = node.registry.map(|(number, _)| number);
+        if held != Some(newest) && node.learns_at <= self.at {
+            // Registries between two looks are skipped, as on a real node.
+            node.placement
+                .set_members(&self.registries[newest].1, |_| true);
+            node.keeper.follow(now, &node.placement);
+            node.registry = Some((newest, self.at));
+        }
+        if fresh {
+            node.keeper.confirm(now);
+        }
+        if let Some((number, since)) = node.registry
+            && node.settled < number + 1
+            && self.at - since > settle_time()
+        {
+            node.placement.settle();
+            node.keeper.follow(now, &node.placement);
+            node.settled = number + 1;
+        }
+        if n.is_multiple_of(20) {
+            node.keeper.expire(now);
+        }
+    }
+
+    fn request(&mut self, i: usize, number: usize, now: Time) {
+        if !self.is_fresh(i) {
+            return;
+        }
+        let (account, name) = key(number);
+        let request = self.count * 16 + number as u64;
+        let placement = &self.nodes[i].placement;
+        let claimant = Claimant::new(now, TERMS, placement, &account, &name, RequestId(request));
+        let (claim, seats) = (claimant.claim().clone(), claimant.seats().to_vec());
+        self.nodes[i].claims.insert(request, claimant);
+        for seat in seats {
+            self.send(i, Self::place(seat), || Event::Claim(i, claim.clone()));
+        }
+        self.schedule(self.at + 200 * MS, i, Event::GiveUp(request));
+    }
+
+    fn decide(&mut self, i: usize, request: u64, late: bool) {
+        let Some(claimant) = self.nodes[i].claims.get(&request) else {
+            return;
+        };
+        let verdict = match claimant.verdict() {
+            Some(verdict) => verdict,
+            None if late => claimant.give_up(),
+            None => return,
+        };
+        let claimant = self.nodes[i].claims.remove(&request).unwrap();
+        let index = match &verdict {
+            Verdict::Run(_) => 0,
+            Verdict::Running { .. } => 1,
+            Verdict::Ended { .. } => 2,
+            Verdict::Unknown { .. } => 3,
+        };
+        self.verdicts[index] += 1;
+        match verdict {
+            Verdict::Run(permit) => {
+                let delay = self.rng.random_range(0..500 * MS);
+                self.schedule(self.at + delay, i, Event::HandOver(request % 16, permit));
+            }
+            _ => self.tell(i, claimant.seats(), claimant.release()),
+        }
+    }
+
+    fn hand_over(&mut self, i: usize, key: usize, permit: &Permit, now: Time) {
+        let refused = self.rng.random_bool(0.3);
+        let ending = if refused || !permit.is_valid(now) || !self.is_fresh(i) {
+            Ending::NotRun
+        } else {
+            self.runs.entry(key).or_default().push(self.at);
+            Ending::Ran(FirstEnd::Answer(200))
+        };
+        let (seats, end) = permit.end(ending);
+        let seats = seats.to_vec();
+        self.tell(i, &seats, end);
+    }
+
+    fn tell(&mut self, i: usize, seats: &[SocketAddr], end: End) {
+        for seat in seats {
+            self.send(i, Self::place(*seat), || Event::End(end.clone()));
+        }
+    }
+
+    /// Schedules requests and runs through random faults.
+    fn storm(&mut self) {
+        let mut at = 0;
+        while at < SPAN {
+            at += self.rng.random_range(20 * MS..300 * MS);
+            let (node, key) = (
+                self.rng.random_range(0..NODES),
+                self.rng.random_range(0..KEYS),
+            );
+            self.schedule(at, node, Event::Request(key));
+        }
+        let mut next = 40 * SEC;
+        while next < SPAN {
+            self.run_until(next);
+            self.fault();
+            next += self.rng.random_range(2 * SEC..30 * SEC);
+        }
+        self.run_until(SPAN);
+    }
+
+    fn fault(&mut self) {
+        let i = self.rng.random_range(0..NODES);
+        match self.rng.random_range(0..10) {
+            0..3 => self.restart(i),
+            3..6 => {
+                let length = self.rng.random_range(SEC..50 * SEC);
+                self.nodes[i].paused_until = self.at + length;
+            }
+            _ => {
+                let size = self.rng.random_range(4..=NODES);
+                let first = self.rng.random_range(0..NODES);
+                let mut places: Vec<_> = (first..first + size).map(|j| j % NODES).collect();
+                places.sort();
+                self.accept(&places);
+            }
+        }
+    }
+
+    /// Returns two hand-overs of one key within the retention period.
+    fn double_run(&self) -> Option<(usize, u64, u64)> {
+        let retention = TERMS.retention.as_micros() as u64;
+        self.runs.iter().find_map(|(key, times)| {
+            let pair = times.windows(2).find(|w| w[1] - w[0] < retention)?;
+            Some((*key, pair[0], pair[1]))
+        })
+    }
+}
+
+fn settle_time() -> u64 {
+    let lifetime = TERMS.lifetime().as_micros() as u64;
+    2 * EVIDENCE + lifetime * 1_021 / 1_000
+}
+
+fn seeds() -> std::ops::Range<u64> {
+    let Ok(text) = std::env::var("REPEAT_SEEDS") else {
+        return SEEDS;
+    };
+    let (first, end) = text.split_once("..").expect("first..end");
+    first.parse().unwrap()..end.parse().unwrap()
+}
+
+/// Guards against a second run of a key after restarts, pauses, lost, late, repeated and reordered
+/// messages and changes of the seats.
+#[test]
+fn random_faults() {
+    let mut verdicts = [0; 4];
+    let mut runs = 0;
+    for seed in seeds() {
+        let mut sim = Sim::new(seed);
+        sim.storm();
+        assert_eq!(sim.double_run(), None, "seed {seed}");
+        runs += sim.runs.values().map(Vec::len).sum::<usize>();
+        (0..4).for_each(|i| verdicts[i] += sim.verdicts[i]);
+    }
+    println!(
+        "seeds={:?} runs={runs} run,running,ended,unknown={verdicts:?}",
+        seeds()
+    );
+    assert!(verdicts.iter().all(|count| *count > 0), "{verdicts:?}");
+    assert!(runs > 0, "the runs hand something over");
+}
+
+/// A keeper that is the only seat and may vouch, and the placement of its node.
+fn lone_seat(capacity: Capacity) -> (Time, Keeper, Placement) {
+    let start = Time::from_millis(3_600_000);
+    let site = Site {
+        id: NodeId(1),
+        addr: addr(0),
+        zone: "zone-0".parse().unwrap(),
+    };
+    let mut placement = Placement::new(site.id);
+    placement.set_members(&[site], |_| true);
+    let mut keeper = Keeper::new(start, TERMS, capacity);
+    keeper.follow(start, &placement);
+    let mut now = start;
+    for _ in 0..40 {
+        now = now + Duration::from_secs(1);
+        keeper.confirm(now);
+    }
+    (now, keeper, placement)
+}
+
+fn claim_at(
+    now: Time,
+    keeper: &mut Keeper,
+    placement: &Placement,
+    number: usize,
+    request: u64,
+) -> (Answer, Claimant) {
+    let (account, name) = key(number);
+    let request = RequestId(request);
+    let mut claimant = Claimant::new(now, TERMS, placement, &account, &name, request);
+    let answer = keeper.claim(now, claimant.claim());
+    claimant.hear(addr(0), Some(answer.clone()));
+    (answer, claimant)
+}
+
+/// Guards against a full seat that forgets a record or lets one account take the room of others.
+#[test]
+fn full_seat_refuses() {
+    let capacity = Capacity {
+        records: 3,
+        account: 2,
+    };
+    let (now, mut keeper, placement) = lone_seat(capacity);
+    let unable = Answer::Abstains { wait: None };
+    // Even and odd numbers are keys of different accounts.
+    let expected = [
+        (0, Answer::New),
+        (2, Answer::New),
+        (4, unable.clone()),
+        (1, Answer::New),
+        (3, unable),
+    ];
+    for (request, (number, answer)) in (1..).zip(expected) {
+        let got = claim_at(now, &mut keeper, &placement, number, request).0;
+        assert_eq!(got, answer, "{number}");
+    }
+    let repeat = claim_at(now, &mut keeper, &placement, 0, 9).1;
+    let verdict = repeat.verdict();
+    assert!(
+        matches!(verdict, Some(Verdict::Running { .. })),
+        "{verdict:?}"
+    );
+    let later = now + TERMS.lifetime() * 2;
+    keeper.expire(later);
+    assert_eq!(keeper.record_count(), 0);
+}
+
+/// Guards against a copy of a claim that counts as a repeat, and against one that takes a key again
+/// after its request was refused.
+#[test]
+fn copies_of_a_claim() {
+    let (now, mut keeper, placement) = lone_seat(Capacity::default());
+    let (first, claimant) = claim_at(now, &mut keeper, &placement, 0, 1);
+    assert_eq!(first, Answer::New);
+    assert_eq!(keeper.claim(now, claimant.claim()), Answer::New);
+    keeper.end(now, &claimant.release());
+    let copy = keeper.claim(now, claimant.claim());
+    assert_eq!(copy, Answer::Abstains { wait: None });
+    let (second, _) = claim_at(now, &mut keeper, &placement, 0, 2);
+    assert_eq!(second, Answer::New);
+    // A late release of the first frees nothing of the second.
+    keeper.end(now, &claimant.release());
+    let (third, _) = claim_at(now, &mut keeper, &placement, 0, 3);
+    assert!(matches!(third, Answer::Held(held) if held.request == RequestId(2)));
+}
+
+/// Guards against a seat that vouches although it may lack records: after its start and after a long
+/// time without proof of its registry.
+#[test]
+fn seat_that_may_lack_records() {
+    let (now, mut keeper, placement) = lone_seat(Capacity::default());
+    let abstains = |answer: &Answer| matches!(answer, Answer::Abstains { wait: Some(_) });
+    let cut_off = now + TERMS.gap() + Duration::from_millis(1);
+    let (answer, _) = claim_at(cut_off, &mut keeper, &placement, 0, 1);
+    assert!(abstains(&answer), "{answer:?}");
+    let mut fresh = Keeper::new(now, TERMS, Capacity::default());
+    fresh.follow(now, &placement);
+    let (answer, _) = claim_at(now + TERMS.retention, &mut fresh, &placement, 0, 1);
+    assert!(abstains(&answer), "{answer:?}");
+}
