--- a/src/node/repeats.rs
+++ b/src/node/repeats.rs
@@ -129,6 +129,8 @@
             let count = keeper.record_count();
             drop(keeper);
             self.metrics.gauge("repeat.records", count as u64);
+            let layouts = self.placement.load().layouts().len();
+            self.metrics.gauge("repeat.layouts", layouts as u64);
         }
     }
 
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -96,11 +96,21 @@
     /// Targets by number; none while stopped.
     pub targets: Vec<Option<Proc>>,
     network: u32,
+    node_options: Vec<(&'static str, String)>,
 }
 
 impl Fleet {
     /// Starts `controls` control processes and `nodes` nodes, each in a zone of its own.
     pub fn start(controls: usize, nodes: usize) -> Fleet {
+        Fleet::start_with(controls, nodes, Vec::new())
+    }
+
+    /// Starts a fleet whose nodes get `node_options` as well.
+    pub fn start_with(
+        controls: usize,
+        nodes: usize,
+        node_options: Vec<(&'static str, String)>,
+    ) -> Fleet {
         let dir = TempDir::new().unwrap();
         std::fs::write(dir.path().join("fleet.secret"), "fleet-secret-0123456789").unwrap();
         std::fs::write(
@@ -117,6 +127,7 @@
             nodes: (0..nodes).map(|_| None).collect(),
             targets: Vec::new(),
             network,
+            node_options,
         };
         for i in 0..controls {
             fleet.start_control(i);
@@ -214,7 +225,7 @@
     /// Starts node `i`.
     pub fn start_node(&mut self, i: usize) {
         let controls = (0..self.controls.len()).map(|j| self.control_link(j));
-        let args = [
+        let mut args = vec![
             ("caller-listen", self.caller_addr(i).to_string()),
             ("link-listen", self.addr(20 + i, 7201).to_string()),
             ("admin-listen", self.admin_addr(i).to_string()),
@@ -222,6 +233,7 @@
             ("zone", format!("zone-{}", i % 3)),
             ("fleet-secret-file", self.secret_file("fleet")),
         ];
+        args.extend(self.node_options.iter().cloned());
         let program = Path::new(env!("CARGO_BIN_EXE_laburnum-node"));
         self.nodes[i] = Some(self.spawn(&format!("node{i}"), program, &args));
     }
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -6,5 +6,6 @@
 mod fleet;
 mod notes;
 mod operator_client;
+mod repeat_faults;
 mod request_faults;
 mod whole_path;
--- a/tests/processes/whole_path.rs
+++ b/tests/processes/whole_path.rs
@@ -11,7 +11,11 @@
 
 /// Starts three control processes, three nodes and a target beside node 2, with the sample note.
 pub fn served_fleet() -> Fleet {
-    let mut fleet = Fleet::start(3, 3);
+    serve(Fleet::start(3, 3))
+}
+
+/// Starts a target beside node 2, submits the sample note and waits until every node serves.
+pub fn serve(mut fleet: Fleet) -> Fleet {
     fleet.start_target(2, "records");
     let output = fleet.submit(&sample_note());
     assert_eq!(output.status.code(), Some(0), "{output:?}");
--- a/tests/repeat_once.rs
+++ b/tests/repeat_once.rs
@@ -501,3 +501,32 @@
     let (answer, _) = claim_at(now + TERMS.retention, &mut fresh, &placement, 0, 1);
     assert!(abstains(&answer), "{answer:?}");
 }
+
+/// Guards against a hand-over after the records of its claim may have ended, and against a claim
+/// that follows other seats than the seat itself.
+#[test]
+fn claims_have_limits() {
+    let (now, mut keeper, mut placement) = lone_seat(Capacity::default());
+    let (_, claimant) = claim_at(now, &mut keeper, &placement, 0, 1);
+    let Some(Verdict::Run(permit)) = claimant.verdict() else {
+        panic!("{:?}", claimant.verdict());
+    };
+    let end = now + TERMS.permit();
+    assert!(permit.is_valid(end - Duration::from_micros(1)));
+    assert!(!permit.is_valid(end));
+    let site = |i: u8| Site {
+        id: NodeId(u64::from(i) + 1),
+        addr: addr(usize::from(i)),
+        zone: "zone-0".parse().unwrap(),
+    };
+    placement.set_members(&[site(0), site(1)], |_| true);
+    let (newer, _) = claim_at(now, &mut keeper, &placement, 2, 2);
+    assert_eq!(newer, Answer::Abstains { wait: None });
+    let mut lacking = Placement::new(NodeId(2));
+    lacking.set_members(&[site(0), site(1)], |_| true);
+    keeper.follow(now, &placement);
+    let (lacks_earlier, _) = claim_at(now, &mut keeper, &lacking, 2, 3);
+    assert_eq!(lacks_earlier, Answer::Abstains { wait: None });
+    let (whole, _) = claim_at(now, &mut keeper, &placement, 2, 4);
+    assert_eq!(whole, Answer::New);
+}
