--- a/src/node/repeats.rs
+++ b/src/node/repeats.rs
@@ -125,10 +125,12 @@
         loop {
             ticks.tick().await;
             let mut keeper = self.lock_keeper();
-            keeper.expire(self.clock.now());
-            let count = keeper.record_count();
+            let now = self.clock.now();
+            keeper.expire(now);
+            let (records, abstaining) = (keeper.record_count(), keeper.abstaining_count(now));
             drop(keeper);
-            self.metrics.gauge("repeat.records", count as u64);
+            self.metrics.gauge("repeat.records", records as u64);
+            self.metrics.gauge("repeat.abstaining", abstaining as u64);
             let layouts = self.placement.load().layouts().len();
             self.metrics.gauge("repeat.layouts", layouts as u64);
         }
--- a/src/repeat/keeper.rs
+++ b/src/repeat/keeper.rs
@@ -170,6 +170,13 @@
         self.count
     }
 
+    /// Returns the number of shards of which this node is a seat but says nothing new yet.
+    pub fn abstaining_count(&self, now: Time) -> usize {
+        let whole = stretch(self.terms.lifetime());
+        let seats = self.since.iter().flatten();
+        seats.filter(|since| **since + whole > now).count()
+    }
+
     /// Returns how long the seat still says nothing new about a shard, if it does.
     fn abstains(&self, now: Time, shard: Shard) -> Option<Duration> {
         let whole = stretch(self.terms.lifetime());
