--- a/src/limit/bucket.rs
+++ b/src/limit/bucket.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use crate::ids::NodeId;
 use crate::limit::{Allowance, Ask, BATCH_PERIOD, Grant, WAIT_MAX};
 use crate::time::Time;
@@ -19,6 +21,11 @@
 /// Time of a holder's fair share that it may take at once while tokens are scarce.
 const FAIR_WINDOW: Duration = Duration::from_millis(500);
 
+/// Validity of a grant without a reserve, which serves waiting requests only.
+///
+/// It ends by itself soon after its use, so that accounts with little demand need no reports.
+const BRIEF_GRANT: Duration = Duration::from_millis(150);
+
 /// Demand lower than this still gets a share, in requests per second.
 const DEMAND_MIN: f64 = 0.01;
 
@@ -30,6 +37,8 @@
 struct Credit {
     node: NodeId,
     number: u64,
+    /// Tells this credit from an expired one that the holder numbered alike.
+    serial: u64,
     granted: u64,
     spent: u64,
     returned: u64,
@@ -124,7 +133,7 @@
     ) -> Grant {
         self.settle(now);
         let Some(index) = self.report(now, node, ask, lease) else {
-            return self.empty_grant(lease);
+            return self.empty_grant();
         };
         if now.since(self.water_at) >= BATCH_PERIOD {
             self.share(now);
@@ -136,11 +145,15 @@
             self.serve_reserve(index, target);
         }
         let pace = pause(self.fair_rate(index));
+        let valid_for = match target == 0 && !self.is_scarce() {
+            true => valid_for.min(BRIEF_GRANT),
+            false => valid_for,
+        };
         let prompt = self.is_tight();
         let credit = &mut self.credits[index];
         credit.until = credit.until.max(now + valid_for);
         Grant {
-            lease,
+            serial: credit.serial,
             total: credit.granted,
             valid_for,
             settled: credit.settled,
@@ -195,9 +208,10 @@
     fn report(&mut self, now: Time, node: NodeId, ask: &Ask, lease: u64) -> Option<usize> {
         let index = match self.credits.binary_search_by_key(&node, |c| c.node) {
             Ok(index) => index,
-            Err(_) if ask.close || ask.lease != 0 => return None,
+            Err(_) if ask.close || ask.serial != 0 => return None,
             Err(index) => {
-                self.credits.insert(index, new_credit(now, node, ask));
+                self.credits
+                    .insert(index, new_credit(now, node, ask, lease));
                 index
             }
         };
@@ -205,9 +219,9 @@
             return None;
         }
         if ask.credit > self.credits[index].number {
-            self.replace(now, index, ask);
+            self.replace(now, index, ask, lease);
         }
-        if ask.lease != 0 && ask.lease != lease {
+        if ask.serial != 0 && ask.serial != self.credits[index].serial {
             return None;
         }
         let credit = &mut self.credits[index];
@@ -229,7 +243,7 @@
         Some(index)
     }
 
-    fn replace(&mut self, now: Time, index: usize, ask: &Ask) {
+    fn replace(&mut self, now: Time, index: usize, ask: &Ask, lease: u64) {
         let old = &self.credits[index];
         if old.outstanding() > 0 {
             self.remnants.push(Remnant {
@@ -241,7 +255,7 @@
         self.credits[index] = Credit {
             fair,
             fair_at,
-            ..new_credit(now, old.node, ask)
+            ..new_credit(now, old.node, ask, lease)
         };
     }
 
@@ -362,9 +376,9 @@
         minted.max(pause(self.fair_rate(index)).mul_f64(missing))
     }
 
-    fn empty_grant(&self, lease: u64) -> Grant {
+    fn empty_grant(&self) -> Grant {
         Grant {
-            lease,
+            serial: 0,
             total: 0,
             valid_for: Duration::ZERO,
             settled: 0,
@@ -377,10 +391,12 @@
     }
 }
 
-fn new_credit(now: Time, node: NodeId, ask: &Ask) -> Credit {
+fn new_credit(now: Time, node: NodeId, ask: &Ask, lease: u64) -> Credit {
+    let source = [lease, node.0, ask.credit].map(u64::to_le_bytes).concat();
     Credit {
         node,
         number: ask.credit,
+        serial: xxh3_64_with_seed(&source, now.0).max(1),
         granted: 0,
         spent: 0,
         returned: 0,
--- a/src/limit/credit.rs
+++ b/src/limit/credit.rs
@@ -11,7 +11,7 @@
 pub(super) struct Credit {
     number: u64,
     /// Zero until the first answer.
-    lease: u64,
+    serial: u64,
     total: u64,
     spent: u64,
     returned: u64,
@@ -25,7 +25,7 @@
     pub(super) fn new(number: u64) -> Credit {
         Credit {
             number,
-            lease: 0,
+            serial: 0,
             total: 0,
             spent: 0,
             returned: 0,
@@ -42,7 +42,7 @@
 
     /// Returns true if the credit has had tokens and they have expired.
     pub(super) fn is_expired(&self, now: Time) -> bool {
-        self.lease != 0 && self.until <= now
+        self.serial != 0 && self.until <= now
     }
 
     /// Returns the tokens that may be spent at `now`.
@@ -95,10 +95,10 @@
     ///
     /// The expiry counts from the send time of the ask, which is before the owner's answer.
     pub(super) fn book(&mut self, now: Time, sent: Time, grant: &Grant) -> bool {
-        if grant.valid_for.is_zero() || (self.lease != 0 && self.lease != grant.lease) {
+        if grant.valid_for.is_zero() || (self.serial != 0 && self.serial != grant.serial) {
             return false;
         }
-        self.lease = grant.lease;
+        self.serial = grant.serial;
         if self.ready <= now {
             self.settled = self.total;
         }
@@ -116,7 +116,7 @@
         Ask {
             account: name.clone(),
             credit: self.number,
-            lease: self.lease,
+            serial: self.serial,
             sent: now,
             spent: self.spent,
             returned: self.returned,
--- a/src/limit/holder.rs
+++ b/src/limit/holder.rs
@@ -176,7 +176,7 @@
         let unreported = credit.unreported();
         self.lost.is_some()
             || self.is_low(now)
-            || (unreported > 0 && unreported * 4 >= self.target)
+            || (self.target > 0 && unreported > 0 && unreported * 4 >= self.target)
             || (credit.held(now) > 0 && now.since(self.contact) >= period)
     }
 
--- a/src/limit/message.rs
+++ b/src/limit/message.rs
@@ -58,8 +58,8 @@
     pub account: AccountName,
     /// The holder's number for its line of credit; grows with each new one.
     pub credit: u64,
-    /// The owner's lease that the credit belongs to, zero if not known yet.
-    pub lease: u64,
+    /// The owner's number for the credit, zero if not known yet.
+    pub serial: u64,
     /// Send time on the holder's clock.
     pub sent: Time,
     /// Tokens of the credit spent so far.
@@ -99,8 +99,8 @@
 /// The state of a credit at the owner.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Grant {
-    /// The owner's lease.
-    pub lease: u64,
+    /// The owner's number for the credit; no credit of any lease has the same.
+    pub serial: u64,
     /// Tokens granted over the life of the credit.
     pub total: u64,
     /// Time from the answer until every token of the credit expires.
--- a/src/limit/owner.rs
+++ b/src/limit/owner.rs
@@ -49,6 +49,8 @@
     wanted: Time,
     /// Send time of the last release; ballots of earlier claims are void.
     released: Time,
+    /// Until when grants of any lease of this node may be valid.
+    promised: Time,
     other: Option<Other>,
     lease: Option<Lease>,
 }
@@ -180,6 +182,10 @@
             }
             return;
         }
+        // Another node may not win before the grants of this one have expired.
+        if tenure.promised > now {
+            return;
+        }
         for seat in std::mem::take(&mut tenure.votes).into_keys() {
             tenure.released = now;
             claims
@@ -198,15 +204,19 @@
     ///
     /// The vote counts from the claim's send time, which is before the seat's receive time.
     pub fn ballot(&mut self, now: Time, placement: &Placement, seat: SocketAddr, ballot: &Ballot) {
-        let until = ballot.sent + ballot.length;
+        let voted = ballot.sent + ballot.length;
         for &shard in &ballot.granted {
-            self.book_vote(now, placement, shard, seat, ballot.sent, until);
+            self.book_vote(now, placement, shard, seat, ballot.sent, voted);
         }
         for held in &ballot.held {
             let Some(tenure) = self.shards.get_mut(&held.shard) else {
                 continue;
             };
             let until = now + held.remaining;
+            // A ballot that a later vote of the seat has overtaken says nothing.
+            if tenure.votes.get(&seat).is_some_and(|vote| *vote > voted) {
+                continue;
+            }
             tenure.votes.remove(&seat);
             tenure.other = Some(Other {
                 node: held.holder,
@@ -236,7 +246,9 @@
         tenure.lapse(now, tenure.until(placement, shard));
         let vote = tenure.votes.entry(seat).or_insert(until);
         *vote = until.max(*vote);
-        if tenure.lease.is_none() && tenure.until(placement, shard) > now {
+        // Grants of an earlier lease count against the burst, but its buckets are gone.
+        let clear = tenure.promised <= now;
+        if tenure.lease.is_none() && clear && tenure.until(placement, shard) > now {
             self.leases += 1;
             tenure.other = None;
             tenure.lease = Some(Lease {
@@ -301,6 +313,7 @@
             .entry(ask.account.clone())
             .or_insert_with(|| Bucket::new(allowance, lease.since, now));
         bucket.change(now, allowance);
+        tenure.promised = tenure.promised.max(until);
         let horizon = placement.lease() * 11 / 10;
         Reply::Grant(bucket.ask(now, from, ask, lease.number, until.since(now), horizon))
     }
--- a/src/wire/limit.rs
+++ b/src/wire/limit.rs
@@ -109,7 +109,7 @@
     #[prost(fixed64, tag = "2")]
     credit: u64,
     #[prost(fixed64, tag = "3")]
-    lease: u64,
+    serial: u64,
     #[prost(uint64, tag = "4")]
     sent: u64,
     #[prost(uint64, tag = "5")]
@@ -148,7 +148,7 @@
 #[derive(Clone, PartialEq, Message)]
 struct GrantRecord {
     #[prost(fixed64, tag = "1")]
-    lease: u64,
+    serial: u64,
     #[prost(uint64, tag = "2")]
     total: u64,
     #[prost(uint64, tag = "3")]
@@ -262,7 +262,7 @@
         AskRecord {
             account: ask.account.to_string(),
             credit: ask.credit,
-            lease: ask.lease,
+            serial: ask.serial,
             sent: ask.sent.0,
             spent: ask.spent,
             returned: ask.returned,
@@ -280,7 +280,7 @@
         Ok(Ask {
             account: record.account.parse()?,
             credit: record.credit,
-            lease: record.lease,
+            serial: record.serial,
             sent: Time(record.sent),
             spent: record.spent,
             returned: record.returned,
@@ -294,7 +294,7 @@
 impl From<&Grant> for GrantRecord {
     fn from(grant: &Grant) -> Self {
         GrantRecord {
-            lease: grant.lease,
+            serial: grant.serial,
             total: grant.total,
             valid_for: micros(grant.valid_for),
             settled: grant.settled,
@@ -310,7 +310,7 @@
 impl From<GrantRecord> for Grant {
     fn from(record: GrantRecord) -> Self {
         Grant {
-            lease: record.lease,
+            serial: record.serial,
             total: record.total,
             valid_for: Duration::from_micros(record.valid_for),
             settled: record.settled,
--- a/tests/limit_figures.rs
+++ b/tests/limit_figures.rs
@@ -161,7 +161,7 @@
         let ask = Ask {
             account: name(0),
             credit: 1,
-            lease: 0,
+            serial: 0,
             sent: now,
             spent: 0,
             returned: 0,
