--- a/tests/limit_sim/mod.rs
+++ b/tests/limit_sim/mod.rs
@@ -65,7 +65,8 @@
 #[derive(Clone, Debug)]
 enum Message {
     Claim(Claim),
-    Ballot(SocketAddr, Ballot),
+    /// The candidate, the seat and its ballot.
+    Ballot(NodeId, SocketAddr, Ballot),
     Asks(NodeId, Vec<Ask>),
     Answers(Vec<Answer>),
 }
@@ -421,7 +422,9 @@
     fn deliver(&mut self, i: usize, now: Time, message: Message) {
         match message {
             Message::Claim(claim) => self.vote(i, now, claim),
-            Message::Ballot(seat, ballot) => {
+            // A reply belongs to the connection of its call, which ends with the process.
+            Message::Ballot(to, ..) if to != self.nodes[i].site.id => {}
+            Message::Ballot(_, seat, ballot) => {
                 let node = &mut self.nodes[i];
                 node.owner.ballot(now, &node.placement, seat, &ballot);
             }
@@ -445,7 +448,7 @@
         let addr = node.site.addr;
         let size = LimitReply::Ballot(ballot.clone()).encode().len();
         if let Some(to) = self.nodes.iter().position(|n| n.site.id == claim.node) {
-            self.send(i, to, Message::Ballot(addr, ballot), size);
+            self.send(i, to, Message::Ballot(claim.node, addr, ballot), size);
         }
     }
 
