Count time while a VM is suspended

CLOCK_MONOTONIC stands still while a VM is suspended, so a node that continued would have honoured keys on evidence that had run out. CLOCK_BOOTTIME goes on.

--- a/src/time.rs
+++ b/src/time.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 use std::ops::{Add, Sub};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -64,33 +64,27 @@
     fn now(&self) -> Time;
 }
 
-/// The clock of the process, counted from its creation.
-#[derive(Clone, Copy, Debug)]
-pub struct Monotonic {
-    start: Instant,
-}
+/// Added to the clock, so that subtracting a lifetime right after boot does not saturate.
+const LEAD: Duration = Duration::from_secs(3_600);
+
+/// The clock of the VM since its boot.
+///
+/// It goes on while the process is stopped and while the VM is suspended, so that what expires does
+/// so in both cases.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Monotonic;
 
 impl Monotonic {
-    /// Starts a clock.
-    ///
-    /// It starts at one hour rather than zero, so that subtracting a lifetime never saturates.
+    /// Creates a handle on the clock.
     pub fn new() -> Self {
-        let lead = Duration::from_secs(3_600);
-        let now = Instant::now();
-        Monotonic {
-            start: now.checked_sub(lead).unwrap_or(now),
-        }
-    }
-}
-
-impl Default for Monotonic {
-    fn default() -> Self {
-        Monotonic::new()
+        Monotonic
     }
 }
 
 impl Clock for Monotonic {
     fn now(&self) -> Time {
-        Time(self.start.elapsed().as_micros() as u64)
+        let t = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        let since_boot = Duration::new(t.tv_sec as u64, t.tv_nsec as u32);
+        Time::ZERO + since_boot + LEAD
     }
 }
