Name route and account in refusal lines and keep connections where possible

A refused request with a short declared body no longer costs its caller the connection. Open requests are checked against the configuration only when it changes, and against the evidence on each tick.

--- a/src/node/forward.rs
+++ b/src/node/forward.rs
@@ -26,6 +26,9 @@
 /// The egress gives up this much earlier, so that its exact outcome arrives in time.
 const EGRESS_MARGIN: Duration = Duration::from_millis(10);
 
+/// Largest share of the time left that the margin takes.
+const EGRESS_MARGIN_SHARE: u32 = 10;
+
 /// Authority of requests on links; the target is named by internal headers.
 const EGRESS_AUTHORITY: &str = "egress";
 
@@ -223,8 +226,9 @@
     *request.uri_mut() = uri(&call.head.uri);
     *request.version_mut() = http::Version::HTTP_2;
     let mut fields = call.head.headers.clone();
-    let left = call.left().saturating_sub(EGRESS_MARGIN);
-    let left = HeaderValue::from(left.as_millis() as u64);
+    let left = call.left();
+    let margin = EGRESS_MARGIN.min(left / EGRESS_MARGIN_SHARE);
+    let left = HeaderValue::from((left - margin).as_millis() as u64);
     fields.insert(headers::DEADLINE_MS, left);
     fields.insert(headers::REQUEST_ID, id_value(call.id));
     fields.insert(headers::ATTEMPT, attempt_value(attempt));
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HeaderValue};
+use http::header::{AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HeaderValue};
 use http::{HeaderMap, Request, Response};
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
@@ -15,7 +15,7 @@
 use crate::http::path::{is_safe, resolve};
 use crate::http::refusal::{ANSWER, id_value, refusal_response};
 use crate::http::{FAULT_METHOD, headers};
-use crate::ids::{KeyDigest, RequestId};
+use crate::ids::{AccountName, KeyDigest, RequestId, RouteName};
 use crate::metrics::Metrics;
 use crate::node::answer::Download;
 use crate::node::call::{Call, Identity, reason_of};
@@ -75,20 +75,25 @@
         }
     }
 
-    /// Ends open requests whose key has been withdrawn, or all if the configuration is stale.
+    /// Ends open requests whose key has been withdrawn.
     pub fn sweep(&self) {
-        let fresh = self.parts.freshness.is_fresh();
         let Some(config) = self.parts.policy.load() else {
             return;
         };
         self.sessions.sweep(|digest, account| {
-            fresh
-                && config
-                    .account_of(digest)
-                    .is_some_and(|a| a.name == *account)
+            config
+                .account_of(digest)
+                .is_some_and(|a| a.name == *account)
         });
     }
 
+    /// Ends all open requests with a key if a withdrawal could be unknown to this node.
+    pub fn sweep_stale(&self) {
+        if !self.parts.freshness.is_fresh() {
+            self.sessions.sweep(|_, _| false);
+        }
+    }
+
     /// Serves one request of a caller.
     ///
     /// # Errors
@@ -98,16 +103,16 @@
         self: Arc<Self>,
         request: Request<Incoming>,
     ) -> Result<Response<CallerBody>, Infallible> {
-        let id = RequestId::random();
         let (head, body) = request.into_parts();
+        let expects = head.headers.contains_key(EXPECT);
         let slot = UploadSlot::new(Paced::new(body, self.body_time));
-        let watch = CallWatch::start(id, &self.metrics);
-        let result = self.handle(id, head, &slot).await;
-        watch.end();
+        let mut trace = Trace::start(RequestId::random(), &self.metrics);
+        let result = self.handle(&mut trace, head, &slot).await;
         let mut response = match result {
             Ok(response) => response.map(Either::Left),
-            Err(outcome) => self.refuse(id, &outcome, &slot),
+            Err(outcome) => self.refuse(&trace, &outcome, &slot, expects),
         };
+        trace.ended = true;
         if self.flight.step() != Step::Stay {
             close(&mut response);
         }
@@ -116,7 +121,7 @@
 
     async fn handle(
         &self,
-        id: RequestId,
+        trace: &mut Trace<'_>,
         mut head: http::request::Parts,
         slot: &Arc<UploadSlot>,
     ) -> Result<Response<Download>, Outcome> {
@@ -127,16 +132,18 @@
         }
         let config = self.parts.policy.load().ok_or(later(Reason::Starting))?;
         let route = find_route(&config, &head).map_err(refused)?;
+        trace.route = Some(route.name.clone());
         check_length(&head.headers, route).map_err(refused)?;
         let identity = match route.open {
             true => None,
             false => Some(identify(&config, &head.headers).map_err(refused)?),
         };
+        trace.account = identity.as_ref().map(|i| i.account.name.clone());
         let session = identity.as_ref().map(|i| self.enter(i));
         headers::strip_request(&mut head.headers);
         headers::set_host(&mut head.headers, &head.uri);
         let weight = weight(&config, route, identity.as_ref());
-        let call = Call::new(id, head, route, identity, weight, slot.clone());
+        let call = Call::new(trace.id, head, route, identity, weight, slot.clone());
         let response = self.run(&call, &config, session.as_ref()).await?;
         Ok(self.answer(&call, response, session, ticket))
     }
@@ -226,61 +233,85 @@
 
     fn refuse(
         &self,
-        id: RequestId,
+        trace: &Trace<'_>,
         outcome: &Outcome,
         slot: &Arc<UploadSlot>,
+        expects: bool,
     ) -> Response<CallerBody> {
-        if let Some(reason) = reason_of(outcome) {
-            self.metrics.refused(reason);
-            let ran = matches!(outcome, Outcome::Unknown(_));
-            log::info!(
-                event = "refused", request:% = id, reason:% = reason, unknown = ran;
-                "request refused"
-            );
-        }
-        let response = refusal_response(outcome, id).expect("an answer is not refused");
+        trace.tell(outcome);
+        let response = refusal_response(outcome, trace.id).expect("an answer is not refused");
         let mut response = response.map(Either::Right);
+        let is_fault = reason_of(outcome) == Some(Reason::BadRequest);
+        let rest = slot.take_rest();
+        let is_short = rest.as_ref().is_some_and(|rest| {
+            let size = rest.size().exact();
+            size.is_some_and(|size| size <= LEFTOVER_MAX_BYTES)
+        });
         // After a fault or within a body, it is not certain where the next request begins.
-        if !slot.is_empty() || reason_of(outcome) == Some(Reason::BadRequest) {
+        if is_fault || !(slot.is_empty() || is_short) || expects {
             close(&mut response);
         }
-        if let Some(rest) = slot.take_rest() {
+        // Reading would ask a caller for the body that it offers to send.
+        if let Some(rest) = rest.filter(|_| !expects) {
             tokio::spawn(read_rest(rest));
         }
         response
     }
 }
 
-/// Counts a request whose caller went away before there was an outcome.
-struct CallWatch<'a> {
+/// What is told of a request that a target did not answer.
+struct Trace<'a> {
     id: RequestId,
+    route: Option<RouteName>,
+    account: Option<AccountName>,
     metrics: &'a Metrics,
     ended: bool,
 }
 
-impl<'a> CallWatch<'a> {
-    fn start(id: RequestId, metrics: &'a Metrics) -> CallWatch<'a> {
-        CallWatch {
+impl<'a> Trace<'a> {
+    fn start(id: RequestId, metrics: &'a Metrics) -> Trace<'a> {
+        Trace {
             id,
+            route: None,
+            account: None,
             metrics,
             ended: false,
         }
     }
 
-    fn end(mut self) {
-        self.ended = true;
+    fn tell(&self, outcome: &Outcome) {
+        let Some(reason) = reason_of(outcome) else {
+            return;
+        };
+        self.metrics.refused(reason);
+        let outcome = match outcome {
+            Outcome::Unknown(_) => "unknown",
+            _ => "not-run",
+        };
+        log::info!(
+            event = "refused", request:% = self.id, outcome, reason:% = reason,
+            route:% = shown(&self.route), account:% = shown(&self.account); "request refused"
+        );
     }
 }
 
-impl Drop for CallWatch<'_> {
+impl Drop for Trace<'_> {
     fn drop(&mut self) {
         if !self.ended {
             self.metrics.count("cancelled");
-            log::info!(event = "cancelled", request:% = self.id; "caller went away");
+            log::info!(
+                event = "cancelled", request:% = self.id, route:% = shown(&self.route),
+                account:% = shown(&self.account); "caller went away"
+            );
         }
     }
 }
 
+/// Returns a name for a log line; a dash if it is not known.
+fn shown<T: std::fmt::Display>(name: &Option<T>) -> String {
+    name.as_ref().map_or_else(|| "-".to_owned(), T::to_string)
+}
+
 /// Reads a refused body to its end within limits.
 ///
 /// Closing a socket with unread data resets it, and the caller could lose the refusal.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -248,13 +248,16 @@
                 if changed.is_err() {
                     return;
                 }
+                ingress.sweep();
                 if let Some(config) = policy.load() {
                     targets.set_floors(&config);
                 }
             }
-            _ = ticks.tick() => targets.tick(&metrics),
+            _ = ticks.tick() => {
+                ingress.sweep_stale();
+                targets.tick(&metrics);
+            }
         }
-        ingress.sweep();
     }
 }
 
--- a/tests/data_path/body_limits.rs
+++ b/tests/data_path/body_limits.rs
@@ -99,6 +99,23 @@
     assert_eq!(site.admitted(), 0);
 }
 
+/// Guards against a refusal that makes a caller with a short body connect anew.
+#[tokio::test]
+async fn short_refused_body_keeps_the_connection() {
+    let site = Site::open().await;
+    let refused = "POST /bake HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\nabc";
+    let last = raw_head("content-length: 0\r\nconnection: close");
+    let answer = site
+        .raw(format!("{refused}{refused}{last}").as_bytes())
+        .await;
+    assert_eq!(
+        answer.matches("laburnum-reason: no-key").count(),
+        2,
+        "{answer}"
+    );
+    assert_eq!(answer.matches("HTTP/1.1 200").count(), 1, "{answer}");
+}
+
 /// Guards against a body without a declared size that exceeds the limit of its route.
 #[tokio::test]
 async fn streamed_size_is_cut_off() {
--- a/tests/data_path/request_path.rs
+++ b/tests/data_path/request_path.rs
@@ -111,6 +111,11 @@
     assert_eq!(outcome(&response), ("not-run", "stale-config"));
     assert_eq!(header(response.headers(), "retry-after"), "1");
     assert_eq!(site.runs().len(), 0);
+    site.back_fresh.set(false);
+    let open = Request::get("/menu").header("host", "front");
+    let open = open.body(Full::default()).unwrap();
+    let response = call(site.front.caller_addr(), open).await.unwrap();
+    assert_eq!(outcome(&response), ("answer", ""));
 }
 
 /// Guards against work that goes on for a caller that has gone, while others wait for the slot.
