--- a/tests/replica_faults.rs
+++ b/tests/replica_faults.rs
@@ -68,6 +68,21 @@
     }
 }
 
+/// Guards against a voter that forgets, by a restart, that it has just helped a leader to its lease.
+#[test]
+fn restarted_voter() {
+    for seed in 0..40 {
+        let (mut sim, leader) = calm(seed);
+        let (voter, deaf) = ((leader + 1) % VMS, (leader + 2) % VMS);
+        let end = sim.now + Duration::from_secs(60);
+        sim.cuts.insert((leader, deaf), end);
+        while sim.now < end {
+            sim.restart(voter, Duration::from_millis(10));
+            sim.run(Duration::from_millis(400));
+        }
+    }
+}
+
 /// Guards against a leader that leads on although it hears nobody.
 #[test]
 fn silent_cut() {
--- a/tests/replica_sim/mod.rs
+++ b/tests/replica_sim/mod.rs
@@ -228,12 +228,17 @@
     }
 
     fn kill(&mut self, i: usize) {
-        let away = self.rng.random_range(50..2_000);
+        let away = Duration::from_millis(self.rng.random_range(50..2_000));
+        self.restart(i, away);
+    }
+
+    /// Ends a process and starts it again after `away`.
+    pub fn restart(&mut self, i: usize, away: Duration) {
         let vm = &mut self.vms[i];
         vm.replica = None;
         vm.pending.clear();
         vm.frozen_until = self.now;
-        vm.down_until = self.now + Duration::from_millis(away);
+        vm.down_until = self.now + away;
     }
 
     fn disturb(&mut self) {
