--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -21,6 +21,7 @@
 pub mod open;
 pub mod plug;
 pub mod pool;
+pub mod reply;
 pub mod sessions;
 pub mod settings;
 pub mod slots;
@@ -62,9 +63,6 @@
 /// Time between checks of silent targets and stale evidence.
 const TICK: Duration = Duration::from_millis(250);
 
-/// Longest time for connections to end after the last request of a drain.
-const CLOSE_TIME: Duration = Duration::from_secs(2);
-
 /// A running node.
 pub struct Handle {
     id: NodeId,
@@ -154,9 +152,9 @@
 {
     settings.check()?;
     let limits = settings.limits.clone();
-    let callers = listen::bind("caller", settings.caller_listen).await?;
-    let link = listen::bind("link", settings.link_listen).await?;
-    let admins = listen::bind("admin", settings.admin_listen).await?;
+    let callers = listen::bind("caller", settings.caller_listen)?;
+    let link = listen::bind("link", settings.link_listen)?;
+    let admins = listen::bind("admin", settings.admin_listen)?;
     let link_addr = settings.link_public.unwrap_or(link.local_addr()?);
     let clock = Monotonic::new();
     let flight = Flight::default();
@@ -250,13 +248,16 @@
                 if changed.is_err() {
                     return;
                 }
+                ingress.sweep();
                 if let Some(config) = policy.load() {
                     targets.set_floors(&config);
                 }
             }
-            _ = ticks.tick() => targets.tick(&metrics),
+            _ = ticks.tick() => {
+                ingress.sweep_stale();
+                targets.tick(&metrics);
+            }
         }
-        ingress.sweep();
     }
 }
 
@@ -351,7 +352,7 @@
         self.gone.cancelled().await;
         let finished = timeout(self.limits.drain_max, self.flight.idle()).await;
         self.ending.closing.cancel();
-        let closed = timeout(CLOSE_TIME, self.ending.connections.idle()).await;
+        let closed = timeout(self.limits.drain_max, self.ending.connections.idle()).await;
         self.stop.cancel();
         log::info!(
             event = "drain-ended", finished = finished.is_ok(), closed = closed.is_ok();
