--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -18,7 +18,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::mpsc::{Sender, channel};
+use std::sync::mpsc::{Receiver, Sender, channel};
 
 use log::{debug, error, info};
 use tokio::net::TcpListener;
@@ -41,6 +41,9 @@
 use crate::time::{Clock, Monotonic};
 use crate::wire::{Hello, Peer, Protocol, Role, Secret, accept, serve_frames};
 
+/// Most links at the same time; 560 nodes hold two each, besides visits and replicas.
+const LINKS_MAX: usize = 4_096;
+
 /// What a control process needs to start.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -83,6 +86,9 @@
     }
 }
 
+/// Holds a value once the replica's thread has ended: why, if it failed.
+type Ended = watch::Receiver<Option<std::result::Result<(), String>>>;
+
 /// A running control process; dropping it stops everything.
 #[derive(Debug)]
 pub struct Handle {
@@ -91,8 +97,7 @@
     operator: SocketAddr,
     commands: Sender<Command>,
     view: Arc<View>,
-    /// True once the replica's thread has ended; holds why, if it failed.
-    ended: watch::Receiver<Option<std::result::Result<(), String>>>,
+    ended: Ended,
     _tasks: JoinSet<()>,
 }
 
@@ -173,53 +178,30 @@
     let operator_listener = bind(settings.operator).await?;
     let metrics = Metrics::open(settings.statsd)?;
     let clock = Monotonic::new();
-    let now = clock.now();
-    let replica = Replica::restore(now, journal.load()?)?;
-    let id = replica.id();
-    let own = Member {
-        id,
-        link: settings.link,
-        operator: settings.operator,
-        voter: false,
-        replaces: None,
-    };
-    let hello = Hello {
-        role: Role::Control,
-        id: id.0,
-        protocol: Protocol::Frames,
-    };
-    let state = self::core::restore_state(&replica)?;
-    let view = Arc::new(View::new(&replica, state, now));
-    let nodes = Arc::new(Nodes::new());
+    let replica = Replica::restore(clock.now(), journal.load()?)?;
     let (commands, queue) = channel();
-    let secret = settings.fleet_secret.clone();
-    let group = Group::new(
-        own.clone(),
-        settings.peers.clone(),
-        secret.clone(),
-        hello,
-        tokio::runtime::Handle::current(),
-        commands.clone(),
+    let process = Process::new(settings, &replica, clock, metrics, commands)?;
+    let core = Core::new(process.parts(replica, journal));
+    let ended = start_thread(core, queue)?;
+    let tasks = process.start_tasks(link_listener, operator_listener);
+    info!(
+        event = "control-started", replica:% = process.own.id,
+        link:% = process.own.link, operator:% = process.own.operator;
+        "control process started"
     );
-    let visitor = Visitor {
-        secret: secret.clone(),
-        hello,
-        nodes: nodes.clone(),
-        clock,
-        runtime: tokio::runtime::Handle::current(),
-        commands: commands.clone(),
-        permits: Visitor::permits(),
-    };
-    let core = Core::new(Parts {
-        replica,
-        journal,
-        view: view.clone(),
-        group,
-        nodes: nodes.clone(),
-        visitor,
-        clock,
-        metrics: metrics.clone(),
-    });
+    Ok(Handle {
+        id: process.own.id,
+        link: process.own.link,
+        operator: process.own.operator,
+        commands: process.commands,
+        view: process.view,
+        ended,
+        _tasks: tasks,
+    })
+}
+
+/// Runs the replica in a thread of its own; the receiver tells when and why it ends.
+fn start_thread<J: Journal>(core: Core<J>, queue: Receiver<Command>) -> Result<Ended> {
     let (ending, ended) = watch::channel(None);
     std::thread::Builder::new()
         .name("replica".to_owned())
@@ -231,43 +213,112 @@
             ending.send_replace(Some(result));
         })
         .map_err(|e| Error::io("start the replica's thread", e))?;
-    let distributor = Arc::new(Distributor {
-        own: own.clone(),
-        view: view.clone(),
-        nodes: nodes.clone(),
-        clock,
-        commands: commands.clone(),
-    });
-    let operator = Arc::new(Operator {
-        secret: settings.operator_secret.clone(),
-        view: view.clone(),
-        nodes,
-        clock,
-        commands: commands.clone(),
-        metrics,
-    });
-    let mut tasks = JoinSet::new();
-    for addr in &settings.peers {
-        let peer = Peer::new(*addr, secret.clone(), hello);
-        tasks.spawn(group::greet(
-            peer,
-            own.clone(),
-            view.clone(),
-            commands.clone(),
-        ));
+    Ok(ended)
+}
+
+/// What the parts of one process share.
+struct Process {
+    settings: Settings,
+    own: Member,
+    hello: Hello,
+    view: Arc<View>,
+    nodes: Arc<Nodes>,
+    clock: Monotonic,
+    metrics: Metrics,
+    commands: Sender<Command>,
+}
+
+impl Process {
+    fn new(
+        settings: Settings,
+        replica: &Replica,
+        clock: Monotonic,
+        metrics: Metrics,
+        commands: Sender<Command>,
+    ) -> Result<Process> {
+        let id = replica.id();
+        let state = self::core::restore_state(replica)?;
+        Ok(Process {
+            own: Member {
+                id,
+                link: settings.link,
+                operator: settings.operator,
+                voter: false,
+                replaces: None,
+            },
+            hello: Hello {
+                role: Role::Control,
+                id: id.0,
+                protocol: Protocol::Frames,
+            },
+            view: Arc::new(View::new(replica, state, clock.now())),
+            nodes: Arc::new(Nodes::new()),
+            settings,
+            clock,
+            metrics,
+            commands,
+        })
+    }
+
+    /// Returns what the replica's thread works with.
+    fn parts<J>(&self, replica: Replica, journal: J) -> Parts<J> {
+        let runtime = tokio::runtime::Handle::current();
+        let secret = self.settings.fleet_secret.clone();
+        Parts {
+            replica,
+            journal,
+            view: self.view.clone(),
+            group: Group::new(
+                self.own.clone(),
+                self.settings.peers.clone(),
+                secret.clone(),
+                self.hello,
+                runtime.clone(),
+                self.commands.clone(),
+            ),
+            nodes: self.nodes.clone(),
+            visitor: Visitor {
+                secret,
+                hello: self.hello,
+                nodes: self.nodes.clone(),
+                clock: self.clock,
+                runtime,
+                commands: self.commands.clone(),
+                permits: Visitor::permits(),
+            },
+            clock: self.clock,
+            metrics: self.metrics.clone(),
+        }
+    }
+
+    /// Starts everything that runs beside the replica's thread.
+    fn start_tasks(&self, links: TcpListener, operators: TcpListener) -> JoinSet<()> {
+        let secret = &self.settings.fleet_secret;
+        let distributor = Arc::new(Distributor {
+            own: self.own.clone(),
+            view: self.view.clone(),
+            nodes: self.nodes.clone(),
+            clock: self.clock,
+            commands: self.commands.clone(),
+        });
+        let operator = Arc::new(Operator {
+            secret: self.settings.operator_secret.clone(),
+            view: self.view.clone(),
+            nodes: self.nodes.clone(),
+            clock: self.clock,
+            commands: self.commands.clone(),
+            metrics: self.metrics.clone(),
+        });
+        let mut tasks = JoinSet::new();
+        for addr in &self.settings.peers {
+            let peer = Peer::new(*addr, secret.clone(), self.hello);
+            let (own, view) = (self.own.clone(), self.view.clone());
+            tasks.spawn(group::greet(peer, own, view, self.commands.clone()));
+        }
+        tasks.spawn(serve_links(links, secret.clone(), self.hello, distributor));
+        tasks.spawn(operator.serve(operators));
+        tasks
     }
-    tasks.spawn(serve_links(link_listener, secret, hello, distributor));
-    tasks.spawn(operator.serve(operator_listener));
-    info!(event = "control-started", replica:% = id, link:% = settings.link, operator:% = settings.operator; "control process started");
-    Ok(Handle {
-        id,
-        link: settings.link,
-        operator: settings.operator,
-        commands,
-        view,
-        ended,
-        _tasks: tasks,
-    })
 }
 
 async fn bind(addr: SocketAddr) -> Result<TcpListener> {
@@ -284,6 +335,9 @@
 ) {
     let mut links = JoinSet::new();
     loop {
+        if links.len() >= LINKS_MAX {
+            links.join_next().await;
+        }
         let stream = tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => stream,
