--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -8,7 +8,7 @@
 use rand::seq::IndexedRandom;
 
 use super::registry::{Member, Registry, RegistryChange, RegistryLog};
-use super::table::{Known, Published, Records};
+use super::table::{Known, Published, RECORDS_MAX, Records};
 use crate::error::Result;
 use crate::freshness::{Ages, Evidence};
 use crate::ids::NodeId;
@@ -21,8 +21,11 @@
 /// How many peers a node asks each time.
 pub const GOSSIP_PEERS: usize = 4;
 
-/// Shortest time between two digests that a node sends, since one takes about 6 kB.
-pub const DIGEST_INTERVAL: Duration = Duration::from_secs(2);
+/// How long the records must differ from those of every peer before a node sends a digest, and the
+/// shortest time between two digests.
+///
+/// A digest of 560 records takes several kB, and news alone settles most differences before.
+pub const DIGEST_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Names a question, so that its answer can be dated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,9 +45,9 @@
     pub position: Position,
     /// The hash of the sender's records.
     pub hash: u64,
-    /// Records that changed lately.
-    pub records: Vec<Arc<Published>>,
-    /// The versions of all records, if the last exchanges showed a difference.
+    /// Versions of records that changed lately.
+    pub news: Vec<Known>,
+    /// The versions of all records, if they have differed from the peers' for long.
     pub digest: Option<Vec<Known>>,
 }
 
@@ -70,7 +73,9 @@
     pub group: u8,
     /// The hash of the peer's records.
     pub hash: u64,
-    /// Records that changed lately, or that are newer than the digest.
+    /// Versions of records that changed lately.
+    pub news: Vec<Known>,
+    /// Records that are newer than in the digest.
     pub records: Vec<Arc<Published>>,
     /// Records that the peer would like to have.
     pub wanted: Vec<NodeId>,
@@ -78,11 +83,13 @@
     pub entries: Vec<Relayed>,
 }
 
-/// Records that a peer wanted.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// Records that the peer wants, and names of records that the sender wants in turn.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Push {
     /// The records.
     pub records: Vec<Arc<Published>>,
+    /// Records that the sender would like to have.
+    pub wanted: Vec<NodeId>,
 }
 
 /// One node's part in the gossip.
@@ -92,7 +99,8 @@
     registry: RegistryLog,
     evidence: Evidence,
     records: Records,
-    differs: bool,
+    /// Since when no peer had the same records.
+    differs: Option<Time>,
     last_digest: Option<Time>,
 }
 
@@ -104,7 +112,7 @@
             registry: RegistryLog::default(),
             evidence: Evidence::new(me),
             records: Records::new(me),
-            differs: false,
+            differs: None,
             last_digest: None,
         }
     }
@@ -176,10 +184,9 @@
     /// Begins an exchange with one peer.
     pub fn ask(&mut self, now: Time) -> Ask {
         let is_due = |last: Time| now.since(last) >= DIGEST_INTERVAL;
-        let with_digest = self.differs && self.last_digest.is_none_or(is_due);
+        let with_digest = self.differs.is_some_and(is_due) && self.last_digest.is_none_or(is_due);
         if with_digest {
             self.last_digest = Some(now);
-            self.differs = false;
         }
         Ask {
             question: Question {
@@ -188,19 +195,19 @@
             },
             position: self.evidence.position(),
             hash: self.records.hash(),
-            records: self.records.rumors(),
+            news: self.records.news(),
             digest: with_digest.then(|| self.records.digest()),
         }
     }
 
     /// Answers a peer.
     pub fn answer(&mut self, now: Time, ask: &Ask) -> Answer {
-        self.merge(&ask.records);
-        let mut records = self.records.rumors();
-        let mut wanted = Vec::new();
+        let mut wanted = self.records.wanted(now, &ask.news);
+        let mut records = Vec::new();
         if let Some(digest) = &ask.digest {
             records = self.records.newer_than(digest);
-            wanted = self.records.older_than(digest);
+            wanted.extend(self.records.wanted(now, digest));
+            wanted.truncate(RECORDS_MAX);
         }
         Answer {
             question: ask.question,
@@ -208,13 +215,15 @@
             ages: self.evidence.ages(now),
             group: self.evidence.group_age(now),
             hash: self.records.hash(),
+            news: self.records.news(),
             records,
             wanted,
             entries: Vec::new(),
         }
     }
 
-    /// Takes in an answer and returns what the peer wants to have.
+    /// Takes in an answer and returns the message that follows it, whose reply is another
+    /// [`Push`].
     ///
     /// A caller applies the entries of the answer first.
     pub fn hear(&mut self, now: Time, answer: &Answer) -> Option<Push> {
@@ -223,21 +232,26 @@
         if from != self.me {
             return None;
         }
-        self.differs |= answer.hash != self.records.hash();
-        let position = answer.ages.position;
-        self.evidence.hear_node(now, sent, answer.node, position);
-        self.evidence.hear_ages(now, sent, &answer.ages);
-        self.evidence.hear_group(now, sent, position, answer.group);
-        if answer.wanted.is_empty() {
-            return None;
-        }
-        let records = self.records.pick(&answer.wanted);
-        Some(Push { records })
+        self.differs = match answer.hash == self.records.hash() {
+            true => None,
+            false => self.differs.or(Some(now)),
+        };
+        self.evidence
+            .hear_peer(now, sent, answer.node, &answer.ages, answer.group);
+        let push = Push {
+            records: self.records.pick(&answer.wanted),
+            wanted: self.records.wanted(now, &answer.news),
+        };
+        (push != Push::default()).then_some(push)
     }
 
-    /// Takes in records that this node wanted.
-    pub fn take(&mut self, push: &Push) {
+    /// Takes in records that this node wanted and returns those that the sender wants.
+    pub fn take(&mut self, push: &Push) -> Push {
         self.merge(&push.records);
+        Push {
+            records: self.records.pick(&push.wanted),
+            wanted: Vec::new(),
+        }
     }
 
     fn merge(&mut self, records: &[Arc<Published>]) {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 pub mod record;
 pub mod registry;
 pub mod roll;
+pub mod sync;
 pub mod table;
 
 pub use acceptance::Acceptance;
@@ -19,4 +20,5 @@
 };
 pub use registry::{Member, Registry, RegistryChange, RegistryLog};
 pub use roll::{CHANGE_INTERVAL, Roll, SILENCE_MAX, Sighting};
+pub use sync::{SyncAnswer, SyncAsk};
 pub use table::{Known, Published, Records};
--- a/src/fleet/table.rs
+++ b/src/fleet/table.rs
@@ -3,18 +3,23 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::record::NodeRecord;
 use super::registry::Registry;
 use crate::ids::NodeId;
+use crate::time::Time;
 
-/// How many messages carry a changed record on before it counts as spread.
-///
-/// With two messages in each of four exchanges a round, a change has reached nearly every one of
-/// 560 nodes by then; digests find the rest.
-const PUSHES: u8 = 12;
+/// How many messages name a changed record before it counts as spread; digests find the rest.
+const MENTIONS: u8 = 16;
+
+/// How long a record that was asked for is not asked for again.
+const WANTED_AGAIN: Duration = Duration::from_millis(800);
+
+/// Most versions that a message names as news.
+const NEWS_MAX: usize = 128;
 
 /// Most records in one message.
 pub const RECORDS_MAX: usize = 64;
@@ -50,7 +55,16 @@
 #[derive(Clone, Debug)]
 struct Held {
     published: Arc<Published>,
-    pushes: u8,
+    mentions: u8,
+}
+
+impl Held {
+    fn known(&self) -> Known {
+        Known {
+            node: self.published.record.node,
+            version: self.published.record.version,
+        }
+    }
 }
 
 /// The records of all nodes; a record that was registered once and is removed never returns.
@@ -64,8 +78,10 @@
     retired_order: VecDeque<NodeId>,
     /// The exclusive or of the hashes of all nodes and versions.
     hash: u64,
-    /// Where the search for records to pass on goes on.
+    /// Where the search for changed records goes on.
     cursor: NodeId,
+    /// Records that peers were asked for, and when.
+    asked: BTreeMap<NodeId, Time>,
 }
 
 impl Records {
@@ -80,6 +96,7 @@
             retired_order: VecDeque::new(),
             hash: 0,
             cursor: NodeId(0),
+            asked: BTreeMap::new(),
         }
     }
 
@@ -139,7 +156,7 @@
         self.addrs.insert(published.addr, node);
         let held = Held {
             published: Arc::new(published),
-            pushes: PUSHES,
+            mentions: MENTIONS,
         };
         self.held.insert(node, held);
         true
@@ -175,33 +192,32 @@
         self.registered = next;
     }
 
-    /// Returns records that changed lately, to be passed on, at most [`RECORDS_MAX`].
-    pub fn rumors(&mut self) -> Vec<Arc<Published>> {
-        let mut rumors = Vec::new();
+    /// Returns the versions of records that changed lately, at most 128.
+    ///
+    /// Only versions are passed on unasked, since a node hears of each change many times and needs
+    /// the record once.
+    pub fn news(&mut self) -> Vec<Known> {
+        let mut news = Vec::new();
         let start = self.cursor;
-        let mut take = |node: &NodeId, held: &mut Held| {
-            if held.pushes > 0 && rumors.len() < RECORDS_MAX {
-                held.pushes -= 1;
-                rumors.push(Arc::clone(&held.published));
+        let mut mention = |node: &NodeId, held: &mut Held| {
+            if held.mentions > 0 && news.len() < NEWS_MAX {
+                held.mentions -= 1;
+                news.push(held.known());
                 self.cursor = *node;
             }
         };
         for (node, held) in self.held.range_mut(start..) {
-            take(node, held);
+            mention(node, held);
         }
         for (node, held) in self.held.range_mut(..start) {
-            take(node, held);
+            mention(node, held);
         }
-        rumors
+        news
     }
 
     /// Returns the versions of all records.
     pub fn digest(&self) -> Vec<Known> {
-        let known = |h: &Held| Known {
-            node: h.published.record.node,
-            version: h.published.record.version,
-        };
-        self.held.values().map(known).collect()
+        self.held.values().map(Held::known).collect()
     }
 
     /// Returns records that are newer here than in `digest`, at most [`RECORDS_MAX`].
@@ -218,15 +234,20 @@
             .collect()
     }
 
-    /// Returns the nodes whose records are newer in `digest` than here, at most [`RECORDS_MAX`].
-    pub fn older_than(&self, digest: &[Known]) -> Vec<NodeId> {
-        let is_older = |k: &&Known| {
+    /// Returns the nodes whose records are newer in `known` than here, at most [`RECORDS_MAX`].
+    ///
+    /// A record that was asked for a moment ago is left out, as several peers name it at once.
+    pub fn wanted(&mut self, now: Time, known: &[Known]) -> Vec<NodeId> {
+        self.asked.retain(|_, time| now.since(*time) < WANTED_AGAIN);
+        let is_news = |k: &&Known| {
             let held = self.get(k.node).map(|p| p.record.version);
             let barred = k.node == self.me || self.retired.contains(&k.node);
-            !barred && held.is_none_or(|v| v < k.version)
+            !barred && !self.asked.contains_key(&k.node) && held.is_none_or(|v| v < k.version)
         };
-        let older = digest.iter().filter(is_older).take(RECORDS_MAX);
-        older.map(|k| k.node).collect()
+        let wanted = known.iter().filter(is_news).take(RECORDS_MAX);
+        let wanted: Vec<NodeId> = wanted.map(|k| k.node).collect();
+        self.asked.extend(wanted.iter().map(|node| (*node, now)));
+        wanted
     }
 
     /// Returns the records of `nodes`, at most [`RECORDS_MAX`].
--- a/src/freshness/evidence.rs
+++ b/src/freshness/evidence.rs
@@ -121,23 +121,28 @@
         self.update();
     }
 
-    /// Takes in that `node` answered a question that was sent at `sent` with its position.
-    pub fn hear_node(&mut self, now: Time, sent: Time, node: NodeId, position: Position) {
+    /// Takes in the answer of another node: its position, the evidence that it holds, and the age
+    /// of its evidence from the control group.
+    ///
+    /// The position of the ages is the last entry that the node held when it answered.
+    pub fn hear_peer(&mut self, now: Time, sent: Time, node: NodeId, ages: &Ages, group: u8) {
         if sent > now {
             return;
         }
         if let Some(seen) = self.nodes.get_mut(node) {
-            seen.hear(self.position, position, sent);
+            seen.hear(self.position, ages.position, sent);
+        }
+        self.hear_ages(sent, ages);
+        if let Some(age) = ages::decode(group) {
+            self.group.hear(self.position, ages.position, sent - age);
         }
         self.update();
     }
 
-    /// Takes in the evidence that another node holds itself.
-    ///
-    /// Ages by another registry are left out, since their order names other nodes.
-    pub fn hear_ages(&mut self, now: Time, sent: Time, ages: &Ages) {
-        let is_same = ages.registry == self.registry && ages.bytes.len() == self.nodes.len();
-        if sent > now || !is_same {
+    /// Takes in relayed evidence; ages by another registry are left out, since their order names
+    /// other nodes.
+    fn hear_ages(&mut self, sent: Time, ages: &Ages) {
+        if ages.registry != self.registry || ages.bytes.len() != self.nodes.len() {
             return;
         }
         for (seen, byte) in self.nodes.iter_mut().zip(&ages.bytes) {
@@ -145,15 +150,6 @@
                 seen.hear(self.position, ages.position, sent - age);
             }
         }
-        self.update();
-    }
-
-    /// Takes in the age of another node's evidence from the control group.
-    pub fn hear_group(&mut self, now: Time, sent: Time, position: Position, age: u8) {
-        if let Some(age) = ages::decode(age).filter(|_| sent <= now) {
-            self.group.hear(self.position, position, sent - age);
-            self.update();
-        }
     }
 
     /// Returns the ages of the evidence from each registered node.
--- a/src/freshness/mod.rs
+++ b/src/freshness/mod.rs
@@ -11,7 +11,7 @@
 //! that much only.
 //!
 //! ```
-//! use laburnumtide::freshness::{EVIDENCE_LIFETIME, Evidence};
+//! use laburnumtide::freshness::{Ages, EVIDENCE_LIFETIME, Evidence};
 //! use laburnumtide::ids::NodeId;
 //! use laburnumtide::time::Time;
 //! use laburnumtide::units::Position;
@@ -21,7 +21,8 @@
 //! evidence.set_nodes(Position(4), &nodes);
 //! let sent = Time::from_millis(5_000);
 //! let now = Time::from_millis(5_002);
-//! evidence.hear_node(now, sent, NodeId(2), Position(4));
+//! let ages = Ages { position: Position(4), registry: Position(4), bytes: vec![255, 0, 255] };
+//! evidence.hear_peer(now, sent, NodeId(2), &ages, 255);
 //! assert!(evidence.is_fresh(now));
 //! assert!(!evidence.is_fresh(sent + EVIDENCE_LIFETIME));
 //! ```
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -3,8 +3,10 @@
 //! A link is a TCP connection on which both sides have proved that they hold the fleet secret. It
 //! then carries either frames ([`Peer`], [`serve_frames`]) or HTTP/2 requests.
 
+pub mod fleet;
 pub mod frame;
 pub mod link;
+mod records;
 pub mod replica;
 pub mod rpc;
 
--- /dev/null
+++ b/src/wire/records.rs
@@ -0,0 +1,218 @@
+//! Node records as `prost` messages.
+
+use crate::error::{Error, Result};
+use crate::fleet::{
+    Health, KindHealth, LATENCY_BANDS, NodeRecord, Published, TargetRecord, TargetState, Window,
+};
+use crate::ids::{NAME_MAX_BYTES, NodeId};
+use crate::units::Slots;
+
+use super::fleet::{check_count, parse_addr};
+
+/// Most targets on one VM.
+const TARGETS_MAX: usize = 256;
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct PublishedRecord {
+    #[prost(string, tag = "1")]
+    addr: String,
+    #[prost(uint64, tag = "2")]
+    started: u64,
+    #[prost(fixed64, tag = "3")]
+    node: u64,
+    #[prost(uint64, tag = "4")]
+    version: u64,
+    #[prost(string, tag = "5")]
+    zone: String,
+    #[prost(bool, tag = "6")]
+    leaving: bool,
+    #[prost(message, repeated, tag = "7")]
+    targets: Vec<TargetMessage>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+enum StateKind {
+    Cold = 0,
+    Ready = 1,
+    Draining = 2,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct TargetMessage {
+    #[prost(string, tag = "1")]
+    name: String,
+    #[prost(string, tag = "2")]
+    service: String,
+    #[prost(string, tag = "3")]
+    addr: String,
+    #[prost(uint32, tag = "4")]
+    slots: u32,
+    #[prost(uint32, tag = "5")]
+    connections: u32,
+    #[prost(enumeration = "StateKind", tag = "6")]
+    state: i32,
+    #[prost(message, optional, tag = "7")]
+    recent: Option<WindowMessage>,
+    #[prost(message, optional, tag = "8")]
+    long: Option<WindowMessage>,
+    #[prost(message, optional, tag = "9")]
+    worst: Option<KindMessage>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct WindowMessage {
+    #[prost(uint32, tag = "1")]
+    span_ms: u32,
+    #[prost(uint32, tag = "2")]
+    requests: u32,
+    #[prost(uint32, tag = "3")]
+    failures: u32,
+    #[prost(uint32, tag = "4")]
+    timeouts: u32,
+    #[prost(uint32, tag = "5")]
+    cuts: u32,
+    #[prost(uint32, repeated, tag = "6")]
+    latency: Vec<u32>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct KindMessage {
+    #[prost(string, tag = "1")]
+    kind: String,
+    #[prost(uint32, tag = "2")]
+    requests: u32,
+    #[prost(uint32, tag = "3")]
+    bad: u32,
+}
+
+impl From<&Published> for PublishedRecord {
+    fn from(published: &Published) -> Self {
+        let record = &published.record;
+        PublishedRecord {
+            addr: published.addr.to_string(),
+            started: published.started,
+            node: record.node.0,
+            version: record.version,
+            zone: record.zone.to_string(),
+            leaving: record.leaving,
+            targets: record.targets.iter().map(TargetMessage::from).collect(),
+        }
+    }
+}
+
+impl TryFrom<PublishedRecord> for Published {
+    type Error = Error;
+
+    fn try_from(message: PublishedRecord) -> Result<Self> {
+        check_count(message.targets.len(), TARGETS_MAX)?;
+        let targets = message.targets.into_iter().map(TargetRecord::try_from);
+        Ok(Published {
+            addr: parse_addr(&message.addr)?,
+            started: message.started,
+            record: NodeRecord {
+                node: NodeId(message.node),
+                version: message.version,
+                zone: message.zone.parse()?,
+                leaving: message.leaving,
+                targets: targets.collect::<Result<_>>()?,
+            },
+        })
+    }
+}
+
+impl From<&TargetRecord> for TargetMessage {
+    fn from(target: &TargetRecord) -> Self {
+        let state = match target.state {
+            TargetState::Cold => StateKind::Cold,
+            TargetState::Ready => StateKind::Ready,
+            TargetState::Draining => StateKind::Draining,
+        };
+        TargetMessage {
+            name: target.name.to_string(),
+            service: target.service.to_string(),
+            addr: target.addr.to_string(),
+            slots: target.slots.0,
+            connections: target.connections,
+            state: state.into(),
+            recent: pack_window(&target.health.recent),
+            long: pack_window(&target.health.long),
+            worst: target.health.worst.as_ref().map(KindMessage::from),
+        }
+    }
+}
+
+impl TryFrom<TargetMessage> for TargetRecord {
+    type Error = Error;
+
+    fn try_from(message: TargetMessage) -> Result<Self> {
+        let state = match StateKind::try_from(message.state) {
+            Ok(StateKind::Cold) => TargetState::Cold,
+            Ok(StateKind::Ready) => TargetState::Ready,
+            Ok(StateKind::Draining) => TargetState::Draining,
+            Err(_) => return Err(Error::invalid("unknown state of a target")),
+        };
+        Ok(TargetRecord {
+            name: message.name.parse()?,
+            service: message.service.parse()?,
+            addr: parse_addr(&message.addr)?,
+            slots: Slots(message.slots),
+            connections: message.connections,
+            state,
+            health: Health {
+                recent: unpack_window(message.recent)?,
+                long: unpack_window(message.long)?,
+                worst: message.worst.map(KindHealth::try_from).transpose()?,
+            },
+        })
+    }
+}
+
+/// Encodes a window; an empty one takes no room.
+fn pack_window(window: &Window) -> Option<WindowMessage> {
+    (*window != Window::default()).then(|| WindowMessage {
+        span_ms: window.span_ms,
+        requests: window.requests,
+        failures: window.failures,
+        timeouts: window.timeouts,
+        cuts: window.cuts,
+        latency: window.latency.clone(),
+    })
+}
+
+fn unpack_window(message: Option<WindowMessage>) -> Result<Window> {
+    let Some(message) = message else {
+        return Ok(Window::default());
+    };
+    check_count(message.latency.len(), LATENCY_BANDS)?;
+    Ok(Window {
+        span_ms: message.span_ms,
+        requests: message.requests,
+        failures: message.failures,
+        timeouts: message.timeouts,
+        cuts: message.cuts,
+        latency: message.latency,
+    })
+}
+
+impl From<&KindHealth> for KindMessage {
+    fn from(kind: &KindHealth) -> Self {
+        KindMessage {
+            kind: kind.kind.clone(),
+            requests: kind.requests,
+            bad: kind.bad,
+        }
+    }
+}
+
+impl TryFrom<KindMessage> for KindHealth {
+    type Error = Error;
+
+    fn try_from(message: KindMessage) -> Result<Self> {
+        check_count(message.kind.len(), NAME_MAX_BYTES)?;
+        Ok(KindHealth {
+            kind: message.kind,
+            requests: message.requests,
+            bad: message.bad,
+        })
+    }
+}
--- /dev/null
+++ b/tests/fleet_gossip.rs
@@ -0,0 +1,351 @@
+//! Spread of node records, digests, and the size of exchanges.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use laburnumtide::fleet::gossip::{GOSSIP_INTERVAL, GOSSIP_PEERS};
+use laburnumtide::fleet::{
+    Answer, Ask, Gossip, Health, KindHealth, Member, NodeRecord, Published, Push, Question,
+    Records, Registry, RegistryChange, Relayed, SyncAnswer, SyncAsk, TargetRecord, TargetState,
+    Window,
+};
+use laburnumtide::ids::{NodeId, ReplicaId};
+use laburnumtide::replica::Vouch;
+use laburnumtide::time::Time;
+use laburnumtide::units::{Position, Slots};
+use laburnumtide::wire::fleet::{self, Gossiped};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const NODES: usize = 560;
+
+fn member(i: usize) -> Member {
+    Member {
+        id: NodeId(i as u64 * 7_919 + 1),
+        addr: format!("10.0.{}.{}:7000", i / 250, i % 250)
+            .parse()
+            .unwrap(),
+        zone: format!("zone-{}", i % 9).parse().unwrap(),
+    }
+}
+
+fn window() -> Window {
+    Window {
+        span_ms: 10_000,
+        requests: 212,
+        failures: 2,
+        timeouts: 1,
+        cuts: 0,
+        latency: vec![0, 0, 0, 0, 0, 3, 40, 88, 61, 14, 5, 1],
+    }
+}
+
+fn published(i: usize, version: u64, targets: usize) -> Published {
+    let target = |t: usize| TargetRecord {
+        name: format!("ordering-{t}").parse().unwrap(),
+        service: format!("service-{}", (i + t) % 410).parse().unwrap(),
+        addr: format!("10.0.1.2:{}", 8_000 + t).parse().unwrap(),
+        slots: Slots(7),
+        connections: 360,
+        state: TargetState::Ready,
+        health: Health {
+            recent: window(),
+            long: window(),
+            worst: None,
+        },
+    };
+    let member = member(i);
+    Published {
+        addr: member.addr,
+        started: 1_000,
+        record: NodeRecord {
+            node: member.id,
+            version,
+            zone: member.zone,
+            leaving: false,
+            targets: (0..targets).map(target).collect(),
+        },
+    }
+}
+
+fn fleet(count: usize) -> Vec<Gossip> {
+    let joined: Vec<Member> = (0..count).map(member).collect();
+    let change = RegistryChange {
+        joined,
+        left: Vec::new(),
+    };
+    let start = |i: usize| {
+        let mut gossip = Gossip::new(member(i).id);
+        gossip.apply(Position(1), Some(&change)).unwrap();
+        gossip.publish(published(i, 1, 1));
+        gossip
+    };
+    (0..count).map(start).collect()
+}
+
+fn two(nodes: &mut [Gossip], a: usize, b: usize) -> (&mut Gossip, &mut Gossip) {
+    let (low, high) = nodes.split_at_mut(a.max(b));
+    match a < b {
+        true => (&mut low[a], &mut high[0]),
+        false => (&mut high[0], &mut low[b]),
+    }
+}
+
+/// Lets every node ask its peers once; returns the bytes of all messages.
+fn round(
+    nodes: &mut [Gossip],
+    now: Time,
+    rng: &mut StdRng,
+    is_up: impl Fn(usize) -> bool,
+) -> usize {
+    let mut bytes = 0;
+    for i in (0..nodes.len()).filter(|i| is_up(*i)) {
+        for peer in nodes[i].peers(rng) {
+            let j = ((peer.id.0 - 1) / 7_919) as usize;
+            if !is_up(j) {
+                continue;
+            }
+            let (asker, other) = two(nodes, i, j);
+            let ask = asker.ask(now);
+            let answer = other.answer(now, &ask);
+            bytes += fleet::encode_answer(&answer).len();
+            bytes += fleet::encode_gossip(&Gossiped::Ask(ask)).len();
+            if let Some(push) = asker.hear(now, &answer) {
+                let reply = other.take(&push);
+                asker.take(&reply);
+                bytes += fleet::encode_gossip(&Gossiped::Push(push)).len();
+                bytes += fleet::encode_gossip(&Gossiped::Push(reply)).len();
+            }
+        }
+    }
+    bytes
+}
+
+fn same(nodes: &[Gossip]) -> bool {
+    let hash = nodes[0].records().hash();
+    nodes.iter().all(|n| n.records().hash() == hash)
+}
+
+/// Guards against changes that spread too late, and against messages above the node's budget of
+/// 20 kB/s for control work.
+#[test]
+fn change_spreads_within_budget() {
+    let mut rng = StdRng::seed_from_u64(3);
+    let mut nodes = fleet(NODES);
+    let mut now = Time::from_millis(3_600_000);
+    while !same(&nodes) {
+        round(&mut nodes, now, &mut rng, |_| true);
+        now = now + GOSSIP_INTERVAL;
+        assert!(
+            now < Time::from_millis(3_660_000),
+            "the start takes more than a minute"
+        );
+    }
+    println!(
+        "all records everywhere after {:?}",
+        now.since(Time::from_millis(3_600_000))
+    );
+    for _ in 0..4 {
+        round(&mut nodes, now, &mut rng, |_| true);
+        now = now + GOSSIP_INTERVAL;
+    }
+    let quiet = round(&mut nodes, now, &mut rng, |_| true);
+    let exchanges = NODES * GOSSIP_PEERS;
+    // Each node sends one side of its own exchanges and the other side of those of its peers.
+    let per_second = quiet as f64 / NODES as f64 / GOSSIP_INTERVAL.as_secs_f64();
+    println!(
+        "quiet exchange: {} bytes, {per_second:.0} bytes/s a node",
+        quiet / exchanges
+    );
+    assert!(per_second < 20_000.0);
+
+    nodes[17].publish(published(17, 2, 13));
+    let mut rounds = 0;
+    let mut most = 0;
+    let knows = |n: &Gossip| n.records().get(member(17).id).unwrap().record.version == 2;
+    while !nodes.iter().all(knows) {
+        most = most.max(round(&mut nodes, now, &mut rng, |_| true));
+        now = now + GOSSIP_INTERVAL;
+        rounds += 1;
+        assert!(rounds < 5, "a change takes longer than 2 s");
+    }
+    let record = fleet::encode_sync(&SyncAsk {
+        question: Question {
+            from: NodeId(1),
+            sent: now,
+        },
+        position: Position(1),
+        published: nodes[17].records().get(member(17).id).cloned(),
+    });
+    println!(
+        "a record of 13 targets has {} bytes and spreads in {rounds} rounds",
+        record.len()
+    );
+    println!("largest round: {} bytes a node", most / NODES);
+}
+
+/// Guards against a node that never hears of changes which spread while it was cut off.
+#[test]
+fn digest_finds_missed_records() {
+    let mut rng = StdRng::seed_from_u64(4);
+    let mut nodes = fleet(20);
+    let mut now = Time::from_millis(3_600_000);
+    for pass in 0..200 {
+        if pass == 20 {
+            (0..20).for_each(|i| nodes[i].publish(published(i, 2, 1)));
+        }
+        round(&mut nodes, now, &mut rng, |i| {
+            i != 5 || !(20..150).contains(&pass)
+        });
+        now = now + GOSSIP_INTERVAL;
+    }
+    assert!(same(&nodes));
+    let held = nodes[5].records().iter().all(|p| p.record.version == 2);
+    assert!(held);
+}
+
+/// Guards against a dead process whose delayed record replaces that of its successor.
+#[test]
+fn successor_replaces_record() {
+    let mut records = Records::new(NodeId(999_999_999));
+    let old = published(1, 50, 1);
+    let mut new = published(1, 1, 1);
+    new.record.node = NodeId(77);
+    new.started = 2_000;
+    assert!(records.merge(old.clone()));
+    assert!(records.merge(new));
+    assert!(!records.merge(old.clone()));
+    assert!(records.get(old.record.node).is_none());
+    assert_eq!(records.iter().len(), 1);
+}
+
+/// Guards against records of nodes that the registry removed, and against a peer that changes the
+/// own record.
+#[test]
+fn removed_record_stays_away() {
+    let mut nodes = fleet(3);
+    let (asker, other) = two(&mut nodes, 0, 1);
+    let now = Time::from_millis(3_600_000);
+    let ask = asker.ask(now);
+    let answer = other.answer(now, &ask);
+    let push = asker.hear(now, &answer).unwrap();
+    other.take(&push);
+    assert!(other.records().get(member(0).id).is_some());
+    let change = RegistryChange {
+        joined: Vec::new(),
+        left: vec![member(0).id],
+    };
+    other.apply(Position(2), Some(&change)).unwrap();
+    assert!(other.records().get(member(0).id).is_none());
+    assert!(other.answer(now, &ask).wanted.is_empty());
+    other.take(&push);
+    assert!(other.records().get(member(0).id).is_none());
+    let mut own = Records::new(member(1).id);
+    assert!(!own.merge(published(1, 9, 1)));
+}
+
+fn answer() -> Answer {
+    let mut nodes = fleet(4);
+    let now = Time::from_millis(3_600_000);
+    let ask = nodes[0].ask(now);
+    let mut answer = nodes[1].answer(now + Duration::from_millis(30), &ask);
+    answer.records = vec![Arc::new(full())];
+    answer.wanted = vec![NodeId(3)];
+    answer.entries = vec![Relayed {
+        position: Position(2),
+        entry: Bytes::from_static(b"entry"),
+    }];
+    answer
+}
+
+fn full() -> Published {
+    let mut full = published(2, 3, 2);
+    full.record.leaving = true;
+    full.record.targets[1].state = TargetState::Draining;
+    full.record.targets[1].health.long = Window::default();
+    full.record.targets[0].health.worst = Some(KindHealth {
+        kind: "checkout".into(),
+        requests: 20,
+        bad: 11,
+    });
+    full
+}
+
+#[test]
+fn messages_round_trip() {
+    let question = Question {
+        from: NodeId(9),
+        sent: Time(12_345),
+    };
+    let ask = Ask {
+        question,
+        position: Position(8),
+        hash: 77,
+        news: fleet(2)[0].records().digest(),
+        digest: Some(fleet(3)[1].records().digest()),
+    };
+    let ask = Gossiped::Ask(ask);
+    assert_eq!(
+        fleet::decode_gossip(&fleet::encode_gossip(&ask)).unwrap(),
+        ask
+    );
+    let push = Gossiped::Push(Push {
+        records: vec![Arc::new(full())],
+        wanted: vec![NodeId(4)],
+    });
+    assert_eq!(
+        fleet::decode_gossip(&fleet::encode_gossip(&push)).unwrap(),
+        push
+    );
+    let answer = answer();
+    assert_eq!(
+        fleet::decode_answer(fleet::encode_answer(&answer).into()).unwrap(),
+        answer
+    );
+    let sync = SyncAsk {
+        question,
+        position: Position(4),
+        published: Some(Arc::new(full())),
+    };
+    assert_eq!(
+        fleet::decode_sync(&fleet::encode_sync(&sync)).unwrap(),
+        sync
+    );
+    let reply = SyncAnswer {
+        question,
+        replica: ReplicaId(5),
+        position: Position(6),
+        vouch: Vouch::Voter,
+        entries: answer.entries,
+        snapshot: Some(Bytes::from_static(b"snapshot")),
+    };
+    let bytes = fleet::encode_sync_answer(&reply);
+    assert_eq!(fleet::decode_sync_answer(bytes.into()).unwrap(), reply);
+    let registry = fleet(5)[0].registry().clone();
+    let bytes = fleet::encode_registry(&registry);
+    assert_eq!(fleet::decode_registry(&bytes).unwrap(), registry);
+    assert_ne!(registry, Registry::new());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..Default::default() })]
+
+    /// Guards against a panic on damaged or foreign bytes.
+    #[test]
+    fn damaged_messages_are_answered(at in any::<prop::sample::Index>(), byte in any::<u8>()) {
+        let mut bytes = fleet::encode_answer(&answer());
+        let at = at.index(bytes.len());
+        bytes[at] = byte;
+        let _ = fleet::decode_gossip(&bytes);
+        let _ = fleet::decode_sync(&bytes);
+        let _ = fleet::decode_change(&bytes);
+        if let Ok(answer) = fleet::decode_answer(bytes.into()) {
+            let now = Time::from_millis(3_700_000);
+            let mut gossip = fleet(4).swap_remove(0);
+            gossip.hear(now, &answer);
+            prop_assert!(gossip.evidence().expires() < Time::from_millis(3_704_000));
+        }
+    }
+}
--- a/tests/fleet_sim/mod.rs
+++ b/tests/fleet_sim/mod.rs
@@ -321,7 +321,9 @@
                     }
                 }
             }
-            Message::Push(push) => process.gossip.take(&push),
+            Message::Push(push) => {
+                process.gossip.take(&push);
+            }
             Message::Synced(id, sent, position, entries) if id == process.id => {
                 let from = Position(position.0 - entries.len() as u64);
                 process.apply(from, entries);
--- /dev/null
+++ b/tests/node_registry.rs
@@ -0,0 +1,196 @@
+//! The registry, its changes, the proof of a successor, and acceptance.
+
+use std::time::Duration;
+
+use laburnumtide::fleet::{
+    Acceptance, CHANGE_INTERVAL, Member, Registry, RegistryChange, RegistryLog, Roll, SILENCE_MAX,
+    Sighting,
+};
+use laburnumtide::freshness::EVIDENCE_GONE;
+use laburnumtide::ids::NodeId;
+use laburnumtide::time::Time;
+use laburnumtide::units::Position;
+
+const START: Time = Time::from_millis(3_600_000);
+
+fn member(id: u64, port: u16) -> Member {
+    Member {
+        id: NodeId(id),
+        addr: format!("127.0.0.1:{port}").parse().unwrap(),
+        zone: "zone-a".parse().unwrap(),
+    }
+}
+
+fn joins(members: &[Member]) -> RegistryChange {
+    RegistryChange {
+        joined: members.to_vec(),
+        left: Vec::new(),
+    }
+}
+
+fn sighting(asked: Time, member: Member) -> Sighting {
+    Sighting { asked, member }
+}
+
+#[test]
+fn wrong_changes_are_refused() {
+    let two = Registry::new()
+        .changed(&joins(&[member(1, 1), member(2, 2)]))
+        .unwrap();
+    let leaves = |id| RegistryChange {
+        joined: Vec::new(),
+        left: vec![NodeId(id)],
+    };
+    assert!(two.changed(&leaves(3)).is_err());
+    assert!(two.changed(&joins(&[member(2, 9)])).is_err());
+    assert!(two.changed(&joins(&[member(3, 2)])).is_err());
+    let swap = RegistryChange {
+        joined: vec![member(3, 2)],
+        left: vec![NodeId(2)],
+    };
+    assert_eq!(two.changed(&swap).unwrap().ids(), [NodeId(1), NodeId(3)]);
+    let mut log = RegistryLog::default();
+    log.apply(Position(4), &joins(&[member(1, 1)])).unwrap();
+    assert!(log.apply(Position(4), &joins(&[member(2, 2)])).is_err());
+    assert!(log.before(Position(4)).members().is_empty());
+    assert_eq!(log.at(Position(4)).members().len(), 1);
+}
+
+/// Guards against half of the nodes that count as a majority.
+#[test]
+fn half_is_no_majority() {
+    let four = Registry::new();
+    let four = four.changed(&joins(&[
+        member(1, 1),
+        member(2, 2),
+        member(3, 3),
+        member(4, 4),
+    ]));
+    let four = four.unwrap();
+    assert!(!four.is_majority(|id| id.0 <= 2));
+    assert!(four.is_majority(|id| id.0 <= 3));
+}
+
+/// Guards against a late answer of a dead process that proves its successor dead.
+#[test]
+fn late_sighting_proves_nothing() {
+    let at = |ms| START + Duration::from_millis(ms);
+    let mut roll = Roll::default();
+    assert_eq!(roll.sight(at(10), sighting(at(0), member(1, 1))), None);
+    assert_eq!(
+        roll.sight(at(30), sighting(at(20), member(2, 1))),
+        Some(NodeId(1))
+    );
+    assert_eq!(roll.sight(at(50), sighting(at(25), member(1, 1))), None);
+    assert_eq!(roll.sight(at(70), sighting(at(60), member(2, 1))), None);
+}
+
+/// Guards against a live process that counts as dead because its predecessor, proposed before,
+/// commits after the leader met it.
+#[test]
+fn late_commit_buries_predecessor() {
+    let at = |ms| START + Duration::from_millis(ms);
+    let mut roll = Roll::default();
+    roll.sight(at(10), sighting(at(0), member(1, 1)));
+    let change = roll.propose(at(20), &Registry::new()).unwrap();
+    assert_eq!(
+        roll.sight(at(40), sighting(at(30), member(2, 1))),
+        Some(NodeId(1))
+    );
+    let registry = Registry::new().changed(&change).unwrap();
+    assert_eq!(roll.learn(at(50), &registry), [NodeId(1)]);
+    assert_eq!(roll.sight(at(70), sighting(at(60), member(2, 1))), None);
+    let next = roll.propose(at(50) + CHANGE_INTERVAL, &registry).unwrap();
+    let swap = RegistryChange {
+        joined: vec![member(2, 1)],
+        left: vec![NodeId(1)],
+    };
+    assert_eq!(next, swap);
+}
+
+/// Guards against a new leader to whom the processes of older versions are never dead.
+#[test]
+fn new_leader_learns_the_dead() {
+    let mut roll = Roll::default();
+    let first = Registry::new()
+        .changed(&joins(&[member(1, 1), member(2, 2)]))
+        .unwrap();
+    let swap = RegistryChange {
+        joined: vec![member(3, 2)],
+        left: vec![NodeId(2)],
+    };
+    let second = first.changed(&swap).unwrap();
+    assert_eq!(roll.learn(START, &first), []);
+    assert_eq!(roll.learn(START, &second), [NodeId(2)]);
+}
+
+/// Guards against a registry entry for each restart, and against lost VMs that weigh on majorities.
+#[test]
+fn changes_are_batched() {
+    let mut roll = Roll::default();
+    let mut registry = Registry::new();
+    let mut changes = 0;
+    for second in 0..100 {
+        let now = START + Duration::from_secs(second);
+        for port in 1..20 {
+            // One node is never seen again; another restarts each second.
+            let is_lost = port == 1 && second > 10;
+            let id = if port == 2 {
+                1_000 + second
+            } else {
+                u64::from(port)
+            };
+            if !is_lost {
+                roll.sight(now, sighting(now, member(id, port)));
+            }
+        }
+        if let Some(change) = roll.propose(now, &registry) {
+            registry = registry.changed(&change).unwrap();
+            roll.learn(now, &registry);
+            changes += 1;
+        }
+        let silence = now.since(START + Duration::from_secs(10));
+        if silence < SILENCE_MAX {
+            assert!(registry.get(NodeId(1)).is_some(), "{second}");
+        } else if silence >= SILENCE_MAX + CHANGE_INTERVAL {
+            assert!(registry.get(NodeId(1)).is_none(), "{second}");
+        }
+    }
+    assert_eq!(changes, 20);
+    assert_eq!(registry.members().len(), 18);
+}
+
+/// Guards against acceptance without a majority of the registry before the entry.
+#[test]
+fn acceptance_needs_both_majorities() {
+    let mut log = RegistryLog::default();
+    log.apply(
+        Position(1),
+        &joins(&[member(1, 1), member(2, 2), member(3, 3)]),
+    )
+    .unwrap();
+    let swap = RegistryChange {
+        joined: vec![member(5, 2), member(6, 3)],
+        left: vec![NodeId(2), NodeId(3)],
+    };
+    log.apply(Position(2), &swap).unwrap();
+    let mut acceptance = Acceptance::new(Position(0));
+    let last = Position(3);
+    for id in [1, 5, 6] {
+        acceptance.report(NodeId(id), Position(3));
+    }
+    assert_eq!(acceptance.advance(START, &log, last), Position(0));
+    acceptance.report(NodeId(2), Position(1));
+    assert_eq!(acceptance.advance(START, &log, last), Position(1));
+    // A late report of an earlier position takes nothing back.
+    acceptance.report(NodeId(1), Position(0));
+    acceptance.bury(START, NodeId(3));
+    let early = START + EVIDENCE_GONE - Duration::from_millis(1);
+    assert_eq!(acceptance.advance(early, &log, last), Position(1));
+    assert_eq!(
+        acceptance.advance(START + EVIDENCE_GONE, &log, last),
+        Position(3)
+    );
+    acceptance.forget(&mut log);
+    assert_eq!(log.versions().count(), 1);
+}
