--- a/examples/added_latency.rs
+++ b/examples/added_latency.rs
@@ -1,11 +1,12 @@
 //! Measures what two nodes add to the latency of calling a target directly.
 //!
-//! Direct and proxied load take turns within one run, at the same rate. The target serves as many
+//! Direct load, load by a bare pass-through and load by two nodes take turns within one run, at the same rate. The target serves as many
 //! requests at a time as its slots and takes the same time for each.
 //!
 //! Example: `cargo run --release --example added_latency`.
 
 mod loadgen;
+mod passthrough;
 mod standin;
 
 use std::net::SocketAddr;
@@ -112,41 +113,67 @@
     let secs = Duration::from_secs(args.secs);
     Generator::run(load(direct.clone(), WARM_UP), Results::new()).await;
     Generator::run(load(proxied.clone(), WARM_UP), Results::new()).await;
-    let (mut through, mut around) = (Results::new(), Results::new());
-    let mut cpu = [0; 2];
+    let bare = passthrough::spawn(direct[0]).await?;
+    let mut legs = [
+        Leg::new("direct", direct),
+        Leg::new("bare pass-through", vec![bare]),
+        Leg::new("two nodes", proxied),
+    ];
     for _ in 0..args.rounds {
-        let start = cpu_ticks()?;
-        around = Generator::run(load(direct.clone(), secs), around).await;
-        let middle = cpu_ticks()?;
-        through = Generator::run(load(proxied.clone(), secs), through).await;
-        cpu[0] += middle - start;
-        cpu[1] += cpu_ticks()? - middle;
+        for leg in &mut legs {
+            let start = cpu_ticks()?;
+            let results = std::mem::replace(&mut leg.results, Results::new());
+            leg.results = Generator::run(load(leg.addrs.clone(), secs), results).await;
+            leg.ticks += cpu_ticks()? - start;
+        }
     }
     targets.iter().for_each(|target| target.stop());
-    report(rate, cpu, &around.summary(), &through.summary())
+    report(rate, &legs)
 }
 
-fn report(rate: f64, cpu: [u64; 2], direct: &Summary, proxied: &Summary) -> anyhow::Result<()> {
-    println!("{rate:.0} requests/s; latency in us from the intended send time");
-    for (name, s) in [("direct", direct), ("proxied", proxied)] {
+/// One way to the target and what was measured on it.
+struct Leg {
+    name: &'static str,
+    addrs: Vec<SocketAddr>,
+    results: Results,
+    ticks: u64,
+}
+
+impl Leg {
+    fn new(name: &'static str, addrs: Vec<SocketAddr>) -> Leg {
+        Leg {
+            name,
+            addrs,
+            results: Results::new(),
+            ticks: 0,
+        }
+    }
+
+    fn cpu_us(&self, s: &Summary) -> i64 {
+        (self.ticks * TICK_US / s.sent.max(1)) as i64
+    }
+}
+
+fn report(rate: f64, legs: &[Leg; 3]) -> anyhow::Result<()> {
+    println!("{rate:.0} requests/s; latency from the intended send time, processor time a request");
+    let direct = legs[0].results.summary();
+    for leg in legs {
+        let s = leg.results.summary();
+        let more = |a: u64, b: u64| b as i64 - a as i64;
         println!(
-            "{name:>8}: p50 {} p99 {} results {:?}",
-            s.p50_us, s.p99_us, s.results
+            "{:>18}: p50 {} us (+{}) p99 {} us (+{}) cpu {} us (+{}) {:?}",
+            leg.name,
+            s.p50_us,
+            more(direct.p50_us, s.p50_us),
+            s.p99_us,
+            more(direct.p99_us, s.p99_us),
+            leg.cpu_us(&s),
+            leg.cpu_us(&s) - legs[0].cpu_us(&direct),
+            s.results
         );
     }
-    let added = |a: u64, b: u64| b as i64 - a as i64;
-    println!(
-        "   added: p50 {} p99 {}",
-        added(direct.p50_us, proxied.p50_us),
-        added(direct.p99_us, proxied.p99_us)
-    );
-    let each = |ticks: u64, s: &Summary| ticks * TICK_US / s.sent.max(1);
-    println!(
-        "     cpu: {} us a request for two nodes, {} us for load generator and target",
-        each(cpu[1], proxied).saturating_sub(each(cpu[0], direct)),
-        each(cpu[0], direct)
-    );
-    println!("{}", serde_json::to_string(&[direct, proxied])?);
+    let all: Vec<Summary> = legs.iter().map(|leg| leg.results.summary()).collect();
+    println!("{}", serde_json::to_string(&all)?);
     Ok(())
 }
 
