--- /dev/null
+++ b/tests/retry_safety.rs
@@ -0,0 +1,365 @@
+//! At-most-once and the truth of "not run", against the run records of fake targets.
+//!
+//! Ingresses and egresses are small fakes around [`Gate`], [`may_retry`] and [`AttemptLog`]. They
+//! die, links reset, and messages come late or never.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use laburnumtide::gate::{Cancelled, Decision, Gate, Limits, Offer, Offered};
+use laburnumtide::outcome::Refusal;
+use laburnumtide::prelude::*;
+use laburnumtide::route::{AttemptLog, RetryBudget, RetryQuestion, may_retry};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+const START: Time = Time::from_millis(3_600_000);
+const EGRESSES: usize = 3;
+
+#[derive(Clone, Debug)]
+enum Message {
+    /// A request that reaches an egress, which may have restarted since.
+    Forward(usize, u32, u64, Time),
+    Cancel(usize, u64),
+    /// The target of an egress ends an attempt.
+    Done(usize, u32, u64),
+    Reply(u64, Outcome),
+    /// The answer to a cancel.
+    Cancelled(u64, bool),
+    /// The link of an attempt is reset.
+    Reset(u64),
+    Timeout(u64),
+    CallerLeaves(u64),
+    KillEgress(usize),
+    KillIngress,
+}
+
+/// A request as its ingress knows it; gone when the ingress dies.
+struct Pending {
+    idempotent: bool,
+    deadline: Time,
+    attempt: u64,
+    tried: Vec<usize>,
+    log: AttemptLog,
+}
+
+struct World {
+    rng: SmallRng,
+    now: Time,
+    order: u64,
+    steps: BTreeMap<(Time, u64), Message>,
+    pending: BTreeMap<u64, Pending>,
+    /// The request of each attempt, for the targets' run records.
+    requests: BTreeMap<u64, u64>,
+    gates: Vec<(u32, Gate)>,
+    budget: RetryBudget,
+    runs: BTreeMap<u64, u32>,
+    told: BTreeMap<u64, Outcome>,
+    idempotent: BTreeSet<u64>,
+    retries: u32,
+}
+
+fn new_gate(now: Time) -> Gate {
+    let limits = Limits {
+        slots: Slots(2),
+        connections: 10,
+    };
+    Gate::new(now, limits, false)
+}
+
+impl World {
+    fn new(seed: u64) -> World {
+        World {
+            rng: SmallRng::seed_from_u64(seed),
+            now: START,
+            order: 0,
+            steps: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            gates: (0..EGRESSES).map(|_| (0, new_gate(START))).collect(),
+            budget: RetryBudget::new(),
+            runs: BTreeMap::new(),
+            told: BTreeMap::new(),
+            idempotent: BTreeSet::new(),
+            retries: 0,
+        }
+    }
+
+    fn plan(&mut self, delay_ms: u64, message: Message) {
+        self.order += 1;
+        let at = self.now + Duration::from_millis(delay_ms);
+        self.steps.insert((at, self.order), message);
+    }
+
+    /// Sends a message that is usually quick, sometimes very late and sometimes lost.
+    fn send(&mut self, message: Message) {
+        let delay = match self.rng.random_range(0..20) {
+            0 => return,
+            1 | 2 => self.rng.random_range(50..400),
+            _ => self.rng.random_range(1..5),
+        };
+        self.plan(delay, message);
+    }
+
+    fn arrive(&mut self, request: u64) {
+        let idempotent = self.rng.random_bool(0.5);
+        if idempotent {
+            self.idempotent.insert(request);
+        }
+        let patience = Duration::from_millis(self.rng.random_range(20..300));
+        let pending = Pending {
+            idempotent,
+            deadline: self.now + patience,
+            attempt: 0,
+            tried: Vec::new(),
+            log: AttemptLog::default(),
+        };
+        self.pending.insert(request, pending);
+        self.budget.deposit();
+        self.forward(request);
+    }
+
+    fn forward(&mut self, request: u64) {
+        let untried = |at: &usize| !self.pending[&request].tried.contains(at);
+        let left: Vec<usize> = (0..EGRESSES).filter(untried).collect();
+        if left.is_empty() {
+            let refusal = Refusal::new(Reason::NoTarget);
+            self.tell(request, Outcome::NotRun(refusal));
+            return;
+        }
+        let egress = left[self.rng.random_range(0..left.len())];
+        self.order += 1;
+        let attempt = self.order;
+        self.requests.insert(attempt, request);
+        let pending = self.pending.get_mut(&request).expect("pending");
+        pending.attempt = attempt;
+        pending.tried.push(egress);
+        let deadline = pending.deadline;
+        let boot = self.gates[egress].0;
+        self.send(Message::Forward(egress, boot, attempt, deadline));
+        let patience = deadline.since(self.now).as_millis() as u64;
+        self.plan(patience, Message::Timeout(attempt));
+        if self.rng.random_bool(0.05) {
+            let delay = self.rng.random_range(1..100);
+            self.plan(delay, Message::Reset(attempt));
+        }
+        if self.rng.random_bool(0.05) {
+            let delay = self.rng.random_range(1..100);
+            self.plan(delay, Message::CallerLeaves(attempt));
+        }
+    }
+
+    /// Returns the request whose current attempt this is; answers to others are dropped.
+    fn current(&self, attempt: u64) -> Option<u64> {
+        let request = *self.requests.get(&attempt)?;
+        let pending = self.pending.get(&request)?;
+        (pending.attempt == attempt).then_some(request)
+    }
+
+    fn ended(&mut self, attempt: u64, outcome: Outcome) {
+        let Some(request) = self.current(attempt) else {
+            return;
+        };
+        let pending = &self.pending[&request];
+        let question = RetryQuestion {
+            outcome: &outcome,
+            idempotent: pending.idempotent,
+            replayable: true,
+            deadline: pending.deadline,
+        };
+        if may_retry(self.now, &question) && self.budget.withdraw() {
+            self.retries += 1;
+            let pending = self.pending.get_mut(&request).expect("pending");
+            pending.log.record(&outcome);
+            self.forward(request);
+        } else {
+            self.tell(request, outcome);
+        }
+    }
+
+    fn tell(&mut self, request: u64, last: Outcome) {
+        let pending = self.pending.remove(&request).expect("pending");
+        self.told.insert(request, pending.log.conclude(last));
+    }
+
+    fn step(&mut self, message: Message) {
+        match message {
+            Message::Forward(egress, boot, attempt, deadline) => {
+                self.at_egress(egress, boot, attempt, deadline);
+            }
+            Message::Cancel(egress, attempt) => {
+                let gate = &mut self.gates[egress].1;
+                let removed = gate.cancel(self.now, AttemptId(attempt)) == Cancelled::Removed;
+                self.send(Message::Cancelled(attempt, removed));
+            }
+            Message::Cancelled(attempt, true) => {
+                let refusal = Refusal::new(Reason::Deadline);
+                self.ended(attempt, Outcome::NotRun(refusal));
+            }
+            Message::Cancelled(attempt, false) => {
+                self.ended(attempt, Outcome::Unknown(Reason::Timeout));
+            }
+            Message::Done(egress, boot, attempt) => self.done(egress, boot, attempt),
+            Message::Reply(attempt, outcome) => self.ended(attempt, outcome),
+            Message::Reset(attempt) => {
+                self.ended(attempt, Outcome::Unknown(Reason::LostLink));
+            }
+            Message::Timeout(attempt) => {
+                self.ended(attempt, Outcome::Unknown(Reason::Timeout));
+            }
+            Message::CallerLeaves(attempt) => {
+                if let Some(request) = self.current(attempt) {
+                    let tried = &self.pending[&request].tried;
+                    let egress = *tried.last().expect("tried");
+                    self.send(Message::Cancel(egress, attempt));
+                }
+            }
+            Message::KillEgress(egress) => {
+                let boot = self.gates[egress].0 + 1;
+                self.gates[egress] = (boot, new_gate(self.now));
+            }
+            Message::KillIngress => self.pending.clear(),
+        }
+    }
+
+    /// A request for an earlier run of the egress finds a broken link.
+    fn at_egress(&mut self, egress: usize, boot: u32, attempt: u64, deadline: Time) {
+        if self.gates[egress].0 != boot {
+            return;
+        }
+        let offer = Offer {
+            attempt: AttemptId(attempt),
+            account: Some("bank".parse().unwrap()),
+            weight: Rate::per_sec(10),
+            deadline,
+        };
+        match self.gates[egress].1.offer(self.now, offer) {
+            Offered::Run => self.run(egress, attempt),
+            Offered::Queued => {}
+            Offered::Refused(refusal) => {
+                self.send(Message::Reply(attempt, Outcome::NotRun(refusal)));
+            }
+        }
+    }
+
+    /// The target runs the request and writes its run record, whatever becomes of the answer.
+    fn run(&mut self, egress: usize, attempt: u64) {
+        let request = self.requests[&attempt];
+        *self.runs.entry(request).or_default() += 1;
+        let time = self.rng.random_range(1..60);
+        let boot = self.gates[egress].0;
+        self.plan(time, Message::Done(egress, boot, attempt));
+    }
+
+    fn done(&mut self, egress: usize, boot: u32, attempt: u64) {
+        if self.gates[egress].0 != boot {
+            return;
+        }
+        let decisions = self.gates[egress].1.finish(self.now, AttemptId(attempt));
+        self.send(Message::Reply(attempt, Outcome::Answer));
+        for decision in decisions {
+            match decision {
+                Decision::Run(next) => self.run(egress, next.0),
+                Decision::Refuse(next, refusal) => {
+                    self.send(Message::Reply(next.0, Outcome::NotRun(refusal)));
+                }
+            }
+        }
+    }
+
+    fn play(&mut self, requests: u64) {
+        for request in 0..requests {
+            let gap = self.rng.random_range(0..10);
+            let next = self.now + Duration::from_millis(gap);
+            self.play_until(next);
+            self.now = next;
+            if self.rng.random_bool(0.01) {
+                let egress = self.rng.random_range(0..EGRESSES);
+                self.plan(1, Message::KillEgress(egress));
+            }
+            if self.rng.random_bool(0.002) {
+                self.plan(1, Message::KillIngress);
+            }
+            self.arrive(request);
+        }
+        self.play_until(self.now + Duration::from_secs(3_600));
+    }
+
+    fn play_until(&mut self, end: Time) {
+        while let Some(entry) = self.steps.first_entry() {
+            if entry.key().0 > end {
+                break;
+            }
+            let ((at, _), message) = entry.remove_entry();
+            self.now = at;
+            self.step(message);
+        }
+    }
+}
+
+/// Guards against a second run of a request that is not idempotent, and against "not run" for one
+/// that ran, through kills, resets, timeouts, cancels, lost and late messages, and retries.
+#[test]
+fn once_and_true() {
+    let (mut retries, mut not_run, mut unknown) = (0, 0, 0);
+    for seed in 600..640 {
+        let mut world = World::new(seed);
+        world.play(2_000);
+        for (request, runs) in &world.runs {
+            let once = *runs <= 1 || world.idempotent.contains(request);
+            assert!(once, "seed {seed}: request {request} ran {runs} times");
+        }
+        for (request, outcome) in &world.told {
+            let runs = world.runs.get(request).copied().unwrap_or(0);
+            match outcome {
+                Outcome::NotRun(refusal) => {
+                    let reason = refusal.reason;
+                    assert_eq!(runs, 0, "seed {seed}: request {request} told {reason}");
+                    not_run += 1;
+                }
+                Outcome::Unknown(_) => unknown += 1,
+                Outcome::Answer => assert!(runs > 0, "seed {seed}: answer without a run"),
+            }
+        }
+        retries += world.retries;
+    }
+    println!("{retries} retries, {not_run} not run, {unknown} unknown");
+    assert!(retries > 500 && not_run > 500 && unknown > 500);
+}
+
+/// Guards against retries that multiply the load: beyond what was saved, at most a tenth.
+#[test]
+fn retry_share() {
+    let mut budget = RetryBudget::new();
+    let mut retries = 0;
+    for _ in 0..10_000 {
+        budget.deposit();
+        while budget.withdraw() {
+            retries += 1;
+        }
+    }
+    assert!((1_000..=1_020).contains(&retries), "{retries}");
+}
+
+/// Guards against retries past the deadline and of refusals that concern the request itself.
+#[test]
+fn retry_rules() {
+    let ask = |outcome: &Outcome, idempotent, replayable, left_ms| {
+        let question = RetryQuestion {
+            outcome,
+            idempotent,
+            replayable,
+            deadline: START + Duration::from_millis(left_ms),
+        };
+        may_retry(START, &question)
+    };
+    let not_run = |reason| Outcome::NotRun(Refusal::new(reason));
+    let lost = Outcome::Unknown(Reason::LostLink);
+    assert!(ask(&not_run(Reason::Shed), false, true, 100));
+    assert!(ask(&lost, true, true, 100));
+    assert!(!ask(&lost, false, true, 100));
+    assert!(!ask(&not_run(Reason::Shed), false, true, 1));
+    assert!(!ask(&not_run(Reason::Shed), false, false, 100));
+    assert!(!ask(&not_run(Reason::BodyTooLarge), true, true, 100));
+    assert!(!ask(&Outcome::Answer, true, true, 100));
+}
