--- a/src/route/health.rs
+++ b/src/route/health.rs
@@ -91,6 +91,13 @@
         }
     }
 
+    /// Takes away the latency counts of a window that is dropped.
+    fn forget(&mut self, old: &Tally) {
+        for (sum, n) in self.latency.iter_mut().zip(&old.latency) {
+            *sum -= n;
+        }
+    }
+
     fn merge(&mut self, other: &Tally) {
         self.requests += other.requests;
         self.failures += other.failures;
@@ -209,6 +216,8 @@
 #[derive(Clone, Debug)]
 pub struct Meter {
     buckets: VecDeque<Bucket>,
+    /// Sum of the latency counts of all buckets.
+    latency: Tally,
     running: Vec<(AttemptId, Time)>,
     /// The last attempts that ended, for the stall window.
     ended: VecDeque<Ended>,
@@ -221,6 +230,7 @@
     pub fn new(now: Time) -> Meter {
         Meter {
             buckets: VecDeque::new(),
+            latency: Tally::default(),
             running: Vec::new(),
             ended: VecDeque::new(),
             kinds: Kinds {
@@ -253,6 +263,7 @@
         };
         self.kinds.add(now, kind, verdict.is_bad());
         self.bucket(now).count.add(&ended);
+        self.latency.add(&ended);
         if self.ended.len() == ENDED_MAX {
             self.ended.pop_front();
         }
@@ -297,7 +308,7 @@
         let start = Time(now.0 - now.0 % BUCKET.as_micros() as u64);
         let is_new = self.buckets.back().is_none_or(|b| b.start < start);
         if is_new {
-            self.buckets.retain(|b| now.since(b.start) <= LONGEST);
+            self.drop_old(now);
             self.buckets.push_back(Bucket {
                 start,
                 count: Tally::default(),
@@ -307,6 +318,15 @@
         &mut self.buckets[last]
     }
 
+    fn drop_old(&mut self, now: Time) {
+        while let Some(first) = self.buckets.front()
+            && now.since(first.start) > LONGEST
+        {
+            self.latency.forget(&first.count);
+            self.buckets.pop_front();
+        }
+    }
+
     /// Returns the span back to which at least [`ENOUGH`] requests ended.
     fn long_span(&self, now: Time) -> Duration {
         let mut seen = 0;
@@ -323,7 +343,7 @@
     fn window(&self, now: Time, span: Duration) -> Window {
         let mut sum = Tally::default();
         let within = |b: &&Bucket| b.start + span >= now;
-        for bucket in self.buckets.iter().filter(within) {
+        for bucket in self.buckets.iter().rev().take_while(within) {
             sum.merge(&bucket.count);
         }
         for (_, band) in self.overdue(now) {
@@ -363,11 +383,7 @@
 
     /// Returns the band of the median over everything that is kept.
     fn usual_band(&self) -> Option<usize> {
-        let mut all = Tally::default();
-        for bucket in &self.buckets {
-            all.merge(&bucket.count);
-        }
-        median_band(&all.window(LONGEST))
+        median_band(&self.latency.window(LONGEST))
     }
 
     /// Returns the band from which a request counts as slow before it has ended.
--- a/src/route/service.rs
+++ b/src/route/service.rs
@@ -21,6 +21,9 @@
 /// Time between reviews when nothing new is known.
 const REVIEW: Duration = Duration::from_millis(100);
 
+/// Longest use of a comparison when no evidence has changed; evidence also ages.
+const JUDGE_GAP: Duration = Duration::from_secs(5);
+
 /// Use of the slots from which requests spill over to other zones.
 const SPILL_USE: f64 = 0.7;
 
@@ -53,6 +56,8 @@
     losses: Losses,
     usual: Duration,
     next_review: Time,
+    /// The last comparison of the targets, and when it was made; `None` once evidence is new.
+    judged: Option<(Time, Vec<Finding>)>,
     near: Vec<usize>,
     all: Vec<usize>,
     ejected: Vec<usize>,
@@ -66,6 +71,7 @@
             losses: Losses::default(),
             usual: ASSUMED_SERVICE,
             next_review: Time::ZERO,
+            judged: None,
             near: Vec::new(),
             all: Vec::new(),
             ejected: Vec::new(),
@@ -87,6 +93,7 @@
 
     /// Adds a target or renews the one with the same id.
     pub fn put(&mut self, now: Time, target: Target) {
+        self.judged = None;
         self.losses.replaced(target.record.addr);
         match self.targets.binary_search_by(|t| t.id.cmp(&target.id)) {
             Ok(at) => {
@@ -101,6 +108,7 @@
     pub fn remove(&mut self, now: Time, id: &TargetId) {
         if let Ok(at) = self.targets.binary_search_by(|t| t.id.cmp(id)) {
             let target = self.targets.remove(at);
+            self.judged = None;
             if target.is_open() {
                 let record = &target.record;
                 self.losses.add(now, record.addr, record.slots);
@@ -122,6 +130,9 @@
     pub fn observe(&mut self, now: Time, id: &TargetId, load: Load, health: Option<&Health>) {
         if let Ok(at) = self.targets.binary_search_by(|t| t.id.cmp(id)) {
             self.targets[at].observe(now, load, health);
+            if health.is_some() {
+                self.judged = None;
+            }
         }
     }
 
@@ -146,8 +157,6 @@
     /// Judges the targets, keeps the floor and prepares the choice.
     pub fn review(&mut self, now: Time, zone: &ZoneName, events: &mut Vec<Event>) {
         self.next_review = now + REVIEW;
-        let healths = self.targets.iter().map(|t| &t.record.health);
-        self.usual = usual_service(healths).unwrap_or(ASSUMED_SERVICE);
         self.advance(now, events);
         let findings = self.findings(now);
         self.acquit(&findings, events);
@@ -167,18 +176,19 @@
                 } else {
                     target.standing.begin_return(now);
                 }
+                self.judged = None;
                 target.path.restart();
             }
             if target.standing.advance(now) {
                 events.push(Event::Returned(target.id.clone()));
+                self.judged = None;
             }
         }
     }
 
     /// Compares the targets by what the egresses measured, then adds the paths of this ingress.
-    fn findings(&self, now: Time) -> Vec<Finding> {
-        let exhibits: Vec<Exhibit<'_>> = self.targets.iter().map(|t| t.exhibit(now)).collect();
-        let mut findings = judge(&exhibits);
+    fn findings(&mut self, now: Time) -> Vec<Finding> {
+        let mut findings = self.judge(now);
         for (finding, target) in findings.iter_mut().zip(&self.targets) {
             if target.path.is_bad(now, self.usual) {
                 finding.cause = Some(Cause::Path);
@@ -188,6 +198,22 @@
         findings
     }
 
+    /// Compares the targets, or returns the last comparison if nothing has changed since.
+    fn judge(&mut self, now: Time) -> Vec<Finding> {
+        match &self.judged {
+            Some((at, findings)) if now.since(*at) < JUDGE_GAP => findings.clone(),
+            _ => {
+                let targets = self.targets.iter();
+                let exhibits: Vec<Exhibit<'_>> = targets.map(|t| t.exhibit(now)).collect();
+                let findings = judge(&exhibits);
+                let healths = self.targets.iter().map(|t| &t.record.health);
+                self.usual = usual_service(healths).unwrap_or(ASSUMED_SERVICE);
+                self.judged = Some((now, findings.clone()));
+                findings
+            }
+        }
+    }
+
     /// Returns targets that no longer stand out, because the others have turned as bad.
     ///
     /// When a whole service turns bad, the reports arrive one after the other; the first ones look
@@ -196,6 +222,7 @@
         for (target, finding) in self.targets.iter_mut().zip(findings) {
             if target.standing.charge.is_some() && finding.cause.is_none() {
                 target.standing.acquit();
+                self.judged = None;
                 events.push(Event::Returned(target.id.clone()));
             }
         }
@@ -212,6 +239,7 @@
             if !self.make_room(now, at, severity, events) {
                 continue;
             }
+            self.judged = None;
             let target = &mut self.targets[at];
             target.standing.eject(now, cause, severity);
             if cause != Cause::Path {
@@ -275,6 +303,7 @@
     }
 
     fn restore(&mut self, at: usize, events: &mut Vec<Event>) {
+        self.judged = None;
         let target = &mut self.targets[at];
         target.standing.restore();
         events.push(Event::KeptByFloor(target.id.clone()));
