--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -1,7 +1,10 @@
 //! Tests with real processes on loopback.
 
 mod caller;
+mod control_absence;
+mod control_faults;
 mod fleet;
 mod notes;
 mod operator_client;
+mod request_faults;
 mod whole_path;
