--- a/tests/fleet_sim/mod.rs
+++ b/tests/fleet_sim/mod.rs
@@ -1,20 +1,21 @@
 //! Nodes and one control leader in virtual time, over a network that delays, loses, repeats and cuts.
 
+mod parts;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use laburnumtide::fleet::{
-    Acceptance, Answer, Ask, Gossip, Member, Push, RegistryChange, RegistryLog, Relayed, Roll,
-    Sighting,
-};
+use laburnumtide::fleet::{Acceptance, Gossip, Relayed, Sighting};
 use laburnumtide::freshness::{EVIDENCE_LIFETIME, Heard};
 use laburnumtide::ids::{NodeId, ReplicaId};
 use laburnumtide::replica::Vouch;
-use laburnumtide::time::Time;
 use laburnumtide::units::Position;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+pub use self::parts::Plan;
+use self::parts::{Clock, Control, Entry, Event, Message, Process, after, member};
+
 /// Real time for which a claim may outlive an acceptance: the lifetime on a clock that is 1 % slow.
 pub const CLAIM_MAX: Duration =
     Duration::from_micros(EVIDENCE_LIFETIME.as_micros() as u64 * 100 / 99 + 1);
@@ -24,107 +25,6 @@
 const CONTROL_EVERY: Duration = Duration::from_millis(200);
 const CONTROL: usize = usize::MAX;
 
-/// What happens in a run.
-#[derive(Clone, Copy, Debug)]
-pub struct Plan {
-    pub nodes: usize,
-    /// Share of messages that are lost, and that come twice.
-    pub loss: f64,
-    /// Share of messages that take up to the longest time.
-    pub slow: f64,
-    /// Share of answers that bring missing entries.
-    pub entries: f64,
-    pub slowest: Duration,
-    /// Time between faults; none for a quiet run.
-    pub fault_every: Option<Duration>,
-    pub note_every: Option<Duration>,
-}
-
-#[derive(Clone, Debug)]
-enum Entry {
-    Note,
-    Nodes(RegistryChange),
-}
-
-#[derive(Clone, Debug)]
-enum Message {
-    Ask(usize, Ask),
-    Answer(Answer, Vec<Entry>),
-    Push(Push),
-    Sync(usize, NodeId, Time, Position),
-    Synced(NodeId, Time, Position, Vec<Entry>),
-    Dial(Time),
-    Dialed(Time, Member),
-}
-
-#[derive(Clone, Debug)]
-enum Event {
-    Deliver(usize, Message),
-    Gossip(usize, u64),
-    Sync(usize, u64),
-    Control,
-    Commit(u64),
-    Note,
-    Fault,
-    Thaw(usize, u64),
-}
-
-/// A clock with a rate error of up to 1 % and an offset.
-#[derive(Clone, Copy, Debug)]
-struct Clock {
-    offset: u64,
-    parts: u64,
-}
-
-impl Clock {
-    fn new(rng: &mut StdRng) -> Clock {
-        Clock {
-            offset: rng.random_range(3_600_000_000..3_660_000_000),
-            parts: rng.random_range(990_000..=1_010_000),
-        }
-    }
-
-    fn read(self, now: u64) -> Time {
-        Time(self.offset + (u128::from(now) * u128::from(self.parts) / 1_000_000) as u64)
-    }
-}
-
-pub struct Process {
-    pub gossip: Gossip,
-    id: NodeId,
-    clock: Clock,
-    log: Vec<Entry>,
-    frozen: bool,
-    inbox: VecDeque<Message>,
-}
-
-struct Control {
-    clock: Clock,
-    roll: Roll,
-    acceptance: Acceptance,
-    registry: RegistryLog,
-    away: bool,
-    inbox: VecDeque<Message>,
-    /// A change that is proposed and not committed, and how many were proposed.
-    pending: Option<RegistryChange>,
-    proposals: u64,
-}
-
-impl Control {
-    fn new(rng: &mut StdRng) -> Control {
-        Control {
-            clock: Clock::new(rng),
-            roll: Roll::default(),
-            acceptance: Acceptance::new(Position(0)),
-            registry: RegistryLog::default(),
-            away: false,
-            inbox: VecDeque::new(),
-            pending: None,
-            proposals: 0,
-        }
-    }
-}
-
 pub struct Sim {
     plan: Plan,
     rng: StdRng,
@@ -597,34 +497,3 @@
         }
     }
 }
-
-impl Process {
-    /// Applies the entries that follow those it has; `from` is the position before the first.
-    fn apply(&mut self, from: Position, entries: Vec<Entry>) {
-        for (entry, position) in entries.into_iter().zip(from.0 + 1..) {
-            if position != self.log.len() as u64 + 1 {
-                continue;
-            }
-            let change = match &entry {
-                Entry::Nodes(change) => Some(change),
-                Entry::Note => None,
-            };
-            self.gossip
-                .apply(Position(position), change)
-                .expect("committed entries apply");
-            self.log.push(entry);
-        }
-    }
-}
-
-fn after(log: &[Entry], position: Position) -> Vec<Entry> {
-    log.get(position.0 as usize..).unwrap_or_default().to_vec()
-}
-
-fn member(id: NodeId, vm: usize) -> Member {
-    Member {
-        id,
-        addr: format!("127.0.0.1:{}", vm + 1).parse().expect("an address"),
-        zone: format!("zone-{}", vm % 3).parse().expect("a zone"),
-    }
-}
