Test that the floor prevents ejections instead of undoing them

Without the floor check before ejection every test passed, because the review restores at once; quiet_floor fails without it.

--- a/tests/floor_kept.rs
+++ b/tests/floor_kept.rs
@@ -246,6 +246,15 @@
     assert!(events.contains(&Event::KeptByFloor(target_id(1))));
 }
 
+/// Guards against an ejection that the floor undoes at once, which would still lengthen the next.
+#[test]
+fn quiet_floor() {
+    let mut balancer = balancer(8, 100);
+    report_health(&mut balancer, START, 1, 2, health(100, 10));
+    balancer.tick(START + Duration::from_secs(1));
+    assert_eq!(balancer.take_events(), []);
+}
+
 /// Ejects target 1 and returns the length of the ejection.
 fn ejection(balancer: &mut Balancer, now: Time, version: u64) -> Duration {
     report_health(balancer, now, 1, version, health(100, 10));
