--- /dev/null
+++ b/examples/capacity/limits.rs
@@ -0,0 +1,406 @@
+//! Limits on many nodes in virtual time, with every message encoded and decoded.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use laburnumtide::ids::{AccountName, NodeId};
+use laburnumtide::limit::{
+    Accounts, Admit, Allowance, Ask, BATCH_PERIOD, Claim, Holder, Owner, Placement, SHARD_COUNT,
+    Seat, Shard, Site,
+};
+use laburnumtide::time::Time;
+use laburnumtide::units::{Burst, Rate};
+use laburnumtide::wire::limit::{LimitReply, LimitRequest};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::cost::{percent, resident_kb, timed};
+
+/// Requests a second and node: 150,000 on 560.
+const NODE_RATE: f64 = 268.0;
+
+/// Time until seats vote and owners hold leases.
+const WARM: Duration = Duration::from_secs(5);
+
+/// Time with requests before anything is counted.
+const LEAD: Duration = Duration::from_secs(5);
+
+/// Time that is counted.
+const SPAN: Duration = Duration::from_secs(5);
+
+/// Batches between two sweeps of seats and owners.
+const SWEEP_TICKS: u64 = 10;
+
+struct Node {
+    holder: Holder,
+    owner: Owner,
+    seat: Seat,
+}
+
+/// How requests spread over the accounts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Spread {
+    /// Every account asks as often as any other.
+    Even,
+    /// The share of an account falls with its rank.
+    Zipf,
+}
+
+struct Book {
+    names: Vec<AccountName>,
+    limits: BTreeMap<AccountName, Allowance>,
+    /// Sums of the shares up to each account.
+    sums: Vec<f64>,
+}
+
+impl Book {
+    fn new(count: usize, spread: Spread, total: f64) -> Book {
+        let share = |i: usize| match spread {
+            Spread::Even => 1.0,
+            Spread::Zipf => 1.0 / (i + 1) as f64,
+        };
+        let whole: f64 = (0..count).map(share).sum();
+        let mut book = Book {
+            names: Vec::new(),
+            limits: BTreeMap::new(),
+            sums: Vec::new(),
+        };
+        let mut sum = 0.0;
+        for i in 0..count {
+            let name: AccountName = format!("account-{i:05}").parse().expect("a name");
+            sum += share(i) / whole;
+            // Every account stays at half of its rate, with a burst of two seconds.
+            let rate = (share(i) / whole * total * 2.0).max(1.0);
+            let allowance = Allowance {
+                rate: Rate::from_millis((rate * 1_000.0) as u64),
+                burst: Burst((rate * 2.0).ceil().max(20.0) as u32),
+            };
+            book.limits.insert(name.clone(), allowance);
+            book.names.push(name);
+            book.sums.push(sum);
+        }
+        book
+    }
+
+    fn pick(&self, rng: &mut StdRng) -> usize {
+        let at = rng.random_range(0.0..1.0);
+        self.sums
+            .partition_point(|s| *s <= at)
+            .min(self.names.len() - 1)
+    }
+}
+
+impl Accounts for Book {
+    fn allowance(&self, name: &AccountName) -> Option<Allowance> {
+        self.limits.get(name).copied()
+    }
+}
+
+/// Bytes, messages and time of one role.
+#[derive(Clone, Copy, Debug, Default)]
+struct Cost {
+    bytes: u64,
+    messages: u64,
+    cpu: Duration,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Costs {
+    holder: Cost,
+    owner: Cost,
+    claims: Cost,
+    seat: Cost,
+    requests: u64,
+    granted: u64,
+    refused: u64,
+}
+
+struct Sim {
+    rng: StdRng,
+    nodes: Vec<Node>,
+    ids: BTreeMap<NodeId, usize>,
+    addrs: BTreeMap<SocketAddr, usize>,
+    placement: Placement,
+    book: Book,
+    costs: Costs,
+    seat_bytes: Vec<u64>,
+}
+
+impl Sim {
+    fn new(count: usize, accounts: usize, spread: Spread) -> Sim {
+        let zones = if count >= 9 { 9 } else { 3 };
+        let site = |i: usize| Site {
+            id: NodeId(i as u64 + 1),
+            addr: format!("10.20.30.40:{}", i + 1)
+                .parse()
+                .expect("an address"),
+            zone: format!("zone-{}", i % zones).parse().expect("a zone"),
+        };
+        let sites: Vec<Site> = (0..count).map(site).collect();
+        let mut placement = Placement::new(sites[0].id);
+        placement.set_members(&sites, |_| true);
+        let start = Time::from_millis(3_600_000);
+        let nodes = sites.iter().map(|s| Node {
+            holder: Holder::new(s.id.0),
+            owner: Owner::new(s.id),
+            seat: Seat::new(start),
+        });
+        Sim {
+            rng: StdRng::seed_from_u64(5),
+            nodes: nodes.collect(),
+            ids: sites.iter().enumerate().map(|(i, s)| (s.id, i)).collect(),
+            addrs: sites.iter().enumerate().map(|(i, s)| (s.addr, i)).collect(),
+            placement,
+            book: Book::new(accounts, spread, NODE_RATE * count as f64),
+            costs: Costs::default(),
+            seat_bytes: vec![0; count],
+        }
+    }
+
+    fn run(&mut self) {
+        let start = Time::from_millis(3_600_000);
+        let steps = |d: Duration| (d.as_millis() / BATCH_PERIOD.as_millis()) as u64;
+        let (warm, lead) = (steps(WARM), steps(LEAD));
+        for step in 0..warm + lead + steps(SPAN) {
+            let now = start + BATCH_PERIOD * step as u32;
+            if step == warm + lead {
+                self.costs = Costs::default();
+                self.seat_bytes.fill(0);
+            }
+            if step >= warm {
+                self.requests(now);
+            }
+            self.tick(now + BATCH_PERIOD, step.is_multiple_of(SWEEP_TICKS));
+        }
+    }
+
+    /// Runs the requests of one batch period in the order of their times.
+    fn requests(&mut self, start: Time) {
+        let span = BATCH_PERIOD.as_micros() as u64;
+        let mean = NODE_RATE * BATCH_PERIOD.as_secs_f64() * self.nodes.len() as f64;
+        let mut events: Vec<(u64, usize, usize)> = (0..mean as usize)
+            .map(|_| {
+                let node = self.rng.random_range(0..self.nodes.len());
+                let at = self.rng.random_range(0..span);
+                (at, node, self.book.pick(&mut self.rng))
+            })
+            .collect();
+        events.sort();
+        for (at, node, account) in events {
+            self.admit(Time(start.0 + at), node, account);
+        }
+    }
+
+    fn admit(&mut self, now: Time, i: usize, account: usize) {
+        self.costs.requests += 1;
+        let holder = &mut self.nodes[i].holder;
+        let name = &self.book.names[account];
+        let (admit, asks) = timed(&mut self.costs.holder.cpu, || {
+            let admit = holder.admit(now, name);
+            let asks = match holder.has_asks() {
+                true => holder.take_asks(now),
+                false => Vec::new(),
+            };
+            (admit, asks)
+        });
+        match admit {
+            Admit::Granted => self.costs.granted += 1,
+            Admit::Refused(_) => self.costs.refused += 1,
+            Admit::Ask(_) => {}
+        }
+        self.send_asks(now, i, asks);
+    }
+
+    fn send_asks(&mut self, now: Time, from: usize, asks: Vec<Ask>) {
+        let mut due = asks;
+        // An answer may lead to further asks; a few rounds are enough for those at one instant.
+        for _ in 0..4 {
+            let mut batches: BTreeMap<NodeId, Vec<Ask>> = BTreeMap::new();
+            for ask in due {
+                let shard = Shard::of(&ask.account);
+                if let Some(owner) = self.nodes[from].holder.owner_of(&self.placement, shard) {
+                    batches.entry(owner).or_default().push(ask);
+                }
+            }
+            for (owner, asks) in batches {
+                self.ask(now, from, owner, asks);
+            }
+            let holder = &mut self.nodes[from].holder;
+            due = timed(&mut self.costs.holder.cpu, || holder.take_asks(now));
+            if due.is_empty() {
+                return;
+            }
+        }
+    }
+
+    fn ask(&mut self, now: Time, from: usize, owner: NodeId, asks: Vec<Ask>) {
+        let to = self.ids[&owner];
+        let (is_remote, id) = (to != from, NodeId(from as u64 + 1));
+        let mut request = bytes::Bytes::new();
+        timed(&mut self.costs.holder.cpu, || {
+            request = LimitRequest::Asks(asks).encode();
+        });
+        let (node, book, placement) = (&mut self.nodes[to], &self.book, &self.placement);
+        let size = request.len() as u64;
+        let reply = timed(&mut self.costs.owner.cpu, || {
+            let Ok(LimitRequest::Asks(asks)) = LimitRequest::decode(request) else {
+                unreachable!("it was encoded here");
+            };
+            let answer = |ask| node.owner.ask(now, placement, id, ask, book);
+            LimitReply::Answers(asks.iter().map(answer).collect()).encode()
+        });
+        if is_remote {
+            self.costs.holder.bytes += size;
+            self.costs.holder.messages += 1;
+            self.costs.owner.bytes += reply.len() as u64;
+            self.costs.owner.messages += 1;
+        }
+        let holder = &mut self.nodes[from].holder;
+        timed(&mut self.costs.holder.cpu, || {
+            let Ok(LimitReply::Answers(answers)) = LimitReply::decode(reply) else {
+                unreachable!("it was encoded here");
+            };
+            answers.iter().for_each(|a| holder.receive(now, a));
+        });
+        let done = holder.take_done();
+        self.costs.granted += done.iter().filter(|d| d.result.is_ok()).count() as u64;
+        self.costs.refused += done.iter().filter(|d| d.result.is_err()).count() as u64;
+    }
+
+    fn tick(&mut self, now: Time, sweep: bool) {
+        for i in 0..self.nodes.len() {
+            let holder = &mut self.nodes[i].holder;
+            let asks = timed(&mut self.costs.holder.cpu, || {
+                holder.poll(now);
+                let mut asks = holder.tick(now);
+                asks.extend(holder.take_asks(now));
+                asks
+            });
+            let done = holder.take_done();
+            self.costs.refused += done.iter().filter(|d| d.result.is_err()).count() as u64;
+            self.send_asks(now, i, asks);
+            self.claim(now, i);
+            let node = &mut self.nodes[i];
+            if sweep {
+                timed(&mut self.costs.owner.cpu, || node.owner.expire(now));
+                timed(&mut self.costs.seat.cpu, || node.seat.expire(now));
+            }
+        }
+    }
+
+    fn claim(&mut self, now: Time, i: usize) {
+        let (node, placement) = (&mut self.nodes[i], &self.placement);
+        let shards = (0..SHARD_COUNT).map(Shard);
+        let claims = timed(&mut self.costs.claims.cpu, || {
+            node.owner.claims(now, placement, shards)
+        });
+        for (seat, claim) in claims {
+            self.vote(now, i, seat, claim);
+        }
+    }
+
+    fn vote(&mut self, now: Time, from: usize, seat: SocketAddr, claim: Claim) {
+        let to = self.addrs[&seat];
+        let mut request = bytes::Bytes::new();
+        timed(&mut self.costs.claims.cpu, || {
+            request = LimitRequest::Claim(claim).encode();
+        });
+        let size = request.len() as u64;
+        let layouts = self.placement.layouts();
+        let node = &mut self.nodes[to];
+        let reply = timed(&mut self.costs.seat.cpu, || {
+            let Ok(LimitRequest::Claim(claim)) = LimitRequest::decode(request) else {
+                unreachable!("it was encoded here");
+            };
+            let ballot = node.seat.vote(now, &layouts, &claim);
+            ballot.map(|b| LimitReply::Ballot(b).encode())
+        });
+        let Some(reply) = reply else { return };
+        if to != from {
+            self.costs.claims.bytes += size;
+            self.costs.claims.messages += 1;
+            self.costs.seat.bytes += reply.len() as u64;
+            self.costs.seat.messages += 1;
+            self.seat_bytes[to] += reply.len() as u64;
+        }
+        let (node, placement) = (&mut self.nodes[from], &self.placement);
+        timed(&mut self.costs.claims.cpu, || {
+            let Ok(LimitReply::Ballot(ballot)) = LimitReply::decode(reply) else {
+                unreachable!("it was encoded here");
+            };
+            node.owner.ballot(now, placement, seat, &ballot);
+        });
+    }
+}
+
+fn row(count: usize, accounts: usize, spread: Spread) {
+    let before = resident_kb("self");
+    let mut sim = Sim::new(count, accounts, spread);
+    sim.run();
+    let grown = resident_kb("self").saturating_sub(before);
+    let rate = |n: u64| n as f64 / SPAN.as_secs_f64() / count as f64;
+    let part = |c: Cost| percent(c.cpu, SPAN) / count as f64;
+    let costs = sim.costs;
+    let busiest = sim.seat_bytes.iter().max().copied().unwrap_or(0);
+    let held: usize = sim.nodes.iter().map(|n| n.holder.account_count()).sum();
+    let buckets: usize = sim.nodes.iter().map(|n| n.owner.bucket_count()).sum();
+    let shards: usize = sim.nodes.iter().map(|n| n.owner.shard_count()).sum();
+    println!(
+        "{count:>5} {accounts:>8} {:<5} {:>6.0} {:>7.2} {:>8.0} {:>8.0} {:>7.0} {:>7.0} {:>8.0} {:>7.3} {:>7.3} {:>7.3} {:>7.3} {:>6} {:>6} {:>5} {:>6}",
+        format!("{spread:?}"),
+        rate(costs.requests),
+        costs.refused as f64 * 1_000.0 / costs.requests as f64,
+        rate(costs.holder.bytes),
+        rate(costs.owner.bytes),
+        rate(costs.holder.messages + costs.claims.messages),
+        rate(costs.claims.bytes),
+        busiest as f64 / SPAN.as_secs_f64(),
+        part(costs.holder),
+        part(costs.owner),
+        part(costs.claims),
+        part(costs.seat),
+        held / count,
+        buckets / count,
+        shards / count,
+        grown / count as u64,
+    );
+}
+
+/// Prints limits by the number of nodes and of accounts in use.
+pub fn print() -> anyhow::Result<()> {
+    println!(
+        "\nlimits of N nodes at {NODE_RATE} requests/s each; bytes, messages and % of a core by node"
+    );
+    println!(
+        "{:>5} {:>8} {:<5} {:>6} {:>7} {:>8} {:>8} {:>7} {:>7} {:>8} {:>7} {:>7} {:>7} {:>7} {:>6} {:>6} {:>5} {:>6}",
+        "nodes",
+        "accounts",
+        "use",
+        "req/s",
+        "ref/1k",
+        "ask B/s",
+        "grant B",
+        "calls/s",
+        "claim B",
+        "top seat",
+        "holder",
+        "owner",
+        "claims",
+        "seat",
+        "held",
+        "bucket",
+        "shard",
+        "kB"
+    );
+    for count in [8, 64, 192, 560] {
+        row(count, 33_000 * count / 560, Spread::Even);
+    }
+    for accounts in [1_000, 10_000] {
+        row(560, accounts, Spread::Even);
+    }
+    for count in [64, 192, 560] {
+        row(count, 33_000 * count / 560, Spread::Zipf);
+    }
+    Ok(())
+}
