--- a/examples/capacity/gossip.rs
+++ b/examples/capacity/gossip.rs
@@ -1,5 +1,6 @@
 //! Gossip of many nodes in virtual time, with every message encoded and decoded.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -27,6 +28,9 @@
 /// Requests a second to one target: 150,000 on 7,100.
 const TARGET_RATE: f64 = 21.0;
 
+/// Time between two looks of a node at its meters.
+const METER_TICK: Duration = Duration::from_millis(250);
+
 /// Least time between two registry changes, as the control leader keeps it.
 const CHANGE_ROUNDS: u64 = 13;
 
@@ -43,8 +47,8 @@
     Rest,
     /// Nothing changes and no control process answers.
     ControlAway,
-    /// Restarts at this many a day in 560 nodes.
-    Restarts(f64),
+    /// One node restarts.
+    Restart,
     /// Each target publishes its health at this rate a second.
     Load(f64),
     /// A zone is away and all its nodes start at once.
@@ -366,16 +370,7 @@
         let count = self.nodes.len();
         match event {
             Event::ControlAway => self.control = false,
-            Event::Restarts(day) => {
-                let rate = day / 86_400.0 * count as f64 / 560.0;
-                if self
-                    .rng
-                    .random_bool((rate * GOSSIP_INTERVAL.as_secs_f64()).min(1.0))
-                {
-                    let place = self.rng.random_range(0..count);
-                    self.restart(place);
-                }
-            }
+            Event::Restart if round == CHANGE_ROUNDS => self.restart(count / 2),
             Event::ZoneReturns if round == 0 => {
                 for place in (0..count).filter(|p| p.is_multiple_of(ZONES)) {
                     let old = self.nodes[place].take().expect("every node runs");
@@ -447,38 +442,94 @@
 
 /// Runs a meter at the planned rate; returns its last health.
 fn measured_health() -> Health {
-    meter_run(Duration::from_secs(60), 0.0).1
+    let plan = Service {
+        mean_ms: 20.0,
+        spread: 1.0,
+        bad: 0.0,
+    };
+    meter_run(Duration::from_secs(60), plan).1
+}
+
+/// How a target serves.
+#[derive(Clone, Copy)]
+struct Service {
+    /// Mean service time in milliseconds.
+    mean_ms: f64,
+    /// Part of the service time that is exponentially distributed; the rest is constant.
+    spread: f64,
+    /// Share of requests that fail.
+    bad: f64,
 }
 
 /// Returns how often the meter of one target publishes, and the last health.
-fn meter_run(length: Duration, bad_share: f64) -> (u64, Health) {
+fn meter_run(length: Duration, service: Service) -> (u64, Health) {
     let mut rng = StdRng::seed_from_u64(11);
-    let mut now = Time::from_millis(3_600_000);
-    let end = now + length;
-    let mut meter = Meter::new(now);
+    let start = Time::from_millis(3_600_000);
+    let mut meter = Meter::new(start);
+    let mut running: BTreeMap<(Time, u64), Verdict> = BTreeMap::new();
     let (mut published, mut last) = (0, Health::default());
-    let mut tick = now;
-    let mut attempt = 0;
-    while now < end {
+    let (mut now, mut attempt) = (start, 0);
+    let mut tick = start + METER_TICK;
+    while now < start + length {
         attempt += 1;
-        let took = Duration::from_secs_f64(-0.02 * rng.random_range(f64::EPSILON..1.0).ln());
-        meter.start(now, AttemptId(attempt));
-        let verdict = match rng.random_bool(bad_share) {
+        let gap = -rng.random_range(f64::EPSILON..1.0).ln() / TARGET_RATE;
+        now = now + Duration::from_secs_f64(gap);
+        loop {
+            let ended = running.first_key_value().map(|((at, _), _)| *at);
+            if ended.is_some_and(|at| at <= now && at <= tick) {
+                let ((at, id), verdict) = running.pop_first().expect("one is there");
+                meter.end(at, AttemptId(id), "route", verdict);
+            } else if tick <= now {
+                if let Some(health) = meter.publish(tick) {
+                    published += 1;
+                    last = health;
+                }
+                tick = tick + METER_TICK;
+            } else {
+                break;
+            }
+        }
+        let random = -rng.random_range(f64::EPSILON..1.0).ln();
+        let factor = 1.0 - service.spread + service.spread * random;
+        let took = Duration::from_secs_f64(service.mean_ms / 1_000.0 * factor);
+        let verdict = match rng.random_bool(service.bad) {
             true => Verdict::Failed,
             false => Verdict::Whole,
         };
-        meter.end(now + took, AttemptId(attempt), "route", verdict);
-        let gap = Duration::from_secs_f64(-rng.random_range(f64::EPSILON..1.0).ln() / TARGET_RATE);
-        now = now + gap;
-        while tick < now {
-            tick = tick + Duration::from_millis(250);
-            if let Some(health) = meter.publish(tick) {
-                published += 1;
-                last = health;
+        meter.start(now, AttemptId(attempt));
+        running.insert((now + took, attempt), verdict);
+    }
+    (published, last)
+}
+
+/// Prints how often meters publish; returns the mean over healthy targets.
+fn publications() -> f64 {
+    println!("\npublications of the meter of one target at {TARGET_RATE} requests/s, an hour each");
+    println!(
+        "{:>8} {:>7} {:>7} {:>9}",
+        "mean ms", "spread", "bad", "a second"
+    );
+    let hour = Duration::from_secs(3_600);
+    let (mut sum, mut count) = (0.0, 0.0);
+    for bad in [0.0, 0.01] {
+        for spread in [0.2, 1.0] {
+            for mean_ms in [10.0, 12.0, 14.0, 17.0, 20.0, 24.0, 28.0, 34.0] {
+                let service = Service {
+                    mean_ms,
+                    spread,
+                    bad,
+                };
+                let rate = meter_run(hour, service).0 as f64 / hour.as_secs_f64();
+                println!("{mean_ms:>8} {spread:>7} {bad:>7} {rate:>9.4}");
+                if bad == 0.0 {
+                    sum += rate;
+                    count += 1.0;
+                }
             }
         }
     }
-    (published, last)
+    println!("mean of healthy targets: {:.4}", sum / count);
+    sum / count
 }
 
 fn row(count: usize, event: Event, secs: u64) -> Figures {
@@ -502,15 +553,7 @@
 
 /// Prints gossip by the number of nodes and by what happens.
 pub fn print() -> anyhow::Result<()> {
-    println!("\npublications of the meter of one target at {TARGET_RATE} requests/s");
-    let hour = Duration::from_secs(3_600);
-    let mut quiet = 0.0;
-    for bad in [0.0, 0.002, 0.01] {
-        let (published, _) = meter_run(hour, bad);
-        let rate = published as f64 / hour.as_secs_f64();
-        quiet = if bad == 0.0 { rate } else { quiet };
-        println!("  {:>5.1} % bad: {rate:.4} a second", bad * 100.0);
-    }
+    let quiet = publications();
     println!("\ngossip of N nodes with {TARGETS} targets each, bytes sent a second and node");
     println!(
         "{:>6} {:<22} {:>5} {:>9} {:>10} {:>7} {:>8} {:>7} {:>9} {:>7}",
@@ -533,9 +576,9 @@
         drop(sim);
         row(count, Event::Rest, 20);
         row(count, Event::ControlAway, 20);
-        row(count, Event::Restarts(1_200.0), 72);
-        row(count, Event::Restarts(24_000.0), 36);
-        row(count, Event::Load(quiet), 20);
+        row(count, Event::Restart, 20);
+        row(count, Event::Load(1.0 / 120.0), 20);
+        row(count, Event::Load(quiet), 8);
         if count >= 64 {
             row(count, Event::ZoneReturns, 24);
             row(count, Event::RegionsMeet, 40);
