--- a/examples/capacity/fleet.rs
+++ b/examples/capacity/fleet.rs
@@ -204,7 +204,7 @@
     /// Returns the place of the leader among the control processes.
     pub fn leader(&self) -> Option<usize> {
         let leader = self.status()?.leader?;
-        self.control_links().iter().position(|addr| *addr == leader)
+        self.control_links().iter().position(|addr| addr.ip() == leader.ip())
     }
 }
 
