--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -1,7 +1,7 @@
 //! Prints what each role costs at several sizes: bytes, processor time and memory.
 //!
 //! `capacity config`, `gossip`, `limits`, `sync` or `processes` prints one table; without an
-//! argument all are printed. The last two start release builds of the daemons on loopback
+//! argument all are printed; `gossip 192` prints the rows of one size. The last two start release builds of the daemons on loopback
 //! addresses, so `cargo build --release --bins --examples` must have run before.
 
 #[path = "capacity/content.rs"]
--- a/examples/capacity/fleet.rs
+++ b/examples/capacity/fleet.rs
@@ -204,7 +204,9 @@
     /// Returns the place of the leader among the control processes.
     pub fn leader(&self) -> Option<usize> {
         let leader = self.status()?.leader?;
-        self.control_links().iter().position(|addr| addr.ip() == leader.ip())
+        self.control_links()
+            .iter()
+            .position(|addr| addr.ip() == leader.ip())
     }
 }
 
