Tell the fleet of a median only when it has doubled

A healthy target whose median lies at the edge of two bands published its health at each chance step between them. One publication is a record of the whole node, which every node passes on.

--- a/src/route/health.rs
+++ b/src/route/health.rs
@@ -283,7 +283,7 @@
         let health = self.health(now);
         let level = Level::of(&health, self.usual_band());
         let due = match &self.published {
-            Some((last, old)) => *old != level || now.since(*last) >= REFRESH,
+            Some((last, old)) => old.differs(&level) || now.since(*last) >= REFRESH,
             None => true,
         };
         if !due {
@@ -406,13 +406,29 @@
             long_bad: count_step(health.long.bad()),
             recent_slow: slow_step(&health.recent),
             long_slow: slow_step(&health.long),
-            median: median_band(&health.long).unwrap_or(0) / 2,
+            median: median_band(&health.long).unwrap_or(0),
             sample: health.long.requests.min(ENOUGH) / SAMPLE_STEP,
             worst: health.worst.as_ref().map(|w| w.kind.clone()),
         }
     }
+
+    /// Returns true if `next` is worth telling after this level.
+    ///
+    /// A median near the edge of two bands moves between them by chance, so that it must move by
+    /// [`MEDIAN_STEP`] bands from what was told.
+    fn differs(&self, next: &Level) -> bool {
+        let moved = self.median.abs_diff(next.median) >= MEDIAN_STEP;
+        let others = Level {
+            median: self.median,
+            ..next.clone()
+        };
+        moved || *self != others
+    }
 }
 
+/// Bands by which a median moves before it is told: a doubling.
+const MEDIAN_STEP: usize = 2;
+
 /// Requests that make one step of the sample size.
 const SAMPLE_STEP: u32 = 50;
 
