Wait until every node is registered before control faults are tested

cut_off_node failed when the first registry change held one node only and the control processes were killed before the next, 5 s later. A node that is the whole registry is current by itself, since nothing is accepted without it, so its answer was right; the test had started too early.

--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -21,9 +21,12 @@
 
 use anyhow::bail;
 
+/// The name of a table and what prints it.
+type Table = (&'static str, fn() -> anyhow::Result<()>);
+
 fn main() -> anyhow::Result<()> {
     let wanted = std::env::args().nth(1);
-    let tables: [(&str, fn() -> anyhow::Result<()>); 5] = [
+    let tables: [Table; 5] = [
         ("config", content::print),
         ("gossip", gossip::print),
         ("limits", limits::print),
--- a/src/fleet/table.rs
+++ b/src/fleet/table.rs
@@ -129,16 +129,13 @@
     /// Takes in a record that a digest showed to be missing; returns true if it is news.
     ///
     /// The first record of a node is not passed on then: the others had it before this one, and a
-    /// node that has just started would push the whole table to peers that hold it.
+    /// node that has just started would name the whole table to peers that hold it.
     pub fn catch_up(&mut self, published: Published) -> bool {
         let node = published.record.node;
         let is_known = self.held.contains_key(&node);
         let is_news = self.merge(published);
-        if is_news
-            && !is_known
-            && let Some(held) = self.held.get_mut(&node)
-        {
-            held.pushes = 0;
+        if is_news && !is_known {
+            self.recent.remove(&node);
         }
         is_news
     }
--- a/tests/processes/whole_path.rs
+++ b/tests/processes/whole_path.rs
@@ -1,5 +1,7 @@
 //! The whole path with separate processes: note, nodes, key, target.
 
+use laburnumtide::control::api::Status;
+
 use crate::caller::{call, call_with_key};
 use crate::fleet::{Fleet, eventually};
 use crate::notes::{OFFICE_KEY, YARD_KEY, sample_note};
@@ -15,6 +17,13 @@
     fleet.start_target(2, "records");
     let output = fleet.submit(&sample_note());
     assert_eq!(output.status.code(), Some(0), "{output:?}");
+    // Nodes that come a moment later are registered with the next change, some seconds after.
+    eventually("every node is registered and current", || {
+        let output = fleet.ctl(&["--json", "status"]);
+        let status = serde_json::from_slice::<Status>(&output.stdout);
+        status
+            .is_ok_and(|s| s.nodes.len() == 3 && s.nodes.iter().all(|n| n.position >= s.committed))
+    });
     for node in 0..3 {
         eventually("a keyed request is answered", || is_served(&fleet, node));
     }
