--- a/src/fleet/table.rs
+++ b/src/fleet/table.rs
@@ -3,24 +3,32 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::record::NodeRecord;
 use super::registry::Registry;
 use crate::ids::NodeId;
+use crate::time::Time;
 
-/// How many messages carry a changed record on before it counts as spread.
+/// How long a question names a changed record.
 ///
-/// With two messages in each of four exchanges a round, a change has reached nearly every one of
-/// 560 nodes by then; digests find the rest.
-const PUSHES: u8 = 12;
+/// It is longer than [`SENT_FOR`] by more than the time in which a change spreads, so that a peer
+/// seldom sends a record that is here already.
+const NAMED_FOR: Duration = Duration::from_millis(2_400);
+
+/// How long answers bring a changed record along; digests find what is missed.
+const SENT_FOR: Duration = Duration::from_millis(1_200);
+
+/// How long a record that was asked for is not asked for again.
+const WANTED_AGAIN: Duration = Duration::from_millis(800);
 
 /// Most records in one message.
 pub const RECORDS_MAX: usize = 64;
 
 /// Most records in a table.
-const TABLE_MAX: usize = 2_048;
+pub const TABLE_MAX: usize = 2_048;
 
 /// How many removed nodes are remembered; a day has about 1,300.
 const RETIRED_MAX: usize = 4_096;
@@ -47,25 +55,28 @@
     pub version: u64,
 }
 
-#[derive(Clone, Debug)]
-struct Held {
-    published: Arc<Published>,
-    pushes: u8,
+fn known(published: &Published) -> Known {
+    Known {
+        node: published.record.node,
+        version: published.record.version,
+    }
 }
 
 /// The records of all nodes; a record that was registered once and is removed never returns.
 #[derive(Clone, Debug)]
 pub struct Records {
     me: NodeId,
-    held: BTreeMap<NodeId, Held>,
+    held: BTreeMap<NodeId, Arc<Published>>,
+    /// Records that changed lately, and when; the time is stated with the next message.
+    recent: BTreeMap<NodeId, Option<Time>>,
     addrs: BTreeMap<SocketAddr, NodeId>,
     registered: BTreeSet<NodeId>,
     retired: BTreeSet<NodeId>,
     retired_order: VecDeque<NodeId>,
     /// The exclusive or of the hashes of all nodes and versions.
     hash: u64,
-    /// Where the search for records to pass on goes on.
-    cursor: NodeId,
+    /// Records that peers were asked for, and when.
+    asked: BTreeMap<NodeId, Time>,
 }
 
 impl Records {
@@ -74,12 +85,13 @@
         Records {
             me,
             held: BTreeMap::new(),
+            recent: BTreeMap::new(),
             addrs: BTreeMap::new(),
             registered: BTreeSet::new(),
             retired: BTreeSet::new(),
             retired_order: VecDeque::new(),
             hash: 0,
-            cursor: NodeId(0),
+            asked: BTreeMap::new(),
         }
     }
 
@@ -90,12 +102,12 @@
 
     /// Lists the records, sorted by node.
     pub fn iter(&self) -> impl ExactSizeIterator<Item = &Arc<Published>> {
-        self.held.values().map(|h| &h.published)
+        self.held.values()
     }
 
     /// Returns the record of `node`.
     pub fn get(&self, node: NodeId) -> Option<&Arc<Published>> {
-        self.held.get(&node).map(|h| &h.published)
+        self.held.get(&node)
     }
 
     /// Puts the own record in; its version must grow.
@@ -114,10 +126,24 @@
         self.put(published)
     }
 
+    /// Takes in a record that a digest showed to be missing; returns true if it is news.
+    ///
+    /// The first record of a node is not passed on then: the others had it before this one, and a
+    /// node that has just started would name the whole table to peers that hold it.
+    pub fn catch_up(&mut self, published: Published) -> bool {
+        let node = published.record.node;
+        let is_known = self.held.contains_key(&node);
+        let is_news = self.merge(published);
+        if is_news && !is_known {
+            self.recent.remove(&node);
+        }
+        is_news
+    }
+
     fn put(&mut self, published: Published) -> bool {
         let node = published.record.node;
         if let Some(held) = self.held.get(&node)
-            && held.published.record.version >= published.record.version
+            && held.record.version >= published.record.version
         {
             return false;
         }
@@ -125,7 +151,7 @@
             && other != node
         {
             let rank = |p: &Published| (p.started, p.record.node);
-            let is_later = |h: &Held| rank(&h.published) > rank(&published);
+            let is_later = |p: &Arc<Published>| rank(p) > rank(&published);
             if node != self.me && self.held.get(&other).is_some_and(is_later) {
                 return false;
             }
@@ -137,18 +163,16 @@
         }
         self.hash ^= hash(node, published.record.version);
         self.addrs.insert(published.addr, node);
-        let held = Held {
-            published: Arc::new(published),
-            pushes: PUSHES,
-        };
-        self.held.insert(node, held);
+        self.recent.insert(node, None);
+        self.held.insert(node, Arc::new(published));
         true
     }
 
     fn remove(&mut self, node: NodeId) {
         if let Some(held) = self.held.remove(&node) {
-            self.hash ^= hash(node, held.published.record.version);
-            self.addrs.remove(&held.published.addr);
+            self.hash ^= hash(node, held.record.version);
+            self.addrs.remove(&held.addr);
+            self.recent.remove(&node);
         }
     }
 
@@ -175,33 +199,46 @@
         self.registered = next;
     }
 
-    /// Returns records that changed lately, to be passed on, at most [`RECORDS_MAX`].
-    pub fn rumors(&mut self) -> Vec<Arc<Published>> {
-        let mut rumors = Vec::new();
-        let start = self.cursor;
-        let mut take = |node: &NodeId, held: &mut Held| {
-            if held.pushes > 0 && rumors.len() < RECORDS_MAX {
-                held.pushes -= 1;
-                rumors.push(Arc::clone(&held.published));
-                self.cursor = *node;
-            }
+    /// Returns the versions of records that changed lately.
+    ///
+    /// A node hears of each change many times and needs the record once, so records travel only to
+    /// those who don't name them.
+    pub fn news(&mut self, now: Time) -> Vec<Known> {
+        self.date(now);
+        let nodes = self.recent.keys();
+        let news = nodes.filter_map(|node| self.held.get(node));
+        news.map(|p| known(p)).collect()
+    }
+
+    /// Returns records that changed lately and that a peer doesn't name, at most [`RECORDS_MAX`].
+    pub fn fresh_for(&mut self, now: Time, named: &[Known]) -> Vec<Arc<Published>> {
+        self.date(now);
+        let named: BTreeMap<NodeId, u64> = named.iter().map(|k| (k.node, k.version)).collect();
+        let is_fresh = |time: &Option<Time>| time.is_some_and(|t| now.since(t) < SENT_FOR);
+        let fresh = self.recent.iter().filter(|(_, time)| is_fresh(time));
+        let fresh = fresh.filter_map(|(node, _)| self.held.get(node));
+        let is_missing = |p: &&Arc<Published>| {
+            let version = named.get(&p.record.node);
+            version.is_none_or(|v| *v < p.record.version)
         };
-        for (node, held) in self.held.range_mut(start..) {
-            take(node, held);
-        }
-        for (node, held) in self.held.range_mut(..start) {
-            take(node, held);
-        }
-        rumors
+        fresh
+            .filter(is_missing)
+            .take(RECORDS_MAX)
+            .cloned()
+            .collect()
+    }
+
+    /// Dates the changes since the last message and forgets those of long ago.
+    fn date(&mut self, now: Time) {
+        self.recent.retain(|_, time| {
+            let changed = *time.get_or_insert(now);
+            now.since(changed) < NAMED_FOR
+        });
     }
 
     /// Returns the versions of all records.
     pub fn digest(&self) -> Vec<Known> {
-        let known = |h: &Held| Known {
-            node: h.published.record.node,
-            version: h.published.record.version,
-        };
-        self.held.values().map(known).collect()
+        self.held.values().map(|p| known(p)).collect()
     }
 
     /// Returns records that are newer here than in `digest`, at most [`RECORDS_MAX`].
@@ -218,15 +255,20 @@
             .collect()
     }
 
-    /// Returns the nodes whose records are newer in `digest` than here, at most [`RECORDS_MAX`].
-    pub fn older_than(&self, digest: &[Known]) -> Vec<NodeId> {
-        let is_older = |k: &&Known| {
+    /// Returns the nodes whose records are newer in `known` than here, at most [`RECORDS_MAX`].
+    ///
+    /// A record that was asked for a moment ago is left out, as several peers name it at once.
+    pub fn wanted(&mut self, now: Time, known: &[Known]) -> Vec<NodeId> {
+        self.asked.retain(|_, time| now.since(*time) < WANTED_AGAIN);
+        let is_news = |k: &&Known| {
             let held = self.get(k.node).map(|p| p.record.version);
             let barred = k.node == self.me || self.retired.contains(&k.node);
-            !barred && held.is_none_or(|v| v < k.version)
+            !barred && !self.asked.contains_key(&k.node) && held.is_none_or(|v| v < k.version)
         };
-        let older = digest.iter().filter(is_older).take(RECORDS_MAX);
-        older.map(|k| k.node).collect()
+        let wanted = known.iter().filter(is_news).take(RECORDS_MAX);
+        let wanted: Vec<NodeId> = wanted.map(|k| k.node).collect();
+        self.asked.extend(wanted.iter().map(|node| (*node, now)));
+        wanted
     }
 
     /// Returns the records of `nodes`, at most [`RECORDS_MAX`].
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -7,6 +7,7 @@
 pub mod frame;
 pub mod limit;
 pub mod link;
+mod records;
 pub mod registry;
 pub mod repeat;
 pub mod replica;
