State the measured size of the records of idempotency keys

A scratch program filled a keeper with 200,000 records of 8 accounts with keys of 36 bytes: VmRSS grew by 27,100 KiB (debug build).

--- a/src/repeat/keeper.rs
+++ b/src/repeat/keeper.rs
@@ -18,7 +18,7 @@
 }
 
 impl Default for Capacity {
-    /// About 50 MB of records with keys of usual length, well inside the 128 MB of a node.
+    /// 200,000 records with keys of 36 bytes take 27 MiB, well inside the 128 MB of a node.
     fn default() -> Self {
         Capacity {
             records: 200_000,
