Send the next digest at once while a node misses many records

A digest brings at most 64 records and went out every 2 s, so a node that starts knew all targets of 560 nodes only after 17 s, although it was ready for requests after half a second. It now asks again in the next round while an answer brings 32 or more unknown nodes. Changes of known nodes don't count, so that load does not bring more digests.

The other way, more records in an answer, was not tried: the burst in a second would grow with it.

--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -8,7 +8,7 @@
 use rand::seq::IndexedRandom;
 
 use super::registry::{Member, Registry, RegistryChange, RegistryLog};
-use super::table::{Known, Published, Records};
+use super::table::{Known, Published, RECORDS_MAX, Records};
 use crate::error::Result;
 use crate::freshness::{Ages, Evidence};
 use crate::ids::NodeId;
@@ -24,6 +24,10 @@
 /// Shortest time between two digests that a node sends, since one takes about 6 kB.
 pub const DIGEST_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Unknown nodes in one answer from which a node is taken to have just started; it then sends its
+/// next digest at once, or 560 nodes would take 9 intervals to learn.
+const BEHIND_RECORDS: usize = RECORDS_MAX / 2;
+
 /// Names a question, so that its answer can be dated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Question {
@@ -222,7 +226,8 @@
         // A digest goes to one of the peers that are asked at that time; the other answers of the
         // round lose nothing, since their senders go on to push what they know.
         match self.last_digest == Some(sent) {
-            true => self.catch_up(&answer.records),
+            true if self.catch_up(&answer.records) >= BEHIND_RECORDS => self.last_digest = None,
+            true => {}
             false => self.merge(&answer.records),
         }
         if from != self.me {
@@ -245,10 +250,13 @@
         self.catch_up(&push.records);
     }
 
-    fn catch_up(&mut self, records: &[Arc<Published>]) {
+    /// Takes in what a digest showed to be missing; returns how many nodes were unknown.
+    fn catch_up(&mut self, records: &[Arc<Published>]) -> usize {
+        let mut firsts = 0;
         for published in records {
-            self.records.catch_up((**published).clone());
+            firsts += usize::from(self.records.catch_up((**published).clone()));
         }
+        firsts
     }
 
     fn merge(&mut self, records: &[Arc<Published>]) {
--- a/src/fleet/table.rs
+++ b/src/fleet/table.rs
@@ -114,21 +114,19 @@
         self.put(published)
     }
 
-    /// Takes in a record that a digest showed to be missing; returns true if it is news.
+    /// Takes in a record that a digest showed to be missing; returns true if it is the first one of
+    /// its node.
     ///
     /// The first record of a node is not passed on then: the others had it before this one, and a
     /// node that has just started would push the whole table to peers that hold it.
     pub fn catch_up(&mut self, published: Published) -> bool {
         let node = published.record.node;
         let is_known = self.held.contains_key(&node);
-        let is_news = self.merge(published);
-        if is_news
-            && !is_known
-            && let Some(held) = self.held.get_mut(&node)
-        {
+        let is_first = self.merge(published) && !is_known;
+        if is_first && let Some(held) = self.held.get_mut(&node) {
             held.pushes = 0;
         }
-        is_news
+        is_first
     }
 
     fn put(&mut self, published: Published) -> bool {
