--- a/src/fleet/roll.rs
+++ b/src/fleet/roll.rs
@@ -14,6 +14,15 @@
 /// become as many rounds when they come in waves.
 pub const CHANGE_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Time without a further new node after which those that have come are registered.
+///
+/// Nodes that start together then join together. Otherwise the first would be the whole registry,
+/// and the change that adds the others would move its seats and owners a few seconds later.
+const GATHER_QUIET: Duration = Duration::from_millis(500);
+
+/// Longest time that a new node waits for others.
+const GATHER_MAX: Duration = Duration::from_secs(2);
+
 /// How long a registered node may be silent before it is removed.
 ///
 /// A rack that loses power for longer would otherwise weigh on every majority.
@@ -44,6 +53,8 @@
 pub struct Roll {
     seen: BTreeMap<SocketAddr, Seen>,
     last_change: Option<Time>,
+    /// Since when new nodes wait to be registered.
+    gathering: Option<Time>,
 }
 
 impl Roll {
@@ -106,18 +117,16 @@
     ///
     /// A caller proposes nothing more before the change is committed.
     pub fn propose(&mut self, now: Time, registry: &Registry) -> Option<RegistryChange> {
+        let is_alive = |seen: &&Seen| now.since(seen.alive) < SILENCE_MAX;
+        let is_new = |s: &&Seen| s.sighted && is_alive(s) && registry.get(s.member.id).is_none();
+        let new: Vec<&Seen> = self.seen.values().filter(is_new).collect();
+        let newest = new.iter().map(|s| s.since).max();
+        let mut joined: Vec<Member> = new.into_iter().map(|s| s.member.clone()).collect();
+        joined.sort_by_key(|m| m.id);
         let is_due = |last: Time| now.since(last) >= CHANGE_INTERVAL;
-        if !self.last_change.is_none_or(is_due) {
+        if self.is_gathering(now, newest) || !self.last_change.is_none_or(is_due) {
             return None;
         }
-        let is_alive = |seen: &&Seen| now.since(seen.alive) < SILENCE_MAX;
-        let joined = self.seen.values().filter(|s| s.sighted && is_alive(s));
-        let mut joined: Vec<Member> = joined
-            .map(|seen| &seen.member)
-            .filter(|m| registry.get(m.id).is_none())
-            .cloned()
-            .collect();
-        joined.sort_by_key(|m| m.id);
         let stays = |m: &&Member| {
             let seen = self.seen.get(&m.addr);
             seen.is_some_and(|s| s.member.id == m.id && is_alive(&s))
@@ -129,6 +138,18 @@
             return None;
         }
         self.last_change = Some(now);
+        self.gathering = None;
         Some(change)
     }
+
+    /// Returns true if more nodes may be about to join with those that wait; `newest` is when the
+    /// last of them came.
+    fn is_gathering(&mut self, now: Time, newest: Option<Time>) -> bool {
+        let Some(newest) = newest else {
+            self.gathering = None;
+            return false;
+        };
+        let since = *self.gathering.get_or_insert(newest);
+        now.since(newest) < GATHER_QUIET && now.since(since) < GATHER_MAX
+    }
 }
