List the small accounts of the rate limits as red

At 90 % of 10/s with a burst of 20, 3.0 of 1,000 requests are refused beyond those that one ideal bucket refuses; the bound is 1.0.

--- a/tests/limit_figures.rs
+++ b/tests/limit_figures.rs
@@ -195,3 +195,18 @@
         assert!(alone.take(at(110), 3, 500) <= 20);
     }
 }
+
+/// Guards the small accounts, whose burst of 20 tokens is not many more than there are nodes.
+#[test]
+fn small_accounts_served() {
+    let plan = Plan {
+        rates: vec![20, 20, 10, 10],
+        percent: vec![90; 4],
+        ..deployment(18, 4, 90)
+    };
+    let worst = run_seeds(&plan, 8, 0, plan.span).worst();
+    assert!(
+        worst <= STEADY_BOUND,
+        "{worst} in 1,000 at 20 and 10 a second"
+    );
+}
