Keep ended attempts one by one in the meter

The long window never needs more than 100 requests or 2 s, so buckets over 60 s only cost time: each publication merged up to 240 of them.

--- a/src/route/health.rs
+++ b/src/route/health.rs
@@ -30,9 +30,6 @@
     }
 }
 
-/// Length of one bucket.
-const BUCKET: Duration = Duration::from_millis(250);
-
 /// Length of the short window.
 const RECENT: Duration = Duration::from_secs(2);
 
@@ -85,29 +82,11 @@
             Verdict::TimedOut => self.timeouts += 1,
             Verdict::Cut => self.cuts += 1,
         }
-        // A failed or cut answer says nothing about the service time, but a timeout does.
-        if !matches!(ended.verdict, Verdict::Failed | Verdict::Cut) {
+        if ended.has_latency() {
             self.latency[ended.band] += 1;
         }
     }
 
-    /// Takes away the latency counts of a window that is dropped.
-    fn forget(&mut self, old: &Tally) {
-        for (sum, n) in self.latency.iter_mut().zip(&old.latency) {
-            *sum -= n;
-        }
-    }
-
-    fn merge(&mut self, other: &Tally) {
-        self.requests += other.requests;
-        self.failures += other.failures;
-        self.timeouts += other.timeouts;
-        self.cuts += other.cuts;
-        for (sum, n) in self.latency.iter_mut().zip(&other.latency) {
-            *sum += n;
-        }
-    }
-
     fn window(&self, span: Duration) -> Window {
         let used = self.latency.iter().rposition(|n| *n > 0);
         Window {
@@ -121,12 +100,6 @@
     }
 }
 
-#[derive(Clone, Debug)]
-struct Bucket {
-    start: Time,
-    count: Tally,
-}
-
 #[derive(Clone, Copy, Debug, Default)]
 struct Count {
     requests: u32,
@@ -205,22 +178,29 @@
 #[derive(Clone, Copy, Debug)]
 struct Ended {
     since: Time,
+    at: Time,
     band: usize,
     verdict: Verdict,
 }
 
-/// Ended attempts that are kept one by one.
-const ENDED_MAX: usize = 256;
+impl Ended {
+    /// Returns true if the attempt tells a service time; a failed or cut answer does not.
+    fn has_latency(&self) -> bool {
+        !matches!(self.verdict, Verdict::Failed | Verdict::Cut)
+    }
+}
+
+/// Most ended attempts that are kept; a target of 2,000 requests/s fills the short window.
+const ENDED_MAX: usize = 4_096;
 
 /// Measures the requests to one target at its egress.
 #[derive(Clone, Debug)]
 pub struct Meter {
-    buckets: VecDeque<Bucket>,
-    /// Sum of the latency counts of all buckets.
-    latency: Tally,
     running: Vec<(AttemptId, Time)>,
-    /// The last attempts that ended, for the stall window.
+    /// Attempts that ended, the oldest first.
     ended: VecDeque<Ended>,
+    /// Sum of the latency of all kept attempts.
+    latency: [u32; LATENCY_BANDS],
     kinds: Kinds,
     published: Option<(Time, Level)>,
 }
@@ -229,10 +209,9 @@
     /// Creates a meter without samples.
     pub fn new(now: Time) -> Meter {
         Meter {
-            buckets: VecDeque::new(),
-            latency: Tally::default(),
             running: Vec::new(),
             ended: VecDeque::new(),
+            latency: [0; LATENCY_BANDS],
             kinds: Kinds {
                 since: now,
                 ..Kinds::default()
@@ -258,16 +237,16 @@
         }
         let ended = Ended {
             since,
+            at: now,
             band,
             verdict,
         };
         self.kinds.add(now, kind, verdict.is_bad());
-        self.bucket(now).count.add(&ended);
-        self.latency.add(&ended);
-        if self.ended.len() == ENDED_MAX {
-            self.ended.pop_front();
+        if ended.has_latency() {
+            self.latency[band] += 1;
         }
         self.ended.push_back(ended);
+        self.drop_old(now);
     }
 
     /// Returns what was measured up to `now`.
@@ -304,47 +283,33 @@
         Some(health)
     }
 
-    fn bucket(&mut self, now: Time) -> &mut Bucket {
-        let start = Time(now.0 - now.0 % BUCKET.as_micros() as u64);
-        let is_new = self.buckets.back().is_none_or(|b| b.start < start);
-        if is_new {
-            self.drop_old(now);
-            self.buckets.push_back(Bucket {
-                start,
-                count: Tally::default(),
-            });
-        }
-        let last = self.buckets.len() - 1;
-        &mut self.buckets[last]
-    }
-
+    /// Drops attempts that neither window needs any more.
     fn drop_old(&mut self, now: Time) {
-        while let Some(first) = self.buckets.front()
-            && now.since(first.start) > LONGEST
-        {
-            self.latency.forget(&first.count);
-            self.buckets.pop_front();
+        while let Some(first) = self.ended.front() {
+            let age = now.since(first.at);
+            let is_spare = self.ended.len() > ENOUGH as usize && age > RECENT;
+            if !is_spare && age <= LONGEST && self.ended.len() <= ENDED_MAX {
+                break;
+            }
+            if first.has_latency() {
+                self.latency[first.band] -= 1;
+            }
+            self.ended.pop_front();
         }
     }
 
     /// Returns the span back to which at least [`ENOUGH`] requests ended.
     fn long_span(&self, now: Time) -> Duration {
-        let mut seen = 0;
-        for bucket in self.buckets.iter().rev() {
-            seen += bucket.count.requests;
-            if seen >= ENOUGH {
-                return now.since(bucket.start).clamp(RECENT, LONGEST);
-            }
-        }
-        LONGEST
+        let first = self.ended.iter().rev().nth(ENOUGH as usize - 1);
+        first.map_or(LONGEST, |e| now.since(e.at).clamp(RECENT, LONGEST))
     }
 
     /// Returns the window of the last `span`, with the running requests that are already slow.
     fn window(&self, now: Time, span: Duration) -> Window {
         let mut sum = Tally::default();
-        let within = |b: &&Bucket| b.start + span >= now;
-        for bucket in self.buckets.iter().rev().take_while(within) {
-            sum.merge(&bucket.count);
+        let within = |e: &&Ended| e.at + span >= now;
+        for ended in self.ended.iter().rev().take_while(within) {
+            sum.add(ended);
         }
         for (_, band) in self.overdue(now) {
             sum.latency[band] += 1;
@@ -383,7 +348,11 @@
 
     /// Returns the band of the median over everything that is kept.
     fn usual_band(&self) -> Option<usize> {
-        median_band(&self.latency.window(LONGEST))
+        let all = Window {
+            latency: self.latency.to_vec(),
+            ..Window::default()
+        };
+        median_band(&all)
     }
 
     /// Returns the band from which a request counts as slow before it has ended.
