--- a/src/wire/fleet.rs
+++ b/src/wire/fleet.rs
@@ -6,14 +6,14 @@
 use prost::{Message, Oneof};
 
 use crate::error::{Error, Result};
-use crate::fleet::{
-    Answer, Ask, Health, KindHealth, Known, LATENCY_BANDS, NodeRecord, Published, Push, Question,
-    Relayed, TargetRecord, TargetState, Window,
-};
+use crate::fleet::registry::MEMBERS_MAX;
+use crate::fleet::table::{RECORDS_MAX, TABLE_MAX};
+use crate::fleet::{Answer, Ask, Known, Published, Push, Question, Relayed};
 use crate::freshness::Ages;
 use crate::ids::NodeId;
 use crate::time::Time;
-use crate::units::{Position, Slots};
+use crate::units::Position;
+use crate::wire::records::{PublishedRecord, check_count};
 
 /// A message of a gossip exchange.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -52,8 +52,8 @@
     position: u64,
     #[prost(fixed64, tag = "4")]
     hash: u64,
-    #[prost(message, repeated, tag = "5")]
-    records: Vec<PublishedRecord>,
+    #[prost(message, optional, tag = "5")]
+    news: Option<DigestRecord>,
     #[prost(message, optional, tag = "6")]
     digest: Option<DigestRecord>,
 }
@@ -106,80 +106,6 @@
     records: Vec<PublishedRecord>,
 }
 
-#[derive(Clone, PartialEq, Message)]
-struct PublishedRecord {
-    #[prost(string, tag = "1")]
-    addr: String,
-    #[prost(uint64, tag = "2")]
-    started: u64,
-    #[prost(fixed64, tag = "3")]
-    node: u64,
-    #[prost(uint64, tag = "4")]
-    version: u64,
-    #[prost(string, tag = "5")]
-    zone: String,
-    #[prost(bool, tag = "6")]
-    leaving: bool,
-    #[prost(message, repeated, tag = "7")]
-    targets: Vec<TargetMessage>,
-}
-
-#[derive(Clone, PartialEq, Message)]
-struct TargetMessage {
-    #[prost(string, tag = "1")]
-    name: String,
-    #[prost(string, tag = "2")]
-    service: String,
-    #[prost(string, tag = "3")]
-    addr: String,
-    #[prost(uint32, tag = "4")]
-    slots: u32,
-    #[prost(uint32, tag = "5")]
-    connections: u32,
-    #[prost(enumeration = "StateKind", tag = "6")]
-    state: i32,
-    #[prost(message, optional, tag = "7")]
-    recent: Option<WindowRecord>,
-    #[prost(message, optional, tag = "8")]
-    long: Option<WindowRecord>,
-    #[prost(message, optional, tag = "9")]
-    worst: Option<KindRecord>,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
-#[repr(i32)]
-enum StateKind {
-    Cold = 0,
-    Ready = 1,
-    Draining = 2,
-}
-
-#[derive(Clone, PartialEq, Message)]
-struct WindowRecord {
-    #[prost(uint32, tag = "1")]
-    span_ms: u32,
-    #[prost(uint32, tag = "2")]
-    requests: u32,
-    #[prost(uint32, tag = "3")]
-    failures: u32,
-    #[prost(uint32, tag = "4")]
-    timeouts: u32,
-    #[prost(uint32, tag = "5")]
-    cuts: u32,
-    #[prost(uint32, repeated, tag = "6")]
-    latency: Vec<u32>,
-}
-
-#[derive(Clone, PartialEq, Message)]
-struct KindRecord {
-    #[prost(string, tag = "1")]
-    kind: String,
-    #[prost(uint32, tag = "2")]
-    requests: u32,
-    #[prost(uint32, tag = "3")]
-    bad: u32,
-}
-
 fn malformed() -> Error {
     Error::invalid("malformed gossip message")
 }
@@ -217,17 +143,14 @@
 
 impl From<&Ask> for AskRecord {
     fn from(ask: &Ask) -> AskRecord {
-        let digest = ask.digest.as_ref().map(|known| DigestRecord {
-            nodes: known.iter().map(|k| k.node.0).collect(),
-            versions: known.iter().map(|k| k.version).collect(),
-        });
+        let news = (!ask.news.is_empty()).then(|| pack_known(&ask.news));
         AskRecord {
             from: ask.question.from.0,
             sent: ask.question.sent.0,
             position: ask.position.0,
             hash: ask.hash,
-            records: publish_all(&ask.records),
-            digest,
+            news,
+            digest: ask.digest.as_ref().map(|known| pack_known(known)),
         }
     }
 }
@@ -237,8 +160,8 @@
         question: read_question(r.from, r.sent),
         position: Position(r.position),
         hash: r.hash,
-        records: read_all(r.records)?,
-        digest: r.digest.map(read_digest).transpose()?,
+        news: r.news.map_or(Ok(Vec::new()), read_known)?,
+        digest: r.digest.map(read_known).transpose()?,
     })
 }
 
@@ -249,7 +172,15 @@
     }
 }
 
-fn read_digest(r: DigestRecord) -> Result<Vec<Known>> {
+fn pack_known(known: &[Known]) -> DigestRecord {
+    DigestRecord {
+        nodes: known.iter().map(|k| k.node.0).collect(),
+        versions: known.iter().map(|k| k.version).collect(),
+    }
+}
+
+fn read_known(r: DigestRecord) -> Result<Vec<Known>> {
+    check_count(r.nodes.len(), TABLE_MAX)?;
     if r.nodes.len() != r.versions.len() {
         return Err(malformed());
     }
@@ -287,6 +218,8 @@
 }
 
 fn read_answer(r: AnswerRecord) -> Result<Answer> {
+    check_count(r.ages.len(), MEMBERS_MAX)?;
+    check_count(r.wanted.len(), RECORDS_MAX)?;
     let entries = r.entries.into_iter().map(|e| Relayed {
         position: Position(e.position),
         entry: e.entry,
@@ -308,118 +241,12 @@
 }
 
 fn publish_all(records: &[Arc<Published>]) -> Vec<PublishedRecord> {
-    records.iter().map(|p| publish(p)).collect()
-}
-
-fn publish(p: &Published) -> PublishedRecord {
-    PublishedRecord {
-        addr: p.addr.to_string(),
-        started: p.started,
-        node: p.record.node.0,
-        version: p.record.version,
-        zone: p.record.zone.to_string(),
-        leaving: p.record.leaving,
-        targets: p.record.targets.iter().map(Into::into).collect(),
-    }
+    let records = records.iter();
+    records.map(|p| PublishedRecord::from(&**p)).collect()
 }
 
 fn read_all(records: Vec<PublishedRecord>) -> Result<Vec<Arc<Published>>> {
-    records
-        .into_iter()
-        .map(|r| read_published(r).map(Arc::new))
-        .collect()
-}
-
-fn read_published(r: PublishedRecord) -> Result<Published> {
-    let targets = r.targets.into_iter().map(read_target);
-    Ok(Published {
-        addr: r.addr.parse().map_err(|_| malformed())?,
-        started: r.started,
-        record: NodeRecord {
-            node: NodeId(r.node),
-            version: r.version,
-            zone: r.zone.parse()?,
-            leaving: r.leaving,
-            targets: targets.collect::<Result<_>>()?,
-        },
-    })
-}
-
-impl From<&TargetRecord> for TargetMessage {
-    fn from(t: &TargetRecord) -> TargetMessage {
-        let state = match t.state {
-            TargetState::Cold => StateKind::Cold,
-            TargetState::Ready => StateKind::Ready,
-            TargetState::Draining => StateKind::Draining,
-        };
-        let worst = t.health.worst.as_ref().map(|w| KindRecord {
-            kind: w.kind.clone(),
-            requests: w.requests,
-            bad: w.bad,
-        });
-        TargetMessage {
-            name: t.name.to_string(),
-            service: t.service.to_string(),
-            addr: t.addr.to_string(),
-            slots: t.slots.0,
-            connections: t.connections,
-            state: state as i32,
-            recent: Some((&t.health.recent).into()),
-            long: Some((&t.health.long).into()),
-            worst,
-        }
-    }
-}
-
-fn read_target(r: TargetMessage) -> Result<TargetRecord> {
-    let state = match r.state() {
-        StateKind::Cold => TargetState::Cold,
-        StateKind::Ready => TargetState::Ready,
-        StateKind::Draining => TargetState::Draining,
-    };
-    let worst = r.worst.map(|w| KindHealth {
-        kind: w.kind,
-        requests: w.requests,
-        bad: w.bad,
-    });
-    Ok(TargetRecord {
-        name: r.name.parse()?,
-        service: r.service.parse()?,
-        addr: r.addr.parse().map_err(|_| malformed())?,
-        slots: Slots(r.slots),
-        connections: r.connections,
-        state,
-        health: Health {
-            recent: read_window(r.recent.unwrap_or_default())?,
-            long: read_window(r.long.unwrap_or_default())?,
-            worst,
-        },
-    })
-}
-
-impl From<&Window> for WindowRecord {
-    fn from(w: &Window) -> WindowRecord {
-        WindowRecord {
-            span_ms: w.span_ms,
-            requests: w.requests,
-            failures: w.failures,
-            timeouts: w.timeouts,
-            cuts: w.cuts,
-            latency: w.latency.clone(),
-        }
-    }
-}
-
-fn read_window(r: WindowRecord) -> Result<Window> {
-    if r.latency.len() > LATENCY_BANDS {
-        return Err(malformed());
-    }
-    Ok(Window {
-        span_ms: r.span_ms,
-        requests: r.requests,
-        failures: r.failures,
-        timeouts: r.timeouts,
-        cuts: r.cuts,
-        latency: r.latency,
-    })
+    check_count(records.len(), RECORDS_MAX)?;
+    let records = records.into_iter().map(Published::try_from);
+    records.map(|p| p.map(Arc::new)).collect()
 }
