--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -27,6 +27,10 @@
 /// A digest of 560 records takes several kB, and news alone settles most differences before.
 pub const DIGEST_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Unknown nodes in one answer from which a node is taken to have just started; it then sends its
+/// next digest at once, or 560 nodes would take 9 intervals to learn.
+const BEHIND_RECORDS: usize = RECORDS_MAX / 2;
+
 /// Names a question, so that its answer can be dated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Question {
@@ -225,7 +229,8 @@
         // A digest goes to one of the peers that are asked at that time; the other answers of the
         // round lose nothing, since their senders go on to push what they know.
         match self.last_digest == Some(sent) {
-            true => self.catch_up(&answer.records),
+            true if self.catch_up(&answer.records) >= BEHIND_RECORDS => self.last_digest = None,
+            true => {}
             false => self.merge(&answer.records),
         }
         if from != self.me {
@@ -233,7 +238,7 @@
         }
         self.differs = match answer.hash == self.records.hash() {
             true => None,
-            false => self.differs.or(Some(now)),
+            false => self.differs.or(Some(self.differs_since(now))),
         };
         self.evidence
             .hear_peer(now, sent, answer.node, &answer.ages, answer.group);
@@ -244,15 +249,28 @@
         Some(Push { records })
     }
 
+    /// Dates a difference that shows now; a node that has just started need not wait.
+    fn differs_since(&self, now: Time) -> Time {
+        match self.records.iter().len() < BEHIND_RECORDS {
+            true => now - DIGEST_INTERVAL,
+            false => now,
+        }
+    }
+
     /// Takes in records that this node wanted.
+    ///
+    /// They are passed on by name, as a new node's record comes this way.
     pub fn take(&mut self, push: &Push) {
-        self.catch_up(&push.records);
+        self.merge(&push.records);
     }
 
-    fn catch_up(&mut self, records: &[Arc<Published>]) {
+    /// Takes in what a digest showed to be missing; returns how many nodes were unknown.
+    fn catch_up(&mut self, records: &[Arc<Published>]) -> usize {
+        let mut firsts = 0;
         for published in records {
-            self.records.catch_up((**published).clone());
+            firsts += usize::from(self.records.catch_up((**published).clone()));
         }
+        firsts
     }
 
     fn merge(&mut self, records: &[Arc<Published>]) {
