--- a/src/limit/bucket.rs
+++ b/src/limit/bucket.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use crate::ids::NodeId;
-use crate::limit::{Allowance, Ask, BATCH_PERIOD, Grant, WAIT_MAX};
+use crate::ids::{AccountName, NodeId};
+use crate::limit::{Allowance, Ask, BATCH_PERIOD, Grant, Handed, WAIT_MAX, stretch};
 use crate::time::Time;
 
 /// Level units of one token. Thousandths of a token per second times microseconds give these.
@@ -94,6 +94,31 @@
         bucket
     }
 
+    /// Creates the bucket that a leaving owner has handed over; it mints from `at` on.
+    pub(super) fn resume(handed: &Handed, at: Time) -> Bucket {
+        let mut bucket = Bucket::new(handed.allowance, at, at);
+        bucket.remnants.push(Remnant {
+            tokens: handed.outstanding,
+            until: at + stretch(handed.expires_in),
+        });
+        bucket.level = i128::from(handed.level).min(bucket.room());
+        bucket
+    }
+
+    /// Returns what a successor needs to go on with this bucket.
+    pub(super) fn hand(&mut self, now: Time, account: AccountName) -> Handed {
+        self.settle(now);
+        let credits = self.credits.iter().map(|c| c.until);
+        let expiries = credits.chain(self.remnants.iter().map(|r| r.until));
+        Handed {
+            account,
+            allowance: self.allowance,
+            level: self.level.clamp(i64::MIN.into(), i64::MAX.into()) as i64,
+            outstanding: self.outstanding(),
+            expires_in: expiries.max().unwrap_or(now).since(now),
+        }
+    }
+
     /// Takes over a changed rate and burst; tokens minted so far stay as far as the burst allows.
     pub(super) fn change(&mut self, now: Time, allowance: Allowance) {
         if self.allowance != allowance {
--- a/src/limit/holder.rs
+++ b/src/limit/holder.rs
@@ -279,12 +279,12 @@
     /// Returns the node to ask about a shard.
     pub fn owner_of(&self, placement: &Placement, shard: Shard) -> Option<NodeId> {
         let route = self.routes.get(&shard).copied().unwrap_or_default();
-        let candidates = placement.candidates(shard);
+        let owners = placement.owners(shard);
         route
             .hint
             .filter(|node| placement.is_live(*node))
-            .or(candidates[route.turn])
-            .or(candidates[0])
+            .or(owners[route.turn])
+            .or(owners[0])
     }
 
     /// Books an owner's answer.
--- a/src/limit/message.rs
+++ b/src/limit/message.rs
@@ -21,6 +21,17 @@
     pub claim: Vec<Shard>,
     /// Shards whose vote is given back.
     pub release: Vec<Shard>,
+    /// Claimed shards whose leaving owner has handed its buckets to the candidate.
+    pub succeeds: Vec<Succession>,
+}
+
+/// The right of a candidate to a leaving owner's vote.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Succession {
+    /// The shard.
+    pub shard: Shard,
+    /// The leaving owner.
+    pub owner: NodeId,
 }
 
 /// A seat's answer to a [`Claim`].
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -10,7 +10,8 @@
 //! - `level + outstanding` of a bucket never exceeds the burst, where outstanding tokens are those
 //!   granted and neither reported nor expired.
 //! - Tokens are granted in advance of minting only with the time from which they may be spent.
-//! - No grant outlives the owner's lease, and a new owner starts with an empty bucket.
+//! - No grant outlives the owner's lease, and a new owner starts with an empty bucket, unless a
+//!   leaving owner has handed its bucket over with all that is outstanding.
 //! - Every check takes the time read at the check, so that a paused process spends nothing late.
 //!
 //! A restarted seat abstains for one lease, since it has forgotten its votes. A fleet that starts
@@ -18,6 +19,7 @@
 
 mod bucket;
 mod credit;
+mod handover;
 mod holder;
 mod message;
 mod owner;
@@ -26,8 +28,9 @@
 
 use std::time::Duration;
 
+pub use handover::{Handed, Offer, Take, Ticketed};
 pub use holder::{Admit, Done, Holder, Ticket};
-pub use message::{Answer, Ask, Ballot, Claim, Grant, Held, Reply};
+pub use message::{Answer, Ask, Ballot, Claim, Grant, Held, Reply, Succession};
 pub use owner::{Accounts, Allowance, Owner};
 pub use placement::{Placement, SEAT_COUNT, Shard, Site};
 pub use seat::Seat;
--- a/src/limit/owner.rs
+++ b/src/limit/owner.rs
@@ -8,7 +8,10 @@
 
 use crate::ids::{AccountName, NodeId};
 use crate::limit::bucket::Bucket;
-use crate::limit::{Answer, Ask, Ballot, Claim, Placement, Reply, Shard};
+use crate::limit::handover::{Given, Taken};
+use crate::limit::{
+    Answer, Ask, Ballot, Claim, Offer, Placement, Reply, Shard, Succession, Take, Ticketed,
+};
 use crate::time::Time;
 use crate::units::{Burst, Rate};
 
@@ -36,6 +39,9 @@
     node: NodeId,
     shards: BTreeMap<Shard, Tenure>,
     leases: u64,
+    tickets: u64,
+    /// Offers made as a leaving owner.
+    given: BTreeMap<Shard, Given>,
     /// Latest release among the shards that have been forgotten.
     released: Time,
 }
@@ -51,6 +57,11 @@
     released: Time,
     other: Option<Other>,
     lease: Option<Lease>,
+    /// Ticket of the offer that this node asks a leaving owner for.
+    ticket: Option<u64>,
+    taken: Option<Taken>,
+    /// Until when grants of the owner that has made an offer may be valid.
+    blocked: Time,
 }
 
 /// Another node that a seat has voted for.
@@ -68,6 +79,24 @@
     buckets: BTreeMap<AccountName, Bucket>,
 }
 
+impl Lease {
+    /// Begins a lease with what was taken over, or else empty from `blocked` on.
+    fn begin(number: u64, now: Time, blocked: Time, taken: Option<Taken>) -> Lease {
+        match taken.filter(|t| t.is_valid(now)) {
+            Some(taken) => Lease {
+                number,
+                since: taken.since(),
+                buckets: taken.buckets().collect(),
+            },
+            None => Lease {
+                number,
+                since: now.max(blocked),
+                buckets: BTreeMap::new(),
+            },
+        }
+    }
+}
+
 impl Tenure {
     /// Creates a tenure; ballots of claims sent until `released` are void.
     fn new(released: Time) -> Tenure {
@@ -115,6 +144,8 @@
             node,
             shards: BTreeMap::new(),
             leases: 0,
+            tickets: 0,
+            given: BTreeMap::new(),
             released: Time::ZERO,
         }
     }
@@ -132,7 +163,8 @@
         let mut claims = BTreeMap::new();
         for shard in shards {
             let first = placement.candidate(shard) == Some(self.node);
-            if !first && !self.shards.contains_key(&shard) {
+            let is_given = self.given.get(&shard).is_some_and(|g| g.until > now);
+            if is_given || !first && !self.shards.contains_key(&shard) {
                 continue;
             }
             self.claim_shard(now, placement, shard, first, &mut claims);
@@ -157,7 +189,9 @@
         tenure.votes.retain(|_, until| *until > now);
         let held_by_other = tenure.other.is_some_and(|o| o.until > now);
         let candidate = first || tenure.wanted > now;
-        let wants = tenure.lease.is_some() || (candidate && !held_by_other);
+        tenure.taken.take_if(|t| !t.is_valid(now));
+        let from = tenure.taken.as_ref().map(|t| t.from);
+        let wants = tenure.lease.is_some() || from.is_some() || (candidate && !held_by_other);
         if wants && now < tenure.next_claim {
             return;
         }
@@ -168,18 +202,25 @@
             layouts: placement.layouts(),
             claim: Vec::new(),
             release: Vec::new(),
+            succeeds: Vec::new(),
         };
         if wants {
-            tenure.next_claim = now + placement.lease() * 3 / 10;
+            tenure.next_claim = match from {
+                Some(_) => now,
+                None => now + placement.lease() * 3 / 10,
+            };
             for seat in placement.seats(shard) {
-                claims
-                    .entry(seat)
-                    .or_insert_with(new_claim)
-                    .claim
-                    .push(shard);
+                let claim = claims.entry(seat).or_insert_with(new_claim);
+                claim.claim.push(shard);
+                let succession = |owner| Succession { shard, owner };
+                claim.succeeds.extend(from.map(succession));
             }
             return;
         }
+        // A vote taken over covers grants of the leaving owner, which another node can't know of.
+        if now < tenure.blocked {
+            return;
+        }
         for seat in std::mem::take(&mut tenure.votes).into_keys() {
             tenure.released = now;
             claims
@@ -239,11 +280,10 @@
         if tenure.lease.is_none() && tenure.until(placement, shard) > now {
             self.leases += 1;
             tenure.other = None;
-            tenure.lease = Some(Lease {
-                number: lease_number(self.node, self.leases),
-                since: now,
-                buckets: BTreeMap::new(),
-            });
+            tenure.ticket = None;
+            let number = lease_number(self.node, self.leases);
+            let taken = tenure.taken.take();
+            tenure.lease = Some(Lease::begin(number, now, tenure.blocked, taken));
         }
     }
 
@@ -254,6 +294,89 @@
         }
     }
 
+    /// Returns the questions for shards of leaving owners that this node is to own, by owner.
+    pub fn takes(&mut self, now: Time, placement: &Placement) -> BTreeMap<NodeId, Take> {
+        let mut takes = BTreeMap::new();
+        for (&shard, tenure) in &mut self.shards {
+            let other = tenure.other.filter(|o| o.until > now);
+            let Some(owner) = other.map(|o| o.node).filter(|o| placement.is_leaving(*o)) else {
+                continue;
+            };
+            let is_free = tenure.lease.is_none() && tenure.taken.is_none();
+            if !is_free || placement.candidate(shard) != Some(self.node) {
+                continue;
+            }
+            let tickets = &mut self.tickets;
+            let ticket = *tenure.ticket.get_or_insert_with(|| {
+                *tickets += 1;
+                *tickets
+            });
+            let new_take = || Take {
+                sent: now,
+                shards: Vec::new(),
+            };
+            let take = takes.entry(owner).or_insert_with(new_take);
+            take.shards.push(Ticketed { shard, ticket });
+        }
+        takes
+    }
+
+    /// Gives up shards to a successor, if this node leaves, and returns their buckets.
+    ///
+    /// The votes stay with the seats until the successor's claims or their end, since grants of this
+    /// node are valid until then.
+    pub fn give(
+        &mut self,
+        now: Time,
+        placement: &Placement,
+        successor: NodeId,
+        shards: &[Ticketed],
+    ) -> Vec<Offer> {
+        if successor == self.node || !placement.is_leaving(self.node) {
+            return Vec::new();
+        }
+        let offers = shards.iter().filter_map(|asked| {
+            let Ticketed { shard, ticket } = *asked;
+            if let Some(given) = self.given.get(&shard).filter(|g| g.until > now) {
+                return given.repeat(now, successor, ticket);
+            }
+            let tenure = self.shards.get_mut(&shard)?;
+            let until = tenure.until(placement, shard);
+            tenure.lapse(now, until);
+            let mut lease = tenure.lease.take()?;
+            let buckets = lease.buckets.iter_mut();
+            let offer = Offer {
+                shard,
+                ticket,
+                valid_for: until.since(now),
+                idle_for: now.since(lease.since),
+                buckets: buckets.map(|(n, b)| b.hand(now, n.clone())).collect(),
+            };
+            tenure.votes.clear();
+            tenure.released = now;
+            let given = Given::new(now, successor, until, offer.clone());
+            self.given.insert(shard, given);
+            Some(offer)
+        });
+        offers.collect()
+    }
+
+    /// Books the offers in the answer to the [`Take`] that was sent at `sent`; claims are due then.
+    pub fn take(&mut self, now: Time, sent: Time, from: NodeId, offers: &[Offer]) {
+        for offer in offers {
+            let Some(tenure) = self.shards.get_mut(&offer.shard) else {
+                continue;
+            };
+            let taken = Taken::new(now, sent, from, offer.clone());
+            let is_due = tenure.ticket == Some(offer.ticket) && tenure.taken.is_none();
+            if is_due && tenure.lease.is_none() && taken.is_valid(now) {
+                tenure.blocked = taken.blocked();
+                tenure.next_claim = now;
+                tenure.taken = Some(taken);
+            }
+        }
+    }
+
     /// Answers a holder's ask.
     pub fn ask(
         &mut self,
@@ -280,6 +403,9 @@
         accounts: &impl Accounts,
     ) -> Reply {
         let shard = Shard::of(&ask.account);
+        if let Some(given) = self.given.get(&shard).filter(|g| g.until > now) {
+            return Reply::Elsewhere(Some(given.successor));
+        }
         let released = self.released;
         let tenure = self
             .shards
@@ -290,7 +416,9 @@
         let Some(lease) = &mut tenure.lease else {
             // Holders ask here because they can't reach the owner or believe that this is it.
             tenure.wanted = now + WANTED_TIME;
-            let other = tenure.other.filter(|o| o.until > now);
+            let other = tenure
+                .other
+                .filter(|o| o.until > now && tenure.taken.is_none());
             return Reply::Elsewhere(other.map(|o| o.node));
         };
         let Some(allowance) = accounts.allowance(&ask.account) else {
@@ -324,6 +452,7 @@
 
     /// Forgets the buckets of accounts that are not in use.
     pub fn expire(&mut self, now: Time) {
+        self.given.retain(|_, given| given.until > now);
         for lease in self.shards.values_mut().filter_map(|t| t.lease.as_mut()) {
             lease.buckets.retain(|_, bucket| !bucket.is_idle(now));
         }
--- a/src/limit/placement.rs
+++ b/src/limit/placement.rs
@@ -98,6 +98,14 @@
     first
 }
 
+/// The first nodes in the rendezvous order of a shard.
+#[derive(Clone, Copy, Debug)]
+struct First {
+    candidates: [Option<NodeId>; 2],
+    /// A leaving node before the first candidate.
+    leaving: Option<NodeId>,
+}
+
 /// Candidates and seats of every shard, by one node's view of the registry.
 ///
 /// Both orders hash the address, so that a restarted process takes the place that it had before.
@@ -111,10 +119,14 @@
     me: NodeId,
     sites: Vec<Site>,
     live: Vec<bool>,
-    /// Hashes of the live sites.
+    /// Sorted.
+    leaving: Vec<NodeId>,
+    /// Hashes of the live sites that do not leave, or of all live ones if each leaves.
     hashes: BTreeMap<u64, NodeId>,
+    /// Hashes of the live sites that leave.
+    leaving_hashes: BTreeMap<u64, NodeId>,
     /// First candidates, found when they are first asked for.
-    first: Vec<OnceLock<[Option<NodeId>; 2]>>,
+    first: Vec<OnceLock<First>>,
     layouts: Vec<Layout>,
 }
 
@@ -125,7 +137,9 @@
             me,
             sites: Vec::new(),
             live: Vec::new(),
+            leaving: Vec::new(),
             hashes: BTreeMap::new(),
+            leaving_hashes: BTreeMap::new(),
             first: vec![OnceLock::new(); usize::from(SHARD_COUNT)],
             layouts: Vec::new(),
         }
@@ -149,6 +163,22 @@
         self.order();
     }
 
+    /// Takes over this node's view of which members leave; they own no further shards.
+    ///
+    /// A leaving owner keeps its shards until a successor takes them.
+    pub fn set_leaving(&mut self, mut leaving: Vec<NodeId>) {
+        leaving.sort();
+        if self.leaving != leaving {
+            self.leaving = leaving;
+            self.order();
+        }
+    }
+
+    /// Returns true if this node believes that `node` leaves.
+    pub fn is_leaving(&self, node: NodeId) -> bool {
+        self.leaving.binary_search(&node).is_ok()
+    }
+
     /// Forgets earlier seats.
     ///
     /// To be called when the present registry has been accepted for longer than the lifetime of
@@ -164,14 +194,31 @@
         self.me
     }
 
-    /// Returns the first live node in the rendezvous order of a shard.
+    /// Returns the first live node that does not leave in the rendezvous order of a shard.
+    ///
+    /// If every live node leaves, it is the first of them.
     pub fn candidate(&self, shard: Shard) -> Option<NodeId> {
         self.candidates(shard)[0]
     }
 
-    /// Returns the first two live nodes in the rendezvous order of a shard.
+    /// Returns the first two live nodes that do not leave in the rendezvous order of a shard.
     pub fn candidates(&self, shard: Shard) -> [Option<NodeId>; 2] {
-        *self.first[usize::from(shard.0)].get_or_init(|| self.find_first(shard))
+        self.find(shard).candidates
+    }
+
+    /// Returns the two nodes that a holder asks about a shard, if it knows no owner.
+    ///
+    /// A leaving node that was first in the order still owns the shard until it is handed over.
+    pub fn owners(&self, shard: Shard) -> [Option<NodeId>; 2] {
+        let first = self.find(shard);
+        match first.leaving {
+            Some(node) => [Some(node), first.candidates[0]],
+            None => first.candidates,
+        }
+    }
+
+    fn find(&self, shard: Shard) -> &First {
+        self.first[usize::from(shard.0)].get_or_init(|| self.find_first(shard))
     }
 
     /// Returns the length of the leases that this node claims.
@@ -221,11 +268,16 @@
 
     fn order(&mut self) {
         let live = self.sites.iter().zip(&self.live).filter(|(_, live)| **live);
-        self.hashes = live.map(|(site, _)| (site.weight(0), site.id)).collect();
+        let hashes = live.map(|(site, _)| (site.weight(0), site.id));
+        let (leaving, staying) = hashes.partition(|(_, id)| self.is_leaving(*id));
+        (self.leaving_hashes, self.hashes) = (leaving, staying);
+        if self.hashes.is_empty() {
+            self.hashes = std::mem::take(&mut self.leaving_hashes);
+        }
         self.first.fill(OnceLock::new());
     }
 
-    fn find_first(&self, shard: Shard) -> [Option<NodeId>; 2] {
+    fn find_first(&self, shard: Shard) -> First {
         let seed = u64::from(shard.0) + 1;
         let weight = |hash: &u64| xxh3_64_with_seed(&hash.to_le_bytes(), seed);
         let mut best: [Option<(u64, NodeId)>; 2] = [None; 2];
@@ -237,6 +289,12 @@
                 best[1] = Some(entry);
             }
         }
-        best.map(|entry| entry.map(|(_, id)| id))
+        let leaving = self.leaving_hashes.iter().map(|(h, id)| (weight(h), *id));
+        let leaving = leaving.min();
+        let before = |entry: &(u64, NodeId)| best[0].is_none_or(|first| *entry < first);
+        First {
+            candidates: best.map(|entry| entry.map(|(_, id)| id)),
+            leaving: leaving.filter(before).map(|(_, id)| id),
+        }
     }
 }
--- a/src/limit/seat.rs
+++ b/src/limit/seat.rs
@@ -60,7 +60,12 @@
             return Some(ballot);
         }
         for &shard in &claim.claim {
-            match self.other_holder(now, shard, claim.node) {
+            let succeeds = |held: &Held| {
+                let mut successions = claim.succeeds.iter();
+                successions.any(|s| s.shard == shard && s.owner == held.holder)
+            };
+            let other = self.other_holder(now, shard, claim.node);
+            match other.filter(|held| !succeeds(held)) {
                 Some(held) => ballot.held.push(held),
                 None => {
                     self.grant(now, shard, claim.node, ballot.length);
@@ -109,7 +114,11 @@
     }
 
     fn grant(&mut self, now: Time, shard: Shard, holder: NodeId, length: Duration) {
-        let until = now + stretch(length);
+        let mut until = now + stretch(length);
+        // A successor or a shorter lease must not end the time for which grants may be valid.
+        if let Some(vote) = self.votes.get(&shard) {
+            until = until.max(vote.until);
+        }
         self.votes.insert(shard, Vote { holder, until });
     }
 }
--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -108,6 +108,7 @@
         let members = view.members();
         let is_live = |id| members.live.binary_search(&id).is_ok();
         limits.set_members(&members.nodes, is_live);
+        limits.set_leaving(&members.leaving);
         accepted = match accepted {
             _ if !members.accepted => None,
             Some((position, since)) if position == members.registry => Some((position, since)),
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -15,8 +15,8 @@
 use crate::fleet::Member;
 use crate::ids::{AccountName, NodeId};
 use crate::limit::{
-    Accounts, Admit, Allowance, Answer, Ask, BATCH_PERIOD, Ballot, Claim, Holder, LEASE, Owner,
-    Placement, SHARD_COUNT, Seat, Shard, Site, Ticket,
+    Accounts, Admit, Allowance, Answer, Ask, BATCH_PERIOD, Ballot, Claim, Holder, LEASE, Offer,
+    Owner, Placement, SHARD_COUNT, Seat, Shard, Site, Take, Ticket, Ticketed,
 };
 use crate::metrics::Metrics;
 use crate::node::plug::{Admission, Policy};
@@ -154,6 +154,15 @@
             .retain(|addr, _| sites.iter().any(|site| site.addr == *addr));
     }
 
+    /// Takes over this node's view of which nodes leave, in any order.
+    pub fn set_leaving(&self, leaving: &[NodeId]) {
+        self.placement.rcu(|old| {
+            let mut placement = Placement::clone(old);
+            placement.set_leaving(leaving.to_vec());
+            placement
+        });
+    }
+
     /// Forgets the seats of earlier registries.
     ///
     /// To be called once the present registry has been accepted for longer than the lifetime of
@@ -259,6 +268,7 @@
         let now = self.clock.now();
         let placement = self.placement.load_full();
         let mut claims: BTreeMap<SocketAddr, Claim> = BTreeMap::new();
+        let mut takes: Vec<(NodeId, Take)> = Vec::new();
         let mut asks = Vec::new();
         let (mut owned, mut used, mut buckets) = (0, 0, 0);
         for (index, part) in self.parts.iter().enumerate() {
@@ -267,6 +277,7 @@
             for (seat, claim) in state.owner.claims(now, &placement, shards.map(Shard)) {
                 merge_claim(&mut claims, seat, claim);
             }
+            takes.extend(state.owner.takes(now, &placement));
             asks.extend(state.holder.tick(now));
             asks.extend(state.flush(now));
             if sweep {
@@ -280,6 +291,11 @@
         for (seat, claim) in claims {
             self.send_claim(&placement, seat, claim);
         }
+        for (owner, take) in merge_takes(now, takes) {
+            if let Some(addr) = placement.addr(owner) {
+                tokio::spawn(self.clone().take_over(owner, addr, take));
+            }
+        }
         self.send_asks(asks);
         if sweep {
             self.metrics.gauge("limit.shards", owned as u64);
@@ -288,6 +304,31 @@
         }
     }
 
+    /// Takes over shards of a leaving owner and claims them at once.
+    async fn take_over(self: Arc<Self>, owner: NodeId, addr: SocketAddr, take: Take) {
+        let sent = take.sent;
+        let offers = match self.call(addr, &LimitRequest::Take(take)).await {
+            Ok(LimitReply::Offers(offers)) => offers,
+            Ok(_) => return self.metrics.count("limit.bad_replies"),
+            Err(_) => return self.metrics.count("limit.lost_takes"),
+        };
+        let placement = self.placement.load_full();
+        let mut claims: BTreeMap<SocketAddr, Claim> = BTreeMap::new();
+        // One claim time for all parts, since a seat ignores a claim that was sent before another.
+        let now = self.clock.now();
+        for offer in offers {
+            let mut state = self.parts[part_of(offer.shard)].lock();
+            let shard = offer.shard;
+            state.owner.take(now, sent, owner, &[offer]);
+            for (seat, claim) in state.owner.claims(now, &placement, [shard]) {
+                merge_claim(&mut claims, seat, claim);
+            }
+        }
+        for (seat, claim) in claims {
+            self.send_claim(&placement, seat, claim);
+        }
+    }
+
     /// Tells the owners of changed limits, so that a higher burst fills at the new rate.
     async fn follow_policy(&self) {
         let mut changes = self.policy.changes();
@@ -325,7 +366,7 @@
             let request = LimitRequest::Claim(claim);
             match this.call(seat, &request).await {
                 Ok(LimitReply::Ballot(ballot)) => this.book_ballot(seat, &ballot),
-                Ok(LimitReply::Answers(_)) => this.metrics.count("limit.bad_replies"),
+                Ok(_) => this.metrics.count("limit.bad_replies"),
                 Err(_) => this.metrics.count("limit.lost_claims"),
             }
         });
@@ -384,7 +425,7 @@
     async fn ask_owner(self: &Arc<Self>, addr: SocketAddr, asks: Vec<Ask>) {
         match self.call(addr, &LimitRequest::Asks(asks)).await {
             Ok(LimitReply::Answers(answers)) => self.book_answers(&answers),
-            Ok(LimitReply::Ballot(_)) => self.metrics.count("limit.bad_replies"),
+            Ok(_) => self.metrics.count("limit.bad_replies"),
             Err(_) => self.metrics.count("limit.lost_asks"),
         }
     }
@@ -444,6 +485,7 @@
                 LimitReply::Ballot(ballot.ok_or_else(|| Error::invalid("claim overtaken"))?)
             }
             LimitRequest::Asks(asks) => LimitReply::Answers(self.answer(from, &asks)),
+            LimitRequest::Take(take) => LimitReply::Offers(self.give(from, &take)),
         };
         Ok(reply.encode())
     }
@@ -460,6 +502,7 @@
                 layouts: claim.layouts.clone(),
                 claim: shards_of(&claim.claim, index),
                 release: shards_of(&claim.release, index),
+                succeeds: claim.succeeds.clone(),
             };
             if share.claim.is_empty() && share.release.is_empty() {
                 continue;
@@ -481,6 +524,18 @@
         total
     }
 
+    /// Gives up shards to a successor, if this node leaves.
+    fn give(&self, successor: NodeId, take: &Take) -> Vec<Offer> {
+        let placement = self.placement.load();
+        let give_one = |asked: &Ticketed| {
+            let mut state = self.parts[part_of(asked.shard)].lock();
+            let now = self.clock.now();
+            let asked = std::slice::from_ref(asked);
+            state.owner.give(now, &placement, successor, asked)
+        };
+        take.shards.iter().flat_map(give_one).collect()
+    }
+
     fn answer(&self, from: NodeId, asks: &[Ask]) -> Vec<Answer> {
         let Some(config) = self.policy.load() else {
             return Vec::new();
@@ -522,6 +577,21 @@
         Some(total) => {
             total.claim.extend(claim.claim);
             total.release.extend(claim.release);
+            total.succeeds.extend(claim.succeeds);
         }
     }
 }
+
+/// Joins the questions of all parts to one for each owner.
+fn merge_takes(now: Time, takes: Vec<(NodeId, Take)>) -> BTreeMap<NodeId, Take> {
+    let mut merged = BTreeMap::new();
+    for (owner, take) in takes {
+        let new_take = || Take {
+            sent: now,
+            shards: Vec::new(),
+        };
+        let total: &mut Take = merged.entry(owner).or_insert_with(new_take);
+        total.shards.extend(take.shards);
+    }
+    merged
+}
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -40,8 +40,10 @@
     pub accepted: bool,
     /// The registered nodes, sorted by identity.
     pub nodes: Vec<Member>,
-    /// The nodes that were heard of lately and do not leave, sorted.
+    /// The nodes that were heard of lately, sorted.
     pub live: Vec<NodeId>,
+    /// The nodes that leave, sorted.
+    pub leaving: Vec<NodeId>,
 }
 
 /// The node's view of the fleet; every method takes the lock only for a short computation.
@@ -113,16 +115,18 @@
         let nodes = gossip.registry().members().to_vec();
         let ages = gossip.evidence().ages(self.clock.now());
         let age_max = age_max(nodes.len());
-        let is_live = |(member, age): &(&Member, &u8)| {
+        let is_live = |(_, age): &(&Member, &u8)| AGE_UNIT * u32::from(**age) <= age_max;
+        let leaves = |member: &&Member| {
             let record = gossip.records().get(member.id);
-            let leaves = record.is_some_and(|p| p.record.leaving);
-            !leaves && AGE_UNIT * u32::from(**age) <= age_max
+            record.is_some_and(|p| p.record.leaving)
         };
+        let leaving = nodes.iter().filter(leaves).map(|member| member.id);
         let live = nodes.iter().zip(&ages.bytes).filter(is_live);
         Members {
             registry: state.registry_position(),
             accepted: state.accepted() >= state.registry_position(),
             live: live.map(|(member, _)| member.id).collect(),
+            leaving: leaving.collect(),
             nodes,
         }
     }
--- a/src/wire/limit.rs
+++ b/src/wire/limit.rs
@@ -7,8 +7,11 @@
 
 use crate::error::{Error, Result};
 use crate::ids::NodeId;
-use crate::limit::{Answer, Ask, Ballot, Claim, Grant, Held, Reply, SHARD_COUNT, Shard};
+use crate::limit::{
+    Answer, Ask, Ballot, Claim, Grant, Held, Offer, Reply, SHARD_COUNT, Shard, Succession, Take,
+};
 use crate::time::Time;
+use crate::wire::handover::{OfferRecord, OffersRecord, TakeRecord};
 
 /// A call on the limit channel.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -17,6 +20,8 @@
     Claim(Claim),
     /// A holder's asks, for the receiver as owner.
     Asks(Vec<Ask>),
+    /// A successor's question, for the receiver as leaving owner.
+    Take(Take),
 }
 
 /// The reply to a [`LimitRequest`].
@@ -26,11 +31,13 @@
     Ballot(Ballot),
     /// The owner's answers.
     Answers(Vec<Answer>),
+    /// The leaving owner's offers.
+    Offers(Vec<Offer>),
 }
 
 #[derive(Clone, PartialEq, Message)]
 struct RequestRecord {
-    #[prost(oneof = "RequestBody", tags = "1, 2")]
+    #[prost(oneof = "RequestBody", tags = "1, 2, 3")]
     body: Option<RequestBody>,
 }
 
@@ -40,11 +47,13 @@
     Claim(ClaimRecord),
     #[prost(message, tag = "2")]
     Asks(AsksRecord),
+    #[prost(message, tag = "3")]
+    Take(TakeRecord),
 }
 
 #[derive(Clone, PartialEq, Message)]
 struct ReplyRecord {
-    #[prost(oneof = "ReplyBody", tags = "1, 2")]
+    #[prost(oneof = "ReplyBody", tags = "1, 2, 3")]
     body: Option<ReplyBody>,
 }
 
@@ -54,6 +63,8 @@
     Ballot(BallotRecord),
     #[prost(message, tag = "2")]
     Answers(AnswersRecord),
+    #[prost(message, tag = "3")]
+    Offers(OffersRecord),
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -70,6 +81,16 @@
     release: Vec<u32>,
     #[prost(uint64, tag = "6")]
     length: u64,
+    #[prost(message, repeated, tag = "7")]
+    succeeds: Vec<SuccessionRecord>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct SuccessionRecord {
+    #[prost(uint32, tag = "1")]
+    shard: u32,
+    #[prost(fixed64, tag = "2")]
+    owner: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -167,12 +188,12 @@
     prompt: bool,
 }
 
-fn micros(d: Duration) -> u64 {
+pub(super) fn micros(d: Duration) -> u64 {
     d.as_micros() as u64
 }
 
 /// Rounds up, for times before which something may not happen.
-fn micros_up(d: Duration) -> u64 {
+pub(super) fn micros_up(d: Duration) -> u64 {
     d.as_nanos().div_ceil(1_000) as u64
 }
 
@@ -180,7 +201,7 @@
     shards.iter().map(|s| u32::from(s.0)).collect()
 }
 
-fn shard(number: u32) -> Result<Shard> {
+pub(super) fn shard(number: u32) -> Result<Shard> {
     match u16::try_from(number) {
         Ok(n) if n < SHARD_COUNT => Ok(Shard(n)),
         _ => Err(Error::invalid(format!("no shard {number}"))),
@@ -193,7 +214,12 @@
 
 impl From<&Claim> for ClaimRecord {
     fn from(claim: &Claim) -> Self {
+        let succeeds = claim.succeeds.iter().map(|s| SuccessionRecord {
+            shard: u32::from(s.shard.0),
+            owner: s.owner.0,
+        });
         ClaimRecord {
+            succeeds: succeeds.collect(),
             node: claim.node.0,
             sent: claim.sent.0,
             layouts: claim.layouts.clone(),
@@ -208,7 +234,14 @@
     type Error = Error;
 
     fn try_from(record: ClaimRecord) -> Result<Self> {
+        let succeeds = record.succeeds.into_iter().map(|s| {
+            Ok(Succession {
+                shard: shard(s.shard)?,
+                owner: NodeId(s.owner),
+            })
+        });
         Ok(Claim {
+            succeeds: succeeds.collect::<Result<_>>()?,
             node: NodeId(record.node),
             sent: Time(record.sent),
             layouts: record.layouts,
@@ -364,6 +397,7 @@
             LimitRequest::Asks(asks) => RequestBody::Asks(AsksRecord {
                 asks: asks.iter().map(AskRecord::from).collect(),
             }),
+            LimitRequest::Take(take) => RequestBody::Take(take.into()),
         };
         RequestRecord { body: Some(body) }.encode_to_vec().into()
     }
@@ -382,6 +416,7 @@
                 let asks = asks.asks.into_iter().map(Ask::try_from);
                 Ok(LimitRequest::Asks(asks.collect::<Result<_>>()?))
             }
+            Some(RequestBody::Take(take)) => Ok(LimitRequest::Take(take.try_into()?)),
             None => Err(Error::invalid("limit request without a body")),
         }
     }
@@ -395,6 +430,9 @@
             LimitReply::Answers(answers) => ReplyBody::Answers(AnswersRecord {
                 answers: answers.iter().map(AnswerRecord::from).collect(),
             }),
+            LimitReply::Offers(offers) => ReplyBody::Offers(OffersRecord {
+                offers: offers.iter().map(OfferRecord::from).collect(),
+            }),
         };
         ReplyRecord { body: Some(body) }.encode_to_vec().into()
     }
@@ -413,6 +451,10 @@
                 let answers = answers.answers.into_iter().map(Answer::try_from);
                 Ok(LimitReply::Answers(answers.collect::<Result<_>>()?))
             }
+            Some(ReplyBody::Offers(offers)) => {
+                let offers = offers.offers.into_iter().map(Offer::try_from);
+                Ok(LimitReply::Offers(offers.collect::<Result<_>>()?))
+            }
             None => Err(Error::invalid("limit reply without a body")),
         }
     }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod fleet;
 pub mod frame;
+mod handover;
 pub mod limit;
 pub mod link;
 mod records;
--- a/tests/limit_bound.rs
+++ b/tests/limit_bound.rs
@@ -28,6 +28,11 @@
 
 /// Runs random faults under overload and returns the first broken bound.
 fn storm(seed: u64, mutant: Mutant) -> Option<String> {
+    run_storm(seed, mutant, false).1
+}
+
+/// Runs a storm, also with leaving owners, and returns the offers made and the first broken bound.
+fn run_storm(seed: u64, mutant: Mutant, leaves: bool) -> (usize, Option<String>) {
     let mut sim = Sim::new(seed, NODES, 3, ROUGH, book());
     sim.mutant = mutant;
     for account in 0..3 {
@@ -40,11 +45,35 @@
     while at < SPAN {
         at += sim.rng.random_range(50 * MS..1_500 * MS);
         sim.run_until(at);
-        fault(&mut sim);
+        if leaves && sim.rng.random_bool(0.5) {
+            leave(&mut sim);
+        } else {
+            fault(&mut sim);
+        }
     }
     let total = sim.record.iter().filter(|e| e.refused.is_none()).count();
     assert!(total > 500, "seed {seed}: only {total} admissions");
-    check(&sim, seed)
+    (sim.handovers, check(&sim, seed))
+}
+
+/// Lets the owner of one account leave, which some nodes learn at once.
+fn leave(sim: &mut Sim) {
+    let account = sim.rng.random_range(0..3);
+    if let Some(owner) = sim.owner_of(&name(account)) {
+        sim.nodes[owner].leaving = true;
+    }
+    let staying = sim.nodes.iter().filter(|n| n.up && !n.leaving).count();
+    if staying < NODES / 2 {
+        let leaving = (0..NODES).filter(|i| sim.nodes[*i].leaving);
+        let leaving: Vec<usize> = leaving.collect();
+        leaving.into_iter().for_each(|i| sim.restart(i));
+    }
+    for i in 0..NODES {
+        if sim.rng.random_bool(0.8) {
+            let live = sim.live_ids();
+            sim.learn(i, |id| live.contains(&id));
+        }
+    }
 }
 
 fn fault(sim: &mut Sim) {
@@ -96,6 +125,27 @@
     }
 }
 
+/// Guards the interval bound while leaving owners hand over, with lost, doubled and late messages,
+/// and ends and pauses of either side.
+#[test]
+fn bound_holds_in_handovers() {
+    let mut handovers = 0;
+    for seed in 0..SEEDS {
+        let (count, broken) = run_storm(seed, Mutant::None, true);
+        assert_eq!(broken, None);
+        handovers += count;
+    }
+    println!("handovers={handovers}");
+    assert!(handovers > 20, "only {handovers} handovers");
+}
+
+/// Guards against a check that cannot see grants of the old owner that a successor does not count.
+#[test]
+fn uncounted_handover_breaks_it() {
+    let broken = (0..SEEDS).find_map(|s| run_storm(s, Mutant::UncountedHandover, true).1);
+    println!("{}", broken.expect("a seed that shows the fault"));
+}
+
 fn first_failure(mutant: Mutant) -> String {
     (0..SEEDS)
         .find_map(|seed| storm(seed, mutant))
--- a/tests/limit_figures.rs
+++ b/tests/limit_figures.rs
@@ -55,6 +55,22 @@
     }
 }
 
+/// Guards against accounts that stop while a leaving owner hands its shards over.
+#[test]
+fn served_through_leave() {
+    for nodes in [3, 22] {
+        let plan = Plan {
+            fault: Fault::Leave,
+            span: 62 * SEC,
+            ..deployment(nodes, 3.min(nodes), 90)
+        };
+        let figures = run_seeds(&plan, 2, 31 * SEC, 30 * SEC);
+        let worst = figures.worst();
+        println!("worst={worst} in 1,000 with {nodes} nodes");
+        assert!(worst <= LOSS_BOUND, "{worst} in 1,000 with {nodes} nodes");
+    }
+}
+
 /// Guards against a loud account that takes tokens or time from the others.
 #[test]
 fn served_beside_loud() {
--- a/tests/limit_sim/load.rs
+++ b/tests/limit_sim/load.rs
@@ -15,6 +15,9 @@
     Moving,
 }
 
+/// Time from the start of a graceful leave to the end of the process.
+const DRAIN: u64 = 2 * SEC;
+
 /// A fault in the middle of the run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -24,6 +27,8 @@
     /// The VM that owns the first account.
     Owner,
     Zone,
+    /// The VM that owns the first account leaves gracefully and ends after [`DRAIN`].
+    Leave,
 }
 
 /// One run of the benchmark.
@@ -184,7 +189,7 @@
     // Callers of a lost node come to the next one that is up.
     (node..node + n)
         .map(|i| i % n)
-        .find(|i| sim.nodes[*i].up)
+        .find(|i| sim.nodes[*i].up && !sim.nodes[*i].leaving)
         .unwrap_or(node)
 }
 
@@ -223,6 +228,14 @@
         if at <= middle(plan) + SEC && middle(plan) + SEC < next {
             sim.learn_all();
         }
+        if at <= middle(plan) + DRAIN && middle(plan) + DRAIN < next {
+            for node in &mut sim.nodes {
+                node.up &= !node.leaving;
+            }
+        }
+        if at <= middle(plan) + DRAIN + SEC && middle(plan) + DRAIN + SEC < next {
+            sim.learn_all();
+        }
         if at == WARM + 100 * MS * 20 || (at <= begin + from && begin + from < next) {
             (sim.messages, sim.bytes) = (0, 0);
         }
@@ -278,6 +291,7 @@
     match plan.fault {
         Fault::None => {}
         Fault::Owner => sim.nodes[owner].up = false,
+        Fault::Leave => sim.nodes[owner].leaving = true,
         Fault::Vm => {
             let owners: Vec<_> = (0..plan.rates.len())
                 .map(|i| sim.owner_of(&name(i)))
--- a/tests/limit_sim/mod.rs
+++ b/tests/limit_sim/mod.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use laburnumtide::limit::{
-    Accounts, Admit, Allowance, Answer, Ask, Ballot, Claim, Holder, LEASE, Owner, Placement, Seat,
-    Shard, Site, Ticket,
+    Accounts, Admit, Allowance, Answer, Ask, Ballot, Claim, Holder, LEASE, Offer, Owner, Placement,
+    Seat, Shard, Site, Take, Ticket,
 };
 use laburnumtide::prelude::*;
 use laburnumtide::wire::{LimitReply, LimitRequest};
@@ -27,6 +27,8 @@
     NewOwnerNotWaiting,
     SeatVotesAtOnce,
     CheckBeforePause,
+    /// What is outstanding at a leaving owner does not count at its successor.
+    UncountedHandover,
 }
 
 /// Bytes around a payload: frame, TCP and IP headers.
@@ -68,6 +70,8 @@
     Ballot(SocketAddr, Ballot),
     Asks(NodeId, Vec<Ask>),
     Answers(Vec<Answer>),
+    Take(NodeId, Take),
+    Offers(NodeId, Time, Vec<Offer>),
 }
 
 enum Event {
@@ -80,6 +84,7 @@
 pub struct Node {
     pub site: Site,
     pub up: bool,
+    pub leaving: bool,
     pub paused_until: u64,
     stale_now: Option<Time>,
     poll_at: u64,
@@ -114,6 +119,8 @@
     pub record: Vec<Entry>,
     pub cut: Vec<(usize, usize)>,
     pub messages: u64,
+    /// Offers made by leaving owners.
+    pub handovers: usize,
     pub bytes: u64,
     pub mutant: Mutant,
     pub rng: StdRng,
@@ -147,6 +154,7 @@
             record: Vec::new(),
             cut: Vec::new(),
             messages: 0,
+            handovers: 0,
             bytes: 0,
             mutant: Mutant::None,
             rng: StdRng::seed_from_u64(seed),
@@ -172,6 +180,7 @@
         let node = Node {
             site: Site { id, addr, zone },
             up: true,
+            leaving: false,
             paused_until: 0,
             stale_now: None,
             poll_at: u64::MAX,
@@ -231,7 +240,10 @@
     pub fn learn_members(&mut self, i: usize, members: &[usize], live: impl Fn(NodeId) -> bool) {
         let sites = members.iter().map(|m| self.nodes[*m].site.clone());
         let sites: Vec<Site> = sites.collect();
+        let leaving = self.nodes.iter().filter(|n| n.up && n.leaving);
+        let leaving = leaving.map(|n| n.site.id).collect();
         self.nodes[i].placement.set_members(&sites, live);
+        self.nodes[i].placement.set_leaving(leaving);
     }
 
     /// Replaces what node `i` knows of the registry.
@@ -333,8 +345,19 @@
         let claims = node
             .owner
             .claims(now, &node.placement, self.shards.iter().copied());
+        let takes = node.owner.takes(now, &node.placement);
         let closed = node.holder.tick(now);
         self.send_asks(i, closed);
+        self.send_claims(i, claims);
+        for (owner, take) in takes {
+            if let Some(to) = self.nodes.iter().position(|n| n.site.id == owner) {
+                let size = LimitRequest::Take(take.clone()).encode().len();
+                self.send(i, to, Message::Take(id, take), size);
+            }
+        }
+    }
+
+    fn send_claims(&mut self, i: usize, claims: BTreeMap<SocketAddr, Claim>) {
         for (seat, claim) in claims {
             if let Some(to) = self.index_of(seat) {
                 let size = LimitRequest::Claim(claim.clone()).encode().len();
@@ -426,6 +449,18 @@
                 node.owner.ballot(now, &node.placement, seat, &ballot);
             }
             Message::Asks(from, asks) => self.answer(i, now, from, asks),
+            Message::Take(from, take) => self.give(i, now, from, take),
+            Message::Offers(from, sent, mut offers) => {
+                if self.mutant == Mutant::UncountedHandover {
+                    let buckets = offers.iter_mut().flat_map(|o| &mut o.buckets);
+                    buckets.for_each(|b| b.outstanding = 0);
+                }
+                let node = &mut self.nodes[i];
+                node.owner.take(now, sent, from, &offers);
+                let shards = offers.iter().map(|o| o.shard);
+                let claims = node.owner.claims(now, &node.placement, shards);
+                self.send_claims(i, claims);
+            }
             Message::Answers(answers) => {
                 for answer in &answers {
                     self.nodes[i].holder.receive(now, answer);
@@ -461,6 +496,17 @@
         }
     }
 
+    fn give(&mut self, i: usize, now: Time, from: NodeId, take: Take) {
+        let node = &mut self.nodes[i];
+        let offers = node.owner.give(now, &node.placement, from, &take.shards);
+        self.handovers += offers.len();
+        let me = node.site.id;
+        if let Some(to) = self.nodes.iter().position(|n| n.site.id == from) {
+            let size = LimitReply::Offers(offers.clone()).encode().len();
+            self.send(i, to, Message::Offers(me, take.sent, offers), size);
+        }
+    }
+
     /// Returns the index of the node that holds the lease on an account's shard.
     pub fn owner_of(&self, account: &AccountName) -> Option<usize> {
         let shard = Shard::of(account);
