--- a/src/limit/owner.rs
+++ b/src/limit/owner.rs
@@ -163,8 +163,8 @@
         let mut claims = BTreeMap::new();
         for shard in shards {
             let first = placement.candidate(shard) == Some(self.node);
-            let is_given = self.given.get(&shard).is_some_and(|g| g.until > now);
-            if is_given || !first && !self.shards.contains_key(&shard) {
+            // Also after the lease, so that a late claim of the successor can't end a new lease.
+            if self.given.contains_key(&shard) || !first && !self.shards.contains_key(&shard) {
                 continue;
             }
             self.claim_shard(now, placement, shard, first, &mut claims);
@@ -452,7 +452,6 @@
 
     /// Forgets the buckets of accounts that are not in use.
     pub fn expire(&mut self, now: Time) {
-        self.given.retain(|_, given| given.until > now);
         for lease in self.shards.values_mut().filter_map(|t| t.lease.as_mut()) {
             lease.buckets.retain(|_, bucket| !bucket.is_idle(now));
         }
