--- a/tests/limit_sim/mod.rs
+++ b/tests/limit_sim/mod.rs
@@ -351,7 +351,12 @@
         self.send_claims(i, claims);
         for (owner, take) in takes {
             if let Some(to) = self.nodes.iter().position(|n| n.site.id == owner) {
-                let size = LimitRequest::Take(take.clone()).encode().len();
+                let bytes = LimitRequest::Take(take.clone()).encode();
+                let size = bytes.len();
+                assert_eq!(
+                    LimitRequest::decode(bytes).unwrap(),
+                    LimitRequest::Take(take.clone())
+                );
                 self.send(i, to, Message::Take(id, take), size);
             }
         }
@@ -360,7 +365,12 @@
     fn send_claims(&mut self, i: usize, claims: BTreeMap<SocketAddr, Claim>) {
         for (seat, claim) in claims {
             if let Some(to) = self.index_of(seat) {
-                let size = LimitRequest::Claim(claim.clone()).encode().len();
+                let bytes = LimitRequest::Claim(claim.clone()).encode();
+                let size = bytes.len();
+                assert_eq!(
+                    LimitRequest::decode(bytes).unwrap(),
+                    LimitRequest::Claim(claim.clone())
+                );
                 self.send(i, to, Message::Claim(claim), size);
             }
         }
@@ -502,7 +512,11 @@
         self.handovers += offers.len();
         let me = node.site.id;
         if let Some(to) = self.nodes.iter().position(|n| n.site.id == from) {
-            let size = LimitReply::Offers(offers.clone()).encode().len();
+            let bytes = LimitReply::Offers(offers).encode();
+            let size = bytes.len();
+            let Ok(LimitReply::Offers(offers)) = LimitReply::decode(bytes) else {
+                panic!("offers must pass the wire");
+            };
             self.send(i, to, Message::Offers(me, take.sent, offers), size);
         }
     }
