--- a/src/limit/owner.rs
+++ b/src/limit/owner.rs
@@ -55,6 +55,8 @@
     wanted: Time,
     /// Send time of the last release; ballots of earlier claims are void.
     released: Time,
+    /// Until when grants of any lease of this node may be valid.
+    promised: Time,
     other: Option<Other>,
     lease: Option<Lease>,
     /// Ticket of the offer that this node asks a leaving owner for.
@@ -217,8 +219,9 @@
             }
             return;
         }
-        // A vote taken over covers grants of the leaving owner, which another node can't know of.
-        if now < tenure.blocked {
+        // Another node may not win before the grants of this one have expired, or those of a leaving
+        // owner whose vote it has taken over.
+        if now < tenure.promised.max(tenure.blocked) {
             return;
         }
         for seat in std::mem::take(&mut tenure.votes).into_keys() {
@@ -239,15 +242,19 @@
     ///
     /// The vote counts from the claim's send time, which is before the seat's receive time.
     pub fn ballot(&mut self, now: Time, placement: &Placement, seat: SocketAddr, ballot: &Ballot) {
-        let until = ballot.sent + ballot.length;
+        let voted = ballot.sent + ballot.length;
         for &shard in &ballot.granted {
-            self.book_vote(now, placement, shard, seat, ballot.sent, until);
+            self.book_vote(now, placement, shard, seat, ballot.sent, voted);
         }
         for held in &ballot.held {
             let Some(tenure) = self.shards.get_mut(&held.shard) else {
                 continue;
             };
             let until = now + held.remaining;
+            // A ballot that a later vote of the seat has overtaken says nothing.
+            if tenure.votes.get(&seat).is_some_and(|vote| *vote > voted) {
+                continue;
+            }
             tenure.votes.remove(&seat);
             tenure.other = Some(Other {
                 node: held.holder,
@@ -277,7 +284,9 @@
         tenure.lapse(now, tenure.until(placement, shard));
         let vote = tenure.votes.entry(seat).or_insert(until);
         *vote = until.max(*vote);
-        if tenure.lease.is_none() && tenure.until(placement, shard) > now {
+        // Grants of an earlier lease count against the burst, but its buckets are gone.
+        let clear = tenure.promised <= now;
+        if tenure.lease.is_none() && clear && tenure.until(placement, shard) > now {
             self.leases += 1;
             tenure.other = None;
             tenure.ticket = None;
@@ -343,6 +352,10 @@
             let tenure = self.shards.get_mut(&shard)?;
             let until = tenure.until(placement, shard);
             tenure.lapse(now, until);
+            // Grants that outlive the lease would be unknown to the successor.
+            if tenure.promised > until {
+                return None;
+            }
             let mut lease = tenure.lease.take()?;
             let buckets = lease.buckets.iter_mut();
             let offer = Offer {
@@ -429,6 +442,7 @@
             .entry(ask.account.clone())
             .or_insert_with(|| Bucket::new(allowance, lease.since, now));
         bucket.change(now, allowance);
+        tenure.promised = tenure.promised.max(until);
         let horizon = placement.lease() * 11 / 10;
         Reply::Grant(bucket.ask(now, from, ask, lease.number, until.since(now), horizon))
     }
