--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -120,6 +120,7 @@
         let members = view.members();
         let is_live = |id| members.live.binary_search(&id).is_ok();
         limits.set_members(&members.nodes, is_live);
+        limits.set_leaving(&members.leaving);
         repeats.set_members(&members.nodes, is_live);
         if view.is_fresh() {
             repeats.confirm();
--- a/src/route/judge.rs
+++ b/src/route/judge.rs
@@ -68,7 +68,7 @@
     least: 0.02,
     effect: 0.3,
     odds: 4.5,
-    evidence: 12.0,
+    evidence: 14.0,
     weight: 0.5,
 };
 
