--- a/src/node/call.rs
+++ b/src/node/call.rs
@@ -1,7 +1,6 @@
 //! One request of a caller while the ingress works on it.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use http::request::Parts;
@@ -12,6 +11,7 @@
 use crate::ids::{KeyDigest, RequestId};
 use crate::outcome::{Outcome, Reason, Refusal};
 use crate::repeat::IdempotencyKey;
+use crate::route::Exposure;
 use crate::units::Rate;
 
 /// The key that came with a request and the account that it stands for.
@@ -51,8 +51,8 @@
     pub deadline: Instant,
     /// Body, as far as it is unread.
     pub body: Arc<UploadSlot>,
-    /// True once an attempt may have reached a target.
-    exposed: AtomicBool,
+    /// Whether an attempt may have reached a target.
+    pub exposure: Exposure,
 }
 
 impl<'a> Call<'a> {
@@ -75,7 +75,7 @@
             weight,
             deadline: Instant::now() + route.deadline,
             body,
-            exposed: AtomicBool::new(false),
+            exposure: Exposure::default(),
         }
     }
 
@@ -91,30 +91,9 @@
         self.key.is_none() && self.route.is_idempotent(self.head.method.as_str())
     }
 
-    /// Notes that an attempt is about to be sent; returns what to restore if it did not run.
-    pub fn expose(&self) -> bool {
-        self.exposed.swap(true, Ordering::SeqCst)
-    }
-
-    /// Takes back a note after proof that the attempt did not run.
-    pub fn restore(&self, earlier: bool) {
-        self.exposed.store(earlier, Ordering::SeqCst);
-    }
-
-    /// Returns true if an attempt may have reached a target.
-    pub fn may_have_run(&self) -> bool {
-        self.exposed.load(Ordering::SeqCst)
-    }
-
     /// Returns the outcome of giving up for `refusal`.
-    ///
-    /// After an attempt of unknown outcome, a later refusal doesn't prove that nothing ran.
     pub fn give_up(&self, refusal: Refusal) -> Outcome {
-        if self.may_have_run() {
-            Outcome::Unknown(refusal.reason)
-        } else {
-            Outcome::NotRun(refusal)
-        }
+        self.exposure.conclude(refusal)
     }
 }
 
--- a/src/node/forward.rs
+++ b/src/node/forward.rs
@@ -155,7 +155,7 @@
         let attempt = AttemptId::random();
         let request = build(call, pick, attempt, upload);
         authorize().map_err(|refusal| call.give_up(refusal))?;
-        let exposed = call.expose();
+        let exposed = call.exposure.begin();
         let mut trial = Trial::start(&self.targets, &pick.id);
         let sent = timeout_at(call.deadline, loan.sender.try_send_request(request)).await;
         let result = match sent {
@@ -178,7 +178,7 @@
         };
         result.map_err(|outcome| match outcome {
             Outcome::NotRun(refusal) => {
-                call.restore(exposed);
+                call.exposure.restore(exposed);
                 call.give_up(refusal)
             }
             other => other,
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -312,10 +312,12 @@
 
 impl<R: Repeats> Drop for EndReport<'_, R> {
     fn drop(&mut self) {
-        let ending = self.ending.unwrap_or(match self.call.may_have_run() {
-            true => Ending::Ran(FirstEnd::Unknown),
-            false => Ending::NotRun,
-        });
+        let ending = self
+            .ending
+            .unwrap_or(match self.call.exposure.may_have_run() {
+                true => Ending::Ran(FirstEnd::Unknown),
+                false => Ending::NotRun,
+            });
         self.repeats.end(&self.permit, ending);
     }
 }
--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -99,7 +99,12 @@
     let handle = spawn_measured(settings, me, parts, frames, metrics).await?;
     handle.watch(limits.clone().run());
     handle.watch(repeats.clone().run());
-    handle.watch(keep_members(view.clone(), limits, repeats));
+    handle.watch(keep_members(
+        view.clone(),
+        limits,
+        repeats,
+        handle.metrics.clone(),
+    ));
     let controls = Arc::new(Controls::new(view.clone(), &addrs, &secret, hello));
     let waiting = controls.clone();
     handle.watch(async move { controls.prove().await });
@@ -113,11 +118,20 @@
 }
 
 /// Tells limits and records which nodes are registered and alive.
-async fn keep_members(view: Arc<View>, limits: Arc<RateLimits>, repeats: Arc<RepeatRecords>) {
+async fn keep_members(
+    view: Arc<View>,
+    limits: Arc<RateLimits>,
+    repeats: Arc<RepeatRecords>,
+    metrics: Metrics,
+) {
     let mut accepted: Option<(Position, Instant)> = None;
     let (mut limits_settled, mut repeats_settled) = (None, None);
     loop {
         let members = view.members();
+        metrics.gauge("config.number", view.number().0);
+        metrics.gauge("config.fresh", view.is_fresh().into());
+        metrics.gauge("fleet.nodes", members.nodes.len() as u64);
+        metrics.gauge("fleet.live", members.live.len() as u64);
         let is_live = |id| members.live.binary_search(&id).is_ok();
         limits.set_members(&members.nodes, is_live);
         limits.set_leaving(&members.leaving);
--- a/src/node/targets.rs
+++ b/src/node/targets.rs
@@ -130,11 +130,11 @@
             log::info!(event = "returned", target:% = target; "target is back");
         }
         Event::KeptByFloor(target) => {
-            metrics.count("kept-by-floor");
+            metrics.count("kept_by_floor");
             log::warn!(event = "kept-by-floor", target:% = target; "floor keeps a bad target");
         }
         Event::KindAvoided { target, kind } => {
-            metrics.count("kind-avoided");
+            metrics.count("kind_avoided");
             log::warn!(
                 event = "kind-avoided", target:% = target, kind:% = kind;
                 "target fails for one kind of request"
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -97,6 +97,11 @@
         self.changes.subscribe()
     }
 
+    /// Returns the number of the last note that the node holds.
+    pub fn number(&self) -> NoteNumber {
+        self.lock().client.state().config().number()
+    }
+
     /// Returns the position that the node holds.
     pub fn position(&self) -> Position {
         self.lock().client.state().position()
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -20,5 +20,5 @@
 pub use floor::Capacity;
 pub use health::{Meter, Verdict};
 pub use judge::Cause;
-pub use retry::{AttemptLog, RetryBudget, RetryQuestion, may_retry};
+pub use retry::{Exposure, RetryBudget, RetryQuestion, may_retry};
 pub use standing::{EJECT_BASE, RETURN_TIME, Standing};
--- a/src/route/retry.rs
+++ b/src/route/retry.rs
@@ -1,5 +1,6 @@
 //! Which requests are sent again, and how many.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use crate::outcome::{Outcome, Reason, Refusal};
@@ -90,28 +91,36 @@
     )
 }
 
-/// What earlier attempts of a request leave open.
+/// Whether an attempt of a request may have reached a target.
 ///
 /// An idempotent request may be sent again after an attempt of unknown outcome. If the last attempt
 /// is refused, the request as a whole may still have run, so the caller must not read "not run".
-#[derive(Clone, Copy, Debug, Default)]
-pub struct AttemptLog {
-    unknown: Option<Reason>,
+#[derive(Debug, Default)]
+pub struct Exposure {
+    sent: AtomicBool,
 }
 
-impl AttemptLog {
-    /// Takes in the outcome of an attempt that is followed by another one.
-    pub fn record(&mut self, outcome: &Outcome) {
-        if let Outcome::Unknown(reason) = outcome {
-            self.unknown = Some(*reason);
-        }
+impl Exposure {
+    /// Notes that an attempt is about to be sent; returns what to restore if it did not run.
+    pub fn begin(&self) -> bool {
+        self.sent.swap(true, Ordering::SeqCst)
+    }
+
+    /// Takes back a note after proof that the attempt did not run.
+    pub fn restore(&self, earlier: bool) {
+        self.sent.store(earlier, Ordering::SeqCst);
+    }
+
+    /// Returns true if an attempt may have reached a target.
+    pub fn may_have_run(&self) -> bool {
+        self.sent.load(Ordering::SeqCst)
     }
 
-    /// Returns the outcome of the whole request, given that of its last attempt.
-    pub fn conclude(&self, last: Outcome) -> Outcome {
-        match (last, self.unknown) {
-            (Outcome::NotRun(_), Some(reason)) => Outcome::Unknown(reason),
-            (last, _) => last,
+    /// Returns the outcome of a request that ends with `refusal`.
+    pub fn conclude(&self, refusal: Refusal) -> Outcome {
+        match self.may_have_run() {
+            true => Outcome::Unknown(refusal.reason),
+            false => Outcome::NotRun(refusal),
         }
     }
 }
--- a/tests/docs_match.rs
+++ b/tests/docs_match.rs
@@ -60,3 +60,35 @@
     }
     assert!(count >= 40, "only {count} tests are named");
 }
+
+/// Returns every Rust source file below `folder`.
+fn sources(folder: &std::path::Path) -> Vec<String> {
+    let mut texts = Vec::new();
+    for entry in std::fs::read_dir(folder).unwrap().flatten() {
+        let path = entry.path();
+        if path.is_dir() {
+            texts.extend(sources(&path));
+        } else if path.extension().is_some_and(|e| e == "rs") {
+            texts.push(std::fs::read_to_string(path).unwrap());
+        }
+    }
+    texts
+}
+
+/// Guards against a metric that operators can't look up.
+#[test]
+fn metrics_listed() {
+    let page = page("docs/operators.md");
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
+    let mut count = 0;
+    for text in sources(&root) {
+        for call in [".count(\"", ".gauge(\""] {
+            for rest in text.split(call).skip(1) {
+                let name = rest.split('"').next().unwrap();
+                assert!(page.contains(&format!("`{name}`")), "no metric {name}");
+                count += 1;
+            }
+        }
+    }
+    assert!(count >= 20, "only {count} metrics were found");
+}
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -119,8 +119,10 @@
         )
         .unwrap();
         // Every fleet has a loopback network of its own, so that fixed ports never collide with
-        // those of tests that run at the same time.
-        let network = (std::process::id() << 4) | (NETWORKS.fetch_add(1, Ordering::Relaxed) & 15);
+        // those of tests that run at the same time. One test process may start 64 fleets.
+        let count = NETWORKS.fetch_add(1, Ordering::Relaxed);
+        assert!(count < 64, "a network would be used twice");
+        let network = (std::process::id() << 6) | count;
         let mut fleet = Fleet {
             dir,
             controls: (0..controls).map(|_| None).collect(),
--- a/tests/retry_safety.rs
+++ b/tests/retry_safety.rs
@@ -1,6 +1,6 @@
 //! At-most-once and the truth of "not run", against the run records of fake targets.
 //!
-//! Ingresses and egresses are small fakes around [`Gate`], [`may_retry`] and [`AttemptLog`]. They
+//! Ingresses and egresses are small fakes around [`Gate`], [`may_retry`] and [`Exposure`]. They
 //! die, links reset, and messages come late or never.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -9,7 +9,7 @@
 use laburnumtide::gate::{Cancelled, Decision, Gate, Limits, Offer, Offered};
 use laburnumtide::outcome::Refusal;
 use laburnumtide::prelude::*;
-use laburnumtide::route::{AttemptLog, RetryBudget, RetryQuestion, may_retry};
+use laburnumtide::route::{Exposure, RetryBudget, RetryQuestion, may_retry};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -40,7 +40,7 @@
     deadline: Time,
     attempt: u64,
     tried: Vec<usize>,
-    log: AttemptLog,
+    exposure: Exposure,
 }
 
 struct World {
@@ -112,7 +112,7 @@
             deadline: self.now + patience,
             attempt: 0,
             tried: Vec::new(),
-            log: AttemptLog::default(),
+            exposure: Exposure::default(),
         };
         self.pending.insert(request, pending);
         self.budget.deposit();
@@ -170,7 +170,9 @@
         if may_retry(self.now, &question) && self.budget.withdraw() {
             self.retries += 1;
             let pending = self.pending.get_mut(&request).expect("pending");
-            pending.log.record(&outcome);
+            if matches!(outcome, Outcome::Unknown(_)) {
+                pending.exposure.begin();
+            }
             self.forward(request);
         } else {
             self.tell(request, outcome);
@@ -179,7 +181,11 @@
 
     fn tell(&mut self, request: u64, last: Outcome) {
         let pending = self.pending.remove(&request).expect("pending");
-        self.told.insert(request, pending.log.conclude(last));
+        let told = match last {
+            Outcome::NotRun(refusal) => pending.exposure.conclude(refusal),
+            other => other,
+        };
+        self.told.insert(request, told);
     }
 
     fn step(&mut self, message: Message) {
