--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,3 +32,7 @@
 pub mod time;
 pub mod units;
 pub mod wire;
+
+pub use config::{Config, Note};
+pub use error::{Category, Error, Result};
+pub use outcome::{Outcome, Reason, Refusal};
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -4,6 +4,7 @@
 mod control_absence;
 mod control_faults;
 mod fleet;
+mod http_edges;
 mod notes;
 mod operator_client;
 mod repeat_faults;
