Log the hand-over of each request at the egress

A request id could be followed on the ingress only while all went well. The test of the whole path now looks for it in the logs of both nodes, and for keys in all of them.

--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -123,6 +123,10 @@
         let lease = target.gate.enter(offer).await.map_err(not_run)?;
         self.check_evidence(job).map_err(not_run)?;
         let request = self.prepare(job, request);
+        log::debug!(
+            event = "handed-over", request:% = job.request, attempt:% = job.attempt,
+            target:% = job.target; "request handed over to its target"
+        );
         let mut measured = target.measure.start(job.attempt, &job.kind);
         let sent = timeout_at(job.deadline, target.pool.send(request)).await;
         let reply = sent.unwrap_or(Err(Outcome::Unknown(Reason::Timeout)));
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -233,6 +233,7 @@
             ("admin-listen", self.admin_addr(i).to_string()),
             ("controls", Self::list(controls)),
             ("zone", format!("zone-{}", i % 3)),
+            ("log", "info,laburnumtide::node=debug".to_owned()),
             ("fleet-secret-file", self.secret_file("fleet")),
         ];
         args.extend(self.node_options.iter().cloned());
--- a/tests/processes/whole_path.rs
+++ b/tests/processes/whole_path.rs
@@ -36,7 +36,8 @@
     fleet
 }
 
-/// Guards against any break of the path from note to answer, and against a key that leaks.
+/// Guards against any break of the path from note to answer, against a request that can't be
+/// followed in the logs, and against a key that leaks.
 #[test]
 fn keyed_request() {
     let fleet = served_fleet();
@@ -44,8 +45,18 @@
         let answer = call_with_key(fleet.caller_addr(0), "GET", "/records/7", key).unwrap();
         assert_eq!(answer.status, 200, "{answer:?}");
         assert_eq!(answer.header("laburnum-outcome"), Some("answer"));
-        assert!(answer.header("laburnum-request-id").is_some());
+        let id = answer.header("laburnum-request-id").unwrap();
+        for node in [0, 2] {
+            eventually("the request is logged on both hops", || {
+                fleet.nodes[node].as_ref().unwrap().log().contains(id)
+            });
+        }
         assert!(!answer.head.contains(key) && !answer.body.contains(key));
+        let logs = fleet.nodes.iter().flatten().map(|n| n.log());
+        assert!(
+            logs.into_iter().all(|log| !log.contains(key)),
+            "a key is logged"
+        );
     }
     // The stand-in target shows every header that it has seen.
     let seen = call_with_key(fleet.caller_addr(0), "GET", "/records/7?echo=1", YARD_KEY).unwrap();
