--- a/src/bin/laburnum-control.rs
+++ b/src/bin/laburnum-control.rs
@@ -1,8 +1,8 @@
 //! The control daemon.
 
-use anyhow::Context;
-use laburnumtide::settings::{self, Checker, ControlArgs, ControlSettings};
-use laburnumtide::{control, logging};
+use laburnumtide::Result;
+use laburnumtide::control::{self, Settings};
+use laburnumtide::settings::{self, Checker, ControlArgs};
 
 fn main() -> anyhow::Result<()> {
     let args: ControlArgs = settings::parse_args("laburnum-control");
@@ -11,18 +11,15 @@
         return Ok(());
     }
     let settings = settings::unwrap_or_exit(args.check(Checker::from_env()));
-    logging::init(&settings.log)?;
-    tokio::runtime::Runtime::new()
-        .context("start the runtime")?
-        .block_on(run(settings))
+    settings::run_daemon(&settings.log, run(settings.control))?;
+    Ok(())
 }
 
-async fn run(settings: ControlSettings) -> anyhow::Result<()> {
-    let mut handle = control::spawn(settings.control).await?;
+async fn run(settings: Settings) -> Result<()> {
+    let mut handle = control::spawn(settings).await?;
     tokio::select! {
-        ended = handle.ended() => return Ok(ended?),
+        ended = handle.ended() => return ended,
         signal = settings::ended() => signal?,
     }
-    handle.stop().await?;
-    Ok(())
+    handle.stop().await
 }
--- a/src/bin/laburnum-node.rs
+++ b/src/bin/laburnum-node.rs
@@ -1,8 +1,8 @@
 //! The node daemon.
 
-use anyhow::Context;
-use laburnumtide::settings::{self, Checker, NodeArgs, NodeSettings};
-use laburnumtide::{logging, node};
+use laburnumtide::Result;
+use laburnumtide::node::{self, Settings};
+use laburnumtide::settings::{self, Checker, NodeArgs};
 
 fn main() -> anyhow::Result<()> {
     let args: NodeArgs = settings::parse_args("laburnum-node");
@@ -11,14 +11,12 @@
         return Ok(());
     }
     let settings = settings::unwrap_or_exit(args.check(Checker::from_env()));
-    logging::init(&settings.log)?;
-    tokio::runtime::Runtime::new()
-        .context("start the runtime")?
-        .block_on(run(settings))
+    settings::run_daemon(&settings.log, run(settings.node))?;
+    Ok(())
 }
 
-async fn run(settings: NodeSettings) -> anyhow::Result<()> {
-    let handle = node::spawn(settings.node).await?;
+async fn run(settings: Settings) -> Result<()> {
+    let handle = node::spawn(settings).await?;
     settings::ended().await?;
     handle.drain().await;
     Ok(())
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -14,6 +14,7 @@
 use argh::{EarlyExit, FromArgs};
 
 use crate::error::{Error, Result};
+use crate::logging;
 use crate::wire::Secret;
 
 pub use control::{ControlArgs, ControlSettings};
@@ -249,6 +250,20 @@
     })
 }
 
+/// Starts logging with `filter` and runs a daemon to its end on all cores.
+///
+/// # Errors
+///
+/// Fails if logging or the runtime can't be started, or with the error of the daemon.
+pub fn run_daemon<D>(filter: &str, daemon: D) -> Result<()>
+where
+    D: Future<Output = Result<()>>,
+{
+    logging::init(filter)?;
+    let runtime = tokio::runtime::Runtime::new().map_err(|e| Error::io("start the runtime", e))?;
+    runtime.block_on(daemon)
+}
+
 /// Waits for SIGTERM or SIGINT.
 ///
 /// # Errors
