--- a/examples/added_latency.rs
+++ b/examples/added_latency.rs
@@ -192,6 +192,7 @@
         link_public: None,
         admin_listen: any,
         admin_public: false,
+        announce: true,
         control: Vec::new(),
         zone: "zone-a".parse()?,
         secret: Secret::new(b"fleet-secret-0123456789")?,
--- a/src/config/aggregate.rs
+++ b/src/config/aggregate.rs
@@ -47,11 +47,13 @@
     /// was.
     pub fn apply(&mut self, note: &Note) -> std::result::Result<(), Vec<NoteError>> {
         let mut errors = Vec::new();
-        if note.number != self.number.next() {
-            let message = format!("number must be {}, not {}", self.number.next(), note.number);
+        if let Some(message) = self.check_number(note) {
             errors.push(note.place.error(message));
         }
-        let next = self.changed(note, &mut errors);
+        let next = match note.base {
+            None => self.changed(note, &mut errors),
+            Some(_) => Config::new().changed(note, &mut errors),
+        };
         if !errors.is_empty() {
             errors.sort();
             errors.dedup();
@@ -61,6 +63,26 @@
         Ok(())
     }
 
+    /// Returns what is wrong with the number of a note or of its base.
+    fn check_number(&self, note: &Note) -> Option<String> {
+        match note.base {
+            None if note.number == self.number.next() => None,
+            None => Some(format!(
+                "number must be {}, not {}",
+                self.number.next(),
+                note.number
+            )),
+            Some(base) if base != self.number => {
+                Some(format!("base must be {}, not {base}", self.number))
+            }
+            Some(_) if note.number <= self.number => Some(format!(
+                "number must be above {}, not {}",
+                self.number, note.number
+            )),
+            Some(_) => None,
+        }
+    }
+
     /// Returns the configuration after `note`; only meaningful if no error is reported.
     fn changed(&self, note: &Note, errors: &mut Vec<NoteError>) -> Config {
         let accounts = self.accounts.apply(&note.accounts, errors);
@@ -137,6 +159,12 @@
                 let message = missing::<Service>(&service.value, &note.services);
                 errors.push(service.place.error(message));
             }
+            for share in edit.split.iter().flatten() {
+                if self.services.get(&share.value.service).is_none() {
+                    let message = missing::<Service>(&share.value.service, &note.services);
+                    errors.push(share.place.error(message));
+                }
+            }
             if let Err(message) = check_route(route) {
                 errors.push(edit.name.place.error(message));
             }
@@ -148,9 +176,11 @@
         }
         let gone = &note.services.withdrawn;
         for route in self.routes.items().iter().filter(|_| !gone.is_empty()) {
-            if let Ok(i) = gone.binary_search_by(|name| name.value.cmp(&route.service)) {
-                let message = format!("route \"{}\" still leads to this service", route.name);
-                errors.push(gone[i].place.error(message));
+            for service in route.services() {
+                if let Ok(i) = gone.binary_search_by(|name| name.value.cmp(service)) {
+                    let message = format!("route \"{}\" still leads to this service", route.name);
+                    errors.push(gone[i].place.error(message));
+                }
             }
         }
     }
@@ -183,11 +213,26 @@
         self.routes.get(name)
     }
 
-    /// Finds the route with the longest path prefix, at segment boundaries, that covers `path`.
+    /// Finds the route of `host` with the longest path prefix, at segment boundaries, that covers
+    /// `path`; a route that names no host comes after those that name it.
+    ///
+    /// The host is compared in lower case and without its port. Otherwise as
+    /// [`Config::route_for`].
+    pub fn route_at(&self, host: &str, method: &str, path: &str) -> RouteMatch<'_> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let name = name.to_ascii_lowercase();
+        match self.paths.find(self.routes.items(), &name, method, path) {
+            RouteMatch::NoRoute if !name.is_empty() => self.route_for(method, path),
+            found => found,
+        }
+    }
+
+    /// Finds the route without a host whose path prefix, at segment boundaries, is the longest that
+    /// covers `path`.
     ///
     /// A query is ignored. A path with a `.` or `..` segment matches nothing.
     pub fn route_for(&self, method: &str, path: &str) -> RouteMatch<'_> {
-        self.paths.find(self.routes.items(), method, path)
+        self.paths.find(self.routes.items(), "", method, path)
     }
 
     /// Lists the accounts, sorted by name.
--- a/src/config/codec.rs
+++ b/src/config/codec.rs
@@ -7,9 +7,11 @@
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
+use bytes::Bytes;
 use prost::Message;
 
 use super::edit::{AccountEdit, Edits, Item, KeyEdit, Place, Placed, RouteEdit, ServiceEdit};
+use super::model::Share;
 use super::note::{Note, NoteError};
 use super::routes::{check_methods, check_path};
 use super::{BODY_MAX_BYTES, BURST_MAX, DEADLINE_MAX_SECS};
@@ -29,6 +31,10 @@
     changed: Option<ItemsMessage>,
     #[prost(message, optional, tag = "5")]
     withdrawn: Option<NamesMessage>,
+    #[prost(uint64, optional, tag = "6")]
+    base: Option<u64>,
+    #[prost(bytes = "bytes", optional, tag = "7")]
+    document: Option<Bytes>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -63,6 +69,8 @@
     rate_millis: Option<u64>,
     #[prost(uint32, optional, tag = "3")]
     burst: Option<u32>,
+    #[prost(uint32, optional, tag = "4")]
+    priority: Option<u32>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -105,6 +113,24 @@
     body_max_bytes: Option<u64>,
     #[prost(message, optional, tag = "8")]
     idempotent: Option<MethodsMessage>,
+    #[prost(string, optional, tag = "9")]
+    host: Option<String>,
+    #[prost(message, repeated, tag = "10")]
+    split: Vec<ShareMessage>,
+    #[prost(uint32, optional, tag = "11")]
+    attempts: Option<u32>,
+    #[prost(uint32, optional, tag = "12")]
+    priority: Option<u32>,
+    #[prost(uint64, optional, tag = "13")]
+    objective_millis: Option<u64>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct ShareMessage {
+    #[prost(string, tag = "1")]
+    service: String,
+    #[prost(uint32, tag = "2")]
+    weight: u32,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -136,6 +162,8 @@
             services: pack_names(&note.services),
             routes: pack_names(&note.routes),
         }),
+        base: note.base.map(|n| n.0),
+        document: note.document.clone(),
     };
     message.encode_to_vec()
 }
@@ -148,6 +176,8 @@
     let withdrawn = message.withdrawn.unwrap_or_default();
     let mut note = Note {
         number: NoteNumber(message.number),
+        base: message.base.map(NoteNumber),
+        document: message.document,
         place: Place::default(),
         title: message.title,
         accounts: Edits {
@@ -203,12 +233,13 @@
 }
 
 fn unpack_rate(millis: Option<u64>) -> Result<Option<Rate>> {
-    let range = 1..=Rate::MAX_PER_SEC * 1_000;
+    // Zero states that there is no limit.
+    let range = 0..=Rate::MAX_PER_SEC * 1_000;
     in_range(millis, range, "rate").map(|m| m.map(Rate::from_millis))
 }
 
 fn unpack_burst(burst: Option<u32>) -> Result<Option<Burst>> {
-    in_range(burst, 1..=BURST_MAX, "burst").map(|b| b.map(Burst))
+    in_range(burst, 0..=BURST_MAX, "burst").map(|b| b.map(Burst))
 }
 
 fn in_range<T: PartialOrd>(
@@ -227,6 +258,7 @@
         name: edit.name.value.to_string(),
         rate_millis: edit.rate.map(Rate::as_millis),
         burst: edit.burst.map(|b| b.0),
+        priority: edit.priority.map(u32::from),
     }
 }
 
@@ -235,9 +267,15 @@
         name: unpack_name(message.name)?,
         rate: unpack_rate(message.rate_millis)?,
         burst: unpack_burst(message.burst)?,
+        priority: unpack_priority(message.priority)?,
     })
 }
 
+fn unpack_priority(rank: Option<u32>) -> Result<Option<u8>> {
+    let rank = in_range(rank, 0..=u8::MAX.into(), "priority")?;
+    Ok(rank.map(|n| n as u8))
+}
+
 fn pack_key(edit: &KeyEdit) -> KeyMessage {
     KeyMessage {
         name: edit.name.value.to_string(),
@@ -310,9 +348,28 @@
         deadline_millis: edit.deadline.map(|d| d.as_millis() as u64),
         body_max_bytes: edit.body_max.map(|b| b.0),
         idempotent: pack_methods(&edit.idempotent),
+        host: edit.host.clone(),
+        split: edit.split.iter().flatten().map(pack_share).collect(),
+        attempts: edit.attempts,
+        priority: edit.priority.map(u32::from),
+        objective_millis: edit.objective.map(|d| d.as_millis() as u64),
+    }
+}
+
+fn pack_share(share: &Placed<Share>) -> ShareMessage {
+    ShareMessage {
+        service: share.value.service.to_string(),
+        weight: share.value.weight,
     }
 }
 
+fn unpack_share(message: ShareMessage) -> Result<Placed<Share>> {
+    Ok(Placed::nowhere(Share {
+        service: message.service.try_into().map_err(damaged)?,
+        weight: message.weight,
+    }))
+}
+
 fn unpack_route(message: RouteMessage) -> Result<RouteEdit> {
     if let Some(path) = &message.path {
         check_path(path).map_err(damaged)?;
@@ -332,6 +389,13 @@
         deadline: deadline.map(Duration::from_millis),
         body_max: body_max.map(ByteSize),
         idempotent: unpack_methods(message.idempotent)?,
+        host: message.host,
+        split: (!message.split.is_empty())
+            .then(|| unpack(message.split, unpack_share))
+            .transpose()?,
+        attempts: message.attempts,
+        priority: unpack_priority(message.priority)?,
+        objective: message.objective_millis.map(Duration::from_millis),
     })
 }
 
--- a/src/config/edit.rs
+++ b/src/config/edit.rs
@@ -3,7 +3,7 @@
 use std::fmt::Display;
 use std::time::Duration;
 
-use super::model::{Account, Key, Route, Service};
+use super::model::{Account, Key, Route, Service, Share};
 use super::note::NoteError;
 use super::{ACCOUNTS_MAX, KEYS_MAX, ROUTES_MAX, SERVICES_MAX};
 use crate::ids::{AccountName, KeyDigest, KeyName, RouteName, ServiceName};
@@ -119,6 +119,7 @@
     pub(super) name: Placed<AccountName>,
     pub(super) rate: Option<Rate>,
     pub(super) burst: Option<Burst>,
+    pub(super) priority: Option<u8>,
 }
 
 #[derive(Debug)]
@@ -146,6 +147,18 @@
     pub(super) deadline: Option<Duration>,
     pub(super) body_max: Option<ByteSize>,
     pub(super) idempotent: Option<Vec<String>>,
+    pub(super) host: Option<String>,
+    pub(super) split: Option<Vec<Placed<Share>>>,
+    pub(super) attempts: Option<u32>,
+    pub(super) priority: Option<u8>,
+    pub(super) objective: Option<Duration>,
+}
+
+impl RouteEdit {
+    fn shares(&self) -> Option<Vec<Share>> {
+        let split = self.split.as_ref()?;
+        Some(split.iter().map(|s| s.value.clone()).collect())
+    }
 }
 
 fn value_or<T: Clone>(edit: &Option<Placed<T>>, old: &T) -> T {
@@ -171,6 +184,7 @@
             name: edit.name.value.clone(),
             rate: edit.rate?,
             burst: edit.burst?,
+            priority: edit.priority,
         })
     }
 
@@ -179,6 +193,7 @@
             name: self.name.clone(),
             rate: edit.rate.unwrap_or(self.rate),
             burst: edit.burst.unwrap_or(self.burst),
+            priority: edit.priority.or(self.priority),
         }
     }
 
@@ -187,6 +202,7 @@
             name: Placed::nowhere(self.name.clone()),
             rate: Some(self.rate),
             burst: Some(self.burst),
+            priority: self.priority,
         }
     }
 }
@@ -296,6 +312,11 @@
             deadline: edit.deadline?,
             body_max: edit.body_max?,
             idempotent: edit.idempotent.clone()?,
+            host: edit.host.clone().unwrap_or_default(),
+            split: edit.shares().unwrap_or_default(),
+            attempts: edit.attempts.unwrap_or_default(),
+            priority: edit.priority.unwrap_or_default(),
+            objective: edit.objective.unwrap_or_default(),
         })
     }
 
@@ -311,6 +332,11 @@
             deadline: edit.deadline.unwrap_or(self.deadline),
             body_max: edit.body_max.unwrap_or(self.body_max),
             idempotent: or_old(&edit.idempotent, &self.idempotent),
+            host: edit.host.as_ref().unwrap_or(&self.host).clone(),
+            split: edit.shares().unwrap_or_else(|| self.split.clone()),
+            attempts: edit.attempts.unwrap_or(self.attempts),
+            priority: edit.priority.unwrap_or(self.priority),
+            objective: edit.objective.unwrap_or(self.objective),
         }
     }
 
@@ -324,6 +350,12 @@
             deadline: Some(self.deadline),
             body_max: Some(self.body_max),
             idempotent: Some(self.idempotent.clone()),
+            host: Some(self.host.clone()).filter(|h| !h.is_empty()),
+            split: (!self.split.is_empty())
+                .then(|| self.split.iter().cloned().map(Placed::nowhere).collect()),
+            attempts: Some(self.attempts).filter(|n| *n > 0),
+            priority: Some(self.priority).filter(|n| *n > 0),
+            objective: Some(self.objective).filter(|t| !t.is_zero()),
         }
     }
 }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -34,8 +34,8 @@
 mod table;
 
 pub use aggregate::Config;
-pub use model::{Account, Key, Route, RouteMatch, Service};
-pub use note::{Note, NoteError};
+pub use model::{ANY_METHOD, Account, Key, Route, RouteMatch, Service, Share};
+pub use note::{Note, NoteError, Replacement};
 
 /// Most client accounts; the planned size is 33,000.
 pub const ACCOUNTS_MAX: usize = 40_000;
--- a/src/config/model.rs
+++ b/src/config/model.rs
@@ -12,10 +12,12 @@
 pub struct Account {
     /// The name of the account.
     pub name: AccountName,
-    /// The rate at which tokens return.
+    /// The rate at which tokens return; zero means that the account has no limit.
     pub rate: Rate,
     /// The most requests after a quiet time.
     pub burst: Burst,
+    /// The rank of its requests, which goes before that of the route; 0 is the most urgent.
+    pub priority: Option<u8>,
 }
 
 /// A key of an account; only its digest is known.
@@ -37,23 +39,37 @@
     pub name: ServiceName,
     /// The share of announced slots, in percent, below which ejection never goes.
     pub floor: u8,
-    /// The rate of requests without a key on open routes.
+    /// The rate of requests without a key on open routes; zero means that they have no limit of
+    /// their own and are queued like those of one client account.
     pub open_rate: Rate,
     /// The burst of requests without a key on open routes.
     pub open_burst: Burst,
 }
 
+/// One service of a route and its share of the requests.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub struct Share {
+    /// The service.
+    pub service: ServiceName,
+    /// The weight; the share is the weight divided by the sum of the weights.
+    pub weight: u32,
+}
+
 /// A route from a path prefix to a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Route {
     /// The name of the route.
     pub name: RouteName,
+    /// The host, in lower case without port; empty if any host matches.
+    pub host: String,
     /// The path prefix; it matches at segment boundaries.
     pub path: String,
-    /// The allowed methods, sorted.
+    /// The allowed methods, sorted; [`ANY_METHOD`] allows all.
     pub methods: Vec<String>,
-    /// The service that answers.
+    /// The service that answers, or the first one of the split.
     pub service: ServiceName,
+    /// The services that share the requests by weight, sorted; empty if one service answers.
+    pub split: Vec<Share>,
     /// Whether requests without a key are allowed.
     pub open: bool,
     /// The time from arrival within which the request must end; whole milliseconds.
@@ -62,9 +78,39 @@
     pub body_max: ByteSize,
     /// The methods, sorted, that may run more than once without harm.
     pub idempotent: Vec<String>,
+    /// The most targets that one request is sent to; zero leaves it to the node.
+    pub attempts: u32,
+    /// The rank of the requests; 0 is the most urgent.
+    pub priority: u8,
+    /// The time within which an answer has its full worth; zero if none is stated.
+    pub objective: Duration,
 }
 
+/// The entry in a list of methods that stands for every method.
+pub const ANY_METHOD: &str = "*";
+
 impl Route {
+    /// Returns the services that the route may lead to.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        let alone = self.split.is_empty().then_some(&self.service);
+        alone
+            .into_iter()
+            .chain(self.split.iter().map(|s| &s.service))
+    }
+
+    /// Returns the service for a request that drew `ticket`, a uniformly random number.
+    pub fn service_for(&self, ticket: u32) -> &ServiceName {
+        let total: u64 = self.split.iter().map(|s| u64::from(s.weight)).sum();
+        let mut at = (u64::from(ticket) * total) >> u32::BITS;
+        for share in &self.split {
+            match at.checked_sub(share.weight.into()) {
+                Some(rest) => at = rest,
+                None => return &share.service,
+            }
+        }
+        &self.service
+    }
+
     /// Returns true if `method` is allowed.
     pub fn allows(&self, method: &str) -> bool {
         contains(&self.methods, method)
@@ -77,7 +123,9 @@
 }
 
 fn contains(sorted: &[String], method: &str) -> bool {
-    sorted.binary_search_by(|m| m.as_str().cmp(method)).is_ok()
+    // The sign for all methods sorts before every letter.
+    sorted.first().is_some_and(|m| m == ANY_METHOD)
+        || sorted.binary_search_by(|m| m.as_str().cmp(method)).is_ok()
 }
 
 /// The result of matching a request against the routes.
--- a/src/config/note.rs
+++ b/src/config/note.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use bytes::Bytes;
 use sha2::{Digest, Sha256};
 
 use super::edit::{Edits, Item, Place};
@@ -35,6 +36,25 @@
 
 impl std::error::Error for NoteError {}
 
+/// A whole configuration that takes the place of the one in force.
+#[derive(Clone, Debug, Default)]
+pub struct Replacement {
+    /// The number of the note; above that of the base.
+    pub number: NoteNumber,
+    /// The number of the note that must be the latest one; zero for none.
+    pub base: NoteNumber,
+    /// All accounts.
+    pub accounts: Vec<Account>,
+    /// All keys.
+    pub keys: Vec<Key>,
+    /// All services.
+    pub services: Vec<Service>,
+    /// All routes.
+    pub routes: Vec<Route>,
+    /// The operator's own text, which is read back as it is.
+    pub document: Bytes,
+}
+
 /// A release note: what one accepted change adds, changes and withdraws.
 ///
 /// Defaults are filled in when the text is read, so that the meaning of an accepted note does not
@@ -42,6 +62,10 @@
 #[derive(Debug, Default)]
 pub struct Note {
     pub(super) number: NoteNumber,
+    /// The note that this one builds on if it replaces the whole configuration.
+    pub(super) base: Option<NoteNumber>,
+    /// The operator's own text of a replacement, kept by control processes only.
+    pub(super) document: Option<Bytes>,
     /// Where the text states the number.
     pub(super) place: Place,
     pub(super) title: Option<String>,
@@ -75,6 +99,55 @@
         self.number
     }
 
+    /// Creates a note that replaces the whole configuration.
+    ///
+    /// # Errors
+    ///
+    /// Every rule that the content breaks within itself; references between items are checked by
+    /// [`Config::apply`](super::Config::apply).
+    pub fn replace(content: Replacement) -> std::result::Result<Note, Vec<NoteError>> {
+        let mut note = Note {
+            number: content.number,
+            base: Some(content.base),
+            document: Some(content.document),
+            accounts: codec::restate(content.accounts.iter()),
+            keys: codec::restate(content.keys.iter()),
+            services: codec::restate(content.services.iter()),
+            routes: codec::restate(content.routes.iter()),
+            ..Note::default()
+        };
+        let mut errors = Vec::new();
+        note.finish(&mut errors);
+        // The decoder checks the range of each field.
+        if errors.is_empty()
+            && let Err(e) = Note::decode(&note.encode())
+        {
+            errors.push(Place::default().error(e.to_string()));
+        }
+        match errors.is_empty() {
+            true => Ok(note),
+            false => Err(errors),
+        }
+    }
+
+    /// Returns the number of the note that a replacement builds on; none for other notes.
+    pub fn base(&self) -> Option<NoteNumber> {
+        self.base
+    }
+
+    /// Returns the operator's text of a replacement.
+    pub fn document(&self) -> Option<&Bytes> {
+        self.document.as_ref()
+    }
+
+    /// Returns the note without the operator's text, which may hold keys, for nodes.
+    pub fn without_document(self) -> Note {
+        Note {
+            document: None,
+            ..self
+        }
+    }
+
     /// Returns the title.
     pub fn title(&self) -> Option<&str> {
         self.title.as_deref()
--- a/src/config/reader.rs
+++ b/src/config/reader.rs
@@ -9,7 +9,7 @@
 use toml::de::{DeTable, DeValue};
 
 use super::edit::{AccountEdit, Edits, Item, KeyEdit, Place, Placed, RouteEdit, ServiceEdit};
-use super::model::{Account, Key, Route, Service};
+use super::model::{Account, Key, Route, Service, Share};
 use super::note::{Note, NoteError};
 use super::routes::{SAFE_METHODS, check_methods, check_path};
 use super::{
@@ -36,6 +36,12 @@
 /// The largest request body of a route that states none.
 const DEFAULT_BODY_MAX: ByteSize = ByteSize(1 << 20);
 
+/// Most targets that a route may let one request be sent to.
+const ATTEMPTS_MAX: u64 = 16;
+
+/// Largest weight in a split.
+const WEIGHT_MAX: u64 = 1_000_000;
+
 type Value<'i> = Spanned<DeValue<'i>>;
 
 /// Reads `text` and returns what is legible of it, and all errors.
@@ -191,12 +197,13 @@
         table: &DeTable<'_>,
         span: Range<usize>,
     ) -> Option<AccountEdit> {
-        let (mut name, mut rate, mut burst) = (None, None, None);
+        let (mut name, mut rate, mut burst, mut priority) = (None, None, None, None);
         for (key, value) in table {
             match key.get_ref().as_ref() {
                 "name" => name = self.parsed("name", value),
                 "rate" => rate = self.parsed("rate", value).map(|p| p.value),
                 "burst" => burst = self.burst("burst", value),
+                "priority" => priority = self.priority(value),
                 other => self.report(key.span(), unknown(other, Account::KIND)),
             }
         }
@@ -205,6 +212,7 @@
             name: name?,
             rate,
             burst,
+            priority,
         })
     }
 
@@ -259,6 +267,8 @@
     fn route(&mut self, list: List, table: &DeTable<'_>, span: Range<usize>) -> Option<RouteEdit> {
         let (mut name, mut path, mut methods, mut service) = (None, None, None, None);
         let (mut open, mut deadline, mut body_max, mut idempotent) = (None, None, None, None);
+        let (mut host, mut split, mut attempts) = (None, None, None);
+        let (mut priority, mut objective) = (None, None);
         for (key, value) in table {
             match key.get_ref().as_ref() {
                 "name" => name = self.parsed("name", value),
@@ -266,12 +276,20 @@
                 "methods" => methods = self.methods("methods", value),
                 "service" => service = self.parsed("service", value),
                 "open" => open = self.flag("open", value),
-                "deadline" => deadline = self.deadline(value),
+                "deadline" => deadline = self.span("deadline", value),
                 "body_max" => {
                     let size = self.whole("body_max", value, 0..=BODY_MAX_BYTES);
                     body_max = size.map(ByteSize);
                 }
                 "idempotent" => idempotent = self.methods("idempotent", value),
+                "host" => host = self.host(value),
+                "split" => split = self.split(value),
+                "attempts" => {
+                    let count = self.whole("attempts", value, 1..=ATTEMPTS_MAX);
+                    attempts = count.map(|n| n as u32);
+                }
+                "priority" => priority = self.priority(value),
+                "objective" => objective = self.span("objective", value),
                 other => self.report(key.span(), unknown(other, Route::KIND)),
             }
         }
@@ -296,6 +314,11 @@
             deadline,
             body_max,
             idempotent,
+            host,
+            split,
+            attempts,
+            priority,
+            objective,
         })
     }
 
@@ -434,13 +457,47 @@
         self.placed(value, checked).map(|p| p.value)
     }
 
-    fn deadline(&mut self, value: &Value<'_>) -> Option<Duration> {
-        let text = self.str("deadline", value)?;
+    fn priority(&mut self, value: &Value<'_>) -> Option<u8> {
+        let rank = self.whole("priority", value, 0..=u8::MAX.into())?;
+        Some(rank as u8)
+    }
+
+    fn host(&mut self, value: &Value<'_>) -> Option<String> {
+        let text = self.str("host", value)?;
+        let legal = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b"-.".contains(&b);
+        let checked = match !text.is_empty() && text.bytes().all(legal) {
+            true => Ok(text.to_owned()),
+            false => Err("host must hold only a-z, 0-9, '-' and '.'"),
+        };
+        self.placed(value, checked).map(|p| p.value)
+    }
+
+    /// Reads a table of services and their weights.
+    fn split(&mut self, value: &Value<'_>) -> Option<Vec<Placed<Share>>> {
+        let mut shares = Vec::new();
+        for (service, weight) in self.table("split", value)? {
+            let name = service.get_ref().parse();
+            let service = self.placed(value, name.map_err(|e: Error| e.to_string()))?;
+            let weight = self.whole("weight", weight, 1..=WEIGHT_MAX)? as u32;
+            shares.push(Placed {
+                value: Share {
+                    service: service.value,
+                    weight,
+                },
+                place: service.place,
+            });
+        }
+        shares.sort_by(|a, b| a.value.cmp(&b.value));
+        Some(shares)
+    }
+
+    fn span(&mut self, name: &str, value: &Value<'_>) -> Option<Duration> {
+        let text = self.str(name, value)?;
         let range = Duration::from_millis(1)..=Duration::from_secs(DEADLINE_MAX_SECS);
         let deadline = humantime::parse_duration(text).ok();
         let legal = |d: &Duration| range.contains(d) && d.subsec_nanos().is_multiple_of(1_000_000);
         let checked = deadline.filter(legal).ok_or(format!(
-            "deadline must be whole milliseconds from 1ms to {DEADLINE_MAX_SECS}s, such as \"5s\""
+            "{name} must be whole milliseconds from 1ms to {DEADLINE_MAX_SECS}s, such as \"5s\""
         ));
         self.placed(value, checked).map(|p| p.value)
     }
--- a/src/config/routes.rs
+++ b/src/config/routes.rs
@@ -1,14 +1,18 @@
 //! Rules of routes and the search by path.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use super::model::{Route, RouteMatch};
+use super::model::{ANY_METHOD, Route, RouteMatch};
 use super::{METHOD_MAX_BYTES, METHODS_MAX, PATH_MAX_BYTES, PATH_MAX_SEGMENTS};
 
+/// An objective this far above the deadline can't be meant, since no answer comes so late.
+const OBJECTIVE_EXCESS_MAX: Duration = Duration::from_secs(60);
+
 /// Methods that RFC 9110 defines as safe; they are idempotent unless a note says otherwise.
 pub(super) const SAFE_METHODS: [&str; 3] = ["GET", "HEAD", "OPTIONS"];
 
-/// Places of routes in the vector sorted by name, ordered by path.
+/// Places of routes in the vector sorted by name, ordered by host and path.
 #[derive(Clone, Debug, Default)]
 pub(super) struct PathIndex {
     places: Vec<u32>,
@@ -17,7 +21,7 @@
 impl PathIndex {
     pub(super) fn build(routes: &[Arc<Route>]) -> Self {
         let mut places: Vec<u32> = (0..routes.len() as u32).collect();
-        places.sort_by(|a, b| routes[*a as usize].path.cmp(&routes[*b as usize].path));
+        places.sort_by(|a, b| place_of(&routes[*a as usize]).cmp(&place_of(&routes[*b as usize])));
         PathIndex { places }
     }
 
@@ -25,6 +29,7 @@
     pub(super) fn find<'a>(
         &self,
         routes: &'a [Arc<Route>],
+        host: &str,
         method: &str,
         path: &str,
     ) -> RouteMatch<'a> {
@@ -33,7 +38,7 @@
             return RouteMatch::NoRoute;
         }
         for prefix in prefixes(path) {
-            let mut same = self.with_path(routes, prefix).peekable();
+            let mut same = self.at_place(routes, (host, prefix)).peekable();
             if same.peek().is_some() {
                 return same
                     .find(|r| r.allows(method))
@@ -43,27 +48,35 @@
         RouteMatch::NoRoute
     }
 
-    /// Returns another route than `route` with the same path and a method in common.
+    /// Returns another route than `route` with the same host and path and a method in common.
     pub(super) fn twin<'a>(&self, routes: &'a [Arc<Route>], route: &Route) -> Option<&'a Route> {
-        self.with_path(routes, &route.path)
+        self.at_place(routes, place_of(route))
             .filter(|other| other.name != route.name)
-            .find(|other| other.methods.iter().any(|m| route.allows(m)))
+            .find(|other| share_method(other, route))
     }
 
-    fn with_path<'a>(
+    fn at_place<'a>(
         &self,
         routes: &'a [Arc<Route>],
-        path: &str,
+        place: (&str, &str),
     ) -> impl Iterator<Item = &'a Route> {
         let at = |i: &u32| &*routes[*i as usize];
-        let start = self.places.partition_point(|i| at(i).path.as_str() < path);
+        let start = self.places.partition_point(|i| place_of(at(i)) < place);
         self.places[start..]
             .iter()
             .map(at)
-            .take_while(move |r| r.path == path)
+            .take_while(move |r| place_of(r) == place)
     }
 }
 
+fn place_of(route: &Route) -> (&str, &str) {
+    (&route.host, &route.path)
+}
+
+fn share_method(a: &Route, b: &Route) -> bool {
+    a.methods.iter().any(|m| b.allows(m)) || b.methods.iter().any(|m| a.allows(m))
+}
+
 /// Returns the prefixes of `path` that a route can have, longest first.
 fn prefixes(path: &str) -> impl Iterator<Item = &str> {
     let bounds = path.match_indices('/').skip(1).map(|(i, _)| i);
@@ -121,6 +134,9 @@
     }
     for method in methods {
         let legal = |b: u8| b.is_ascii_uppercase() || b == b'-';
+        if method == ANY_METHOD {
+            continue;
+        }
         let sized = (1..=METHOD_MAX_BYTES).contains(&method.len());
         if !sized || !method.bytes().all(legal) {
             return Err(format!("method {method:?} must be 1 to 16 of A-Z and '-'"));
@@ -137,6 +153,12 @@
     if route.methods.is_empty() {
         return Err("methods must not be empty".to_owned());
     }
+    if route.split.iter().any(|s| s.weight == 0) {
+        return Err("each weight of a split must be above zero".to_owned());
+    }
+    if route.objective >= route.deadline + OBJECTIVE_EXCESS_MAX {
+        return Err("objective must be less than a minute above the deadline".to_owned());
+    }
     match route.idempotent.iter().find(|m| !route.allows(m)) {
         Some(method) => Err(format!("idempotent method {method:?} is not in methods")),
         None => Ok(()),
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -23,7 +23,7 @@
 use crate::metrics::Metrics;
 use crate::replica::{Action, Entry, Logged, Message, Replica, Role};
 use crate::time::{Clock, Monotonic, Time};
-use crate::units::{Position, Term};
+use crate::units::{NoteNumber, Position, Term};
 use crate::wire::registry::encode_change;
 use crate::wire::replica::{Envelope, encode_entry};
 
@@ -103,6 +103,8 @@
     pub clock: Monotonic,
     /// The process's metrics.
     pub metrics: Metrics,
+    /// Voters that the group must have before the first note is taken.
+    pub voters: usize,
 }
 
 /// The replica with everything that its thread needs.
@@ -117,6 +119,7 @@
     clock: Monotonic,
     rng: StdRng,
     metrics: Metrics,
+    voters: usize,
     in_flight: Option<InFlight>,
     queue: VecDeque<(Note, oneshot::Sender<Submitted>)>,
     leading: Option<Leading>,
@@ -133,6 +136,21 @@
     }
 }
 
+/// Returns the entry as nodes get it if it holds something that they must not get.
+fn for_nodes(entry: &Logged) -> Result<Option<Logged>> {
+    let Entry::Note(bytes) = &entry.entry else {
+        return Ok(None);
+    };
+    let note = Note::decode(bytes)?;
+    if note.document().is_none() {
+        return Ok(None);
+    }
+    Ok(Some(Logged {
+        entry: Entry::Note(note.without_document().encode().into()),
+        ..entry.clone()
+    }))
+}
+
 impl<J: Journal> Core<J> {
     /// Puts the parts together.
     pub fn new(parts: Parts<J>) -> Core<J> {
@@ -149,6 +167,7 @@
             clock: parts.clock,
             rng: rand::make_rng(),
             metrics: parts.metrics,
+            voters: parts.voters,
             in_flight: None,
             queue: VecDeque::new(),
             leading: None,
@@ -288,7 +307,8 @@
             return Ok(None);
         }
         self.state.apply(entry)?;
-        Ok(Some(encode_entry(entry).into()))
+        let public = for_nodes(entry)?;
+        Ok(Some(encode_entry(public.as_ref().unwrap_or(entry)).into()))
     }
 
     fn install(&mut self, position: Position, data: Bytes) -> Result<()> {
@@ -325,6 +345,7 @@
         match self.journal.load() {
             Ok(stored) => {
                 self.replica = Replica::restore(self.clock.now(), stored)?;
+                self.replica.set_voters_wanted(self.voters);
                 self.view.publish_meta(&self.replica, self.clock.now());
                 self.closed = None;
                 Ok(false)
@@ -408,8 +429,15 @@
                 Some(head) if head.digest == digest => Submitted::Taken(head.clone()),
                 head => Submitted::Conflict(head.cloned()),
             }
+        } else if note
+            .base()
+            .is_some_and(|base| base != self.state.config().number())
+        {
+            Submitted::Conflict(None)
         } else if let Err(errors) = self.state.config().clone().apply(&note) {
             Submitted::Invalid(errors)
+        } else if self.is_too_small() {
+            Submitted::Unavailable("the group has not grown to its size yet".to_owned())
         } else {
             let entry = Entry::Note(note.encode().into());
             match self.replica.propose(now, entry) {
@@ -429,6 +457,14 @@
         let _ = reply.send(answer);
     }
 
+    /// Returns true while a note could be lost with as many disks as the grown group may lose.
+    ///
+    /// Only the first note waits for this: a group that is short later is being repaired.
+    fn is_too_small(&self) -> bool {
+        let is_first = self.state.config().number() == NoteNumber(0);
+        is_first && self.replica.replicas().voters().count() < self.voters
+    }
+
     fn answer_in_flight(&mut self) {
         let position = self.state.position();
         let Some(in_flight) = self.in_flight.take_if(|i| i.position <= position) else {
--- a/src/control/group.rs
+++ b/src/control/group.rs
@@ -1,10 +1,11 @@
 //! Messages to the other replicas, and greetings by which they learn of each other.
 //!
-//! At the first start every replica is told the link addresses of all initial peers. It greets
+//! At the first start every founder is told the link addresses of all initial peers. It greets
 //! them; an answer names the identity behind the address and tells whether it knows a group. Once a
-//! replica without a group knows all peers and none of them knows a group, it names them as the
-//! founders to the state machine, which founds the group by a unanimous vote. Later the list only
-//! serves to find the group again: a replica with a new identity greets the leader and is let in.
+//! founder without a group knows all peers and none of them knows a group, it names them as the
+//! founders to the state machine, which founds the group by a unanimous vote. Everybody else uses
+//! the list only to find the group: answers name the addresses of the group that the sender knows,
+//! and a replica with a new identity greets these too until the leader lets it in.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -26,6 +27,9 @@
 /// Time between two greetings of a peer.
 const GREETING_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Most addresses that are greeted; twice a full group, since old members may be named too.
+const GREETED_MAX: usize = 16;
+
 /// Time for one call to a peer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -44,6 +48,7 @@
 pub struct Group {
     own: Member,
     peers: Vec<SocketAddr>,
+    founds: bool,
     secret: Secret,
     hello: Hello,
     runtime: Handle,
@@ -54,10 +59,12 @@
 }
 
 impl Group {
-    /// Creates the group of the process that `own` describes; `peers` are all initial others.
+    /// Creates the group of the process that `own` describes; `peers` are all initial others if it
+    /// `founds` the group with them, else some addresses at which the group may be found.
     pub fn new(
         own: Member,
         peers: Vec<SocketAddr>,
+        founds: bool,
         secret: Secret,
         hello: Hello,
         runtime: Handle,
@@ -66,6 +73,7 @@
         Group {
             own,
             peers,
+            founds,
             secret,
             hello,
             runtime,
@@ -84,6 +92,9 @@
 
     /// Returns all initial members once each peer is known and none knows a group.
     pub fn founders(&self) -> Option<Vec<Member>> {
+        if !self.founds {
+            return None;
+        }
         let mut members = vec![self.own.clone()];
         for peer in &self.peers {
             let (member, founded) = self.known.get(peer)?;
@@ -118,6 +129,7 @@
                 founded: !replica.replicas().is_empty(),
                 to: Some(to),
                 messages,
+                links: Vec::new(),
             };
             self.call(link, &envelope);
         }
@@ -141,36 +153,75 @@
 }
 
 /// Sends an envelope and passes the answer on.
-async fn exchange(peer: &Peer, payload: bytes::Bytes, commands: &Sender<Command>) {
-    match peer.call(Channel::Replica, payload, CALL_TIMEOUT).await {
-        Ok(answer) => {
-            if let Ok(envelope) = Envelope::decode(answer) {
-                // The thread is gone only when the process ends.
-                let _ = commands.send(Command::Envelope(envelope));
-            }
+///
+/// Returns the link addresses that the answer names.
+async fn exchange(
+    peer: &Peer,
+    payload: bytes::Bytes,
+    commands: &Sender<Command>,
+) -> Vec<SocketAddr> {
+    let answer = peer.call(Channel::Replica, payload, CALL_TIMEOUT).await;
+    match answer.and_then(Envelope::decode) {
+        Ok(envelope) => {
+            let links = envelope.links.clone();
+            // The thread is gone only when the process ends.
+            let _ = commands.send(Command::Envelope(envelope));
+            links
         }
         Err(e) => {
-            debug!(event = "peer-call-failed", peer:% = peer.addr(), error:% = e; "no answer")
+            debug!(event = "peer-call-failed", peer:% = peer.addr(), error:% = e; "no answer");
+            Vec::new()
         }
     }
 }
 
 /// Returns the envelope that introduces the process.
 pub fn greeting(own: &Member, view: &View) -> Envelope {
+    let meta = view.meta();
+    let members = meta.replicas.members();
     Envelope {
         from: own.clone(),
-        founded: !view.meta().replicas.is_empty(),
+        founded: !members.is_empty(),
         to: None,
         messages: Vec::new(),
+        links: members.iter().map(|m| m.link).collect(),
     }
 }
 
-/// Greets one peer for ever.
-pub async fn greet(peer: Peer, own: Member, view: Arc<View>, commands: Sender<Command>) {
+/// Greets the peers, and the group that they name, while this process knows no leader.
+///
+/// A process that has a leader exchanges messages with it anyway. One that was taken out of the
+/// group hears of no leader and finds the way back by greeting.
+pub async fn greet(
+    peers: Vec<SocketAddr>,
+    new_peer: impl Fn(SocketAddr) -> Peer,
+    own: Member,
+    view: Arc<View>,
+    commands: Sender<Command>,
+) {
+    let mut known: BTreeMap<SocketAddr, Peer> = BTreeMap::new();
+    let mut addrs = peers;
     let mut interval = tokio::time::interval(GREETING_INTERVAL);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         interval.tick().await;
-        exchange(&peer, greeting(&own, &view).encode(), &commands).await;
+        if view.meta().leader.is_some() {
+            continue;
+        }
+        let members = view.meta().replicas.clone();
+        addrs.extend(members.members().iter().map(|m| m.link));
+        addrs.sort_unstable();
+        addrs.dedup();
+        addrs.retain(|addr| *addr != own.link);
+        addrs.truncate(GREETED_MAX);
+        for addr in &addrs {
+            known.entry(*addr).or_insert_with(|| new_peer(*addr));
+        }
+        let calls = addrs.iter().map(|addr| {
+            let payload = greeting(&own, &view).encode();
+            exchange(&known[addr], payload, &commands)
+        });
+        let heard = futures::future::join_all(calls).await;
+        addrs.extend(heard.into_iter().flatten());
     }
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -51,8 +51,13 @@
     pub link: SocketAddr,
     /// Address for operators.
     pub operator: SocketAddr,
-    /// Link addresses of all other initial replicas.
+    /// Link addresses of all other initial replicas, or of some at which the group may be found.
     pub peers: Vec<SocketAddr>,
+    /// True if this process founds the group with all of its peers at their first start.
+    pub founds: bool,
+    /// How many voters the group is to have; zero if it never grows. No note is taken before the
+    /// group has grown.
+    pub voters: usize,
     /// The data folder.
     pub data: PathBuf,
     /// The fleet secret.
@@ -63,14 +68,36 @@
     pub statsd: Option<SocketAddr>,
 }
 
+/// Returns how many voters keep and elect what was acknowledged after the loss of `losses` disks,
+/// bounded by the largest group.
+///
+/// A majority holds an acknowledged entry. Of `2 * losses + 1` voters it has one more member than
+/// are lost, and the others are still a majority.
+pub fn voters_for(losses: usize) -> usize {
+    (2 * losses + 1).min(REPLICAS_MAX)
+}
+
 impl Settings {
+    /// Sets how the group is found: `seeds` are link addresses of some control processes, perhaps
+    /// with the own one among them, and `first` is true at the first start of the whole fleet.
+    ///
+    /// The seeds found the group at the first start; everybody else looks for it there.
+    pub fn with_seeds(mut self, seeds: &[SocketAddr], first: bool) -> Settings {
+        self.founds = first && seeds.contains(&self.link);
+        self.peers = seeds.to_vec();
+        self.peers.sort_unstable();
+        self.peers.dedup();
+        self.peers.retain(|addr| *addr != self.link);
+        self
+    }
+
     /// Returns what is wrong with the settings; empty if nothing is.
     pub fn check(&self) -> Vec<String> {
         let mut errors = Vec::new();
         if self.link.ip().is_unspecified() || self.operator.ip().is_unspecified() {
             errors.push("the addresses must be ones that others can reach".to_owned());
         }
-        if self.peers.len() + 1 > REPLICAS_MAX {
+        if self.voters > REPLICAS_MAX || self.founds && self.peers.len() + 1 > REPLICAS_MAX {
             errors.push(format!("a group has at most {REPLICAS_MAX} replicas"));
         }
         if self.peers.contains(&self.link) {
@@ -97,6 +124,7 @@
     operator: SocketAddr,
     commands: Sender<Command>,
     view: Arc<View>,
+    operators: Arc<Operator>,
     ended: Ended,
     _tasks: JoinSet<()>,
 }
@@ -117,6 +145,11 @@
         self.operator
     }
 
+    /// Returns the answers to operators, for another interface to them.
+    pub fn operators(&self) -> Arc<Operator> {
+        self.operators.clone()
+    }
+
     /// Returns what the replica publishes.
     pub fn view(&self) -> &View {
         &self.view
@@ -178,12 +211,13 @@
     let operator_listener = bind(settings.operator).await?;
     let metrics = Metrics::open(settings.statsd)?;
     let clock = Monotonic::new();
-    let replica = Replica::restore(clock.now(), journal.load()?)?;
+    let mut replica = Replica::restore(clock.now(), journal.load()?)?;
+    replica.set_voters_wanted(settings.voters);
     let (commands, queue) = channel();
     let process = Process::new(settings, &replica, clock, metrics, commands)?;
     let core = Core::new(process.parts(replica, journal));
     let ended = start_thread(core, queue)?;
-    let tasks = process.start_tasks(link_listener, operator_listener);
+    let (operators, tasks) = process.start_tasks(link_listener, operator_listener);
     info!(
         event = "control-started", replica:% = process.own.id,
         link:% = process.own.link, operator:% = process.own.operator;
@@ -195,6 +229,7 @@
         operator: process.own.operator,
         commands: process.commands,
         view: process.view,
+        operators,
         ended,
         _tasks: tasks,
     })
@@ -271,6 +306,7 @@
             group: Group::new(
                 self.own.clone(),
                 self.settings.peers.clone(),
+                self.settings.founds,
                 secret.clone(),
                 self.hello,
                 runtime.clone(),
@@ -288,11 +324,16 @@
             },
             clock: self.clock,
             metrics: self.metrics.clone(),
+            voters: self.settings.voters,
         }
     }
 
     /// Starts everything that runs beside the replica's thread.
-    fn start_tasks(&self, links: TcpListener, operators: TcpListener) -> JoinSet<()> {
+    fn start_tasks(
+        &self,
+        links: TcpListener,
+        operators: TcpListener,
+    ) -> (Arc<Operator>, JoinSet<()>) {
         let secret = &self.settings.fleet_secret;
         let distributor = Arc::new(Distributor {
             own: self.own.clone(),
@@ -310,14 +351,15 @@
             metrics: self.metrics.clone(),
         });
         let mut tasks = JoinSet::new();
-        for addr in &self.settings.peers {
-            let peer = Peer::new(*addr, secret.clone(), self.hello);
-            let (own, view) = (self.own.clone(), self.view.clone());
-            tasks.spawn(group::greet(peer, own, view, self.commands.clone()));
-        }
+        let (own, view) = (self.own.clone(), self.view.clone());
+        let (greeter, hello) = (secret.clone(), self.hello);
+        let new_peer = move |addr| Peer::new(addr, greeter.clone(), hello);
+        let peers = self.settings.peers.clone();
+        let commands = self.commands.clone();
+        tasks.spawn(group::greet(peers, new_peer, own, view, commands));
         tasks.spawn(serve_links(links, secret.clone(), self.hello, distributor));
-        tasks.spawn(operator.serve(operators));
-        tasks
+        tasks.spawn(operator.clone().serve(operators));
+        (operator, tasks)
     }
 }
 
--- a/src/control/operator.rs
+++ b/src/control/operator.rs
@@ -1,6 +1,7 @@
 //! The operator's HTTP interface.
 
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc::Sender;
 use std::time::Duration;
@@ -12,7 +13,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use log::debug;
+use log::{debug, info};
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, oneshot};
@@ -24,7 +25,7 @@
 };
 use crate::control::core::{Command, Submitted};
 use crate::control::nodes::Nodes;
-use crate::control::state::NoteHead;
+use crate::control::state::{NoteHead, State};
 use crate::control::view::{Meta, View};
 use crate::metrics::Metrics;
 use crate::replica;
@@ -48,7 +49,7 @@
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(1_800);
 
 /// Time in which the answer waits for the acceptance of a committed note.
-const ACCEPT_TIMEOUT: Duration = Duration::from_millis(900);
+pub const ACCEPT_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Connections that are open at the same time.
 const CONNECTIONS_MAX: usize = 256;
@@ -174,10 +175,7 @@
     }
 
     fn not_leader(&self) -> Reply {
-        let meta = self.view.meta();
-        // A replica whose own lease has run out names nobody.
-        let leader = meta.leader.filter(|l| *l != meta.id);
-        let leader = leader.and_then(|_| meta.leader_operator());
+        let leader = self.other_leader();
         json(StatusCode::MISDIRECTED_REQUEST, &NotLeader { leader })
     }
 
@@ -190,30 +188,65 @@
             Ok(note) => note,
             Err(errors) => return invalid(errors),
         };
+        let number = note.number();
+        match self.submit_note(note).await {
+            Submitted::Taken(head) => {
+                // Without acceptance in time the answer says so, and the operator can ask again.
+                self.accepted(&head, ACCEPT_TIMEOUT).await;
+                json(StatusCode::OK, &self.note_state(&head))
+            }
+            Submitted::Conflict(head) => self.conflict(number, head),
+            Submitted::Invalid(errors) => invalid(errors),
+            Submitted::NotLeader => self.not_leader(),
+            Submitted::Unavailable(text) => failure(StatusCode::SERVICE_UNAVAILABLE, text),
+        }
+    }
+
+    /// Submits a note and returns what became of it once that is decided, or after a bounded time.
+    pub async fn submit_note(&self, note: Note) -> Submitted {
         let number = note.number();
         let (sender, receiver) = oneshot::channel();
         if self.commands.send(Command::Submit(note, sender)).is_err() {
-            return failure(StatusCode::SERVICE_UNAVAILABLE, "the replica has ended");
+            return Submitted::Unavailable("the replica has ended".to_owned());
         }
-        match timeout(COMMIT_TIMEOUT, receiver).await {
-            Ok(Ok(Submitted::Taken(head))) => self.taken(head).await,
-            Ok(Ok(Submitted::Conflict(head))) => self.conflict(number, head),
-            Ok(Ok(Submitted::Invalid(errors))) => invalid(errors),
-            Ok(Ok(Submitted::NotLeader)) => self.not_leader(),
-            Ok(Ok(Submitted::Unavailable(text))) => failure(StatusCode::SERVICE_UNAVAILABLE, text),
+        let submitted = match timeout(COMMIT_TIMEOUT, receiver).await {
+            Ok(Ok(submitted)) => submitted,
             Ok(Err(_)) | Err(_) => {
                 let text = "the note is not committed in time; send it again";
-                failure(StatusCode::SERVICE_UNAVAILABLE, text)
+                Submitted::Unavailable(text.to_owned())
             }
-        }
+        };
+        log_submitted(number, &submitted);
+        submitted
     }
 
-    async fn taken(&self, head: NoteHead) -> Reply {
+    /// Waits up to `limit` for the acceptance of a committed note; returns true once it is.
+    pub async fn accepted(&self, head: &NoteHead, limit: Duration) -> bool {
         let mut changes = self.view.changes();
         let accepted = changes.wait_for(|state| state.accepted() >= head.position);
-        // Without acceptance in time the answer says so, and the operator can ask for the state.
-        let _ = timeout(ACCEPT_TIMEOUT, accepted).await;
-        json(StatusCode::OK, &self.note_state(&head))
+        timeout(limit, accepted)
+            .await
+            .is_ok_and(|state| state.is_ok())
+    }
+
+    /// Returns the state if this replica is sure that it is the newest.
+    ///
+    /// Only the leader can be sure, and only while its lease lasts and it has applied all that is
+    /// committed.
+    pub fn newest_state(&self) -> Option<Arc<State>> {
+        // The state is read first: what is committed later was not acknowledged before the call.
+        let state = self.view.state();
+        let meta = self.view.meta();
+        let is_newest = meta.leads(self.clock.now()) && state.position() >= meta.committed;
+        is_newest.then_some(state)
+    }
+
+    /// Returns the operator address of the leader, if it is another replica.
+    pub fn other_leader(&self) -> Option<SocketAddr> {
+        let meta = self.view.meta();
+        // A replica whose own lease has run out names nobody.
+        let leader = meta.leader.filter(|l| *l != meta.id);
+        leader.and_then(|_| meta.leader_operator())
     }
 
     fn conflict(&self, number: NoteNumber, head: Option<NoteHead>) -> Reply {
@@ -291,6 +324,23 @@
     }
 }
 
+fn log_submitted(number: NoteNumber, submitted: &Submitted) {
+    let (outcome, detail) = match submitted {
+        Submitted::Taken(head) => ("committed", format!("position {}", head.position)),
+        Submitted::Conflict(_) => ("conflict", "another note is the latest".to_owned()),
+        Submitted::Invalid(errors) => {
+            let first = errors.first().map_or("", |e| e.message.as_str());
+            ("invalid", first.to_owned())
+        }
+        Submitted::NotLeader => ("not-leader", String::new()),
+        Submitted::Unavailable(text) => ("unavailable", text.clone()),
+    };
+    info!(
+        event = "note-submitted", number:% = number, outcome, detail:% = detail;
+        "release note submitted"
+    );
+}
+
 /// A leader without its lease counts as a candidate, since another may have been elected.
 fn role_name(meta: &Meta, now: Time) -> &'static str {
     match meta.role {
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,6 +1,7 @@
 //! The state that the replicated log builds, the same on replicas and nodes.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -43,6 +44,10 @@
     waiting: VecDeque<Position>,
     notes: VecDeque<Arc<NoteHead>>,
     voters: Vec<ReplicaId>,
+    /// Link addresses of the control processes, sorted.
+    links: Vec<SocketAddr>,
+    /// The operator's text of the configuration in force; none on nodes.
+    document: Option<Bytes>,
 }
 
 impl State {
@@ -89,11 +94,24 @@
         &self.voters
     }
 
+    /// Returns the link addresses of the control processes, sorted.
+    pub fn links(&self) -> &[SocketAddr] {
+        &self.links
+    }
+
+    /// Returns the operator's text of the configuration, if the last note replaced it as a whole
+    /// and this process keeps such texts.
+    pub fn document(&self) -> Option<&Bytes> {
+        self.document.as_ref()
+    }
+
     /// Returns the note with this number, unless it is unknown or long past.
     pub fn note(&self, number: NoteNumber) -> Option<&NoteHead> {
-        let first = self.notes.front()?.number.0;
-        let i = number.0.checked_sub(first)?;
-        self.notes.get(i as usize).map(|n| &**n)
+        let i = self
+            .notes
+            .binary_search_by_key(&number, |n| n.number)
+            .ok()?;
+        self.notes.get(i).map(|n| &**n)
     }
 
     /// Applies the next entry.
@@ -119,7 +137,11 @@
                     self.waiting.push_back(logged.position);
                 }
             }
-            Entry::Replicas(group) => self.voters = group.voters().collect(),
+            Entry::Replicas(group) => {
+                self.voters = group.voters().collect();
+                self.links = group.members().iter().map(|m| m.link).collect();
+                self.links.sort_unstable();
+            }
             Entry::Accepted(position) => self.accept(*position),
         }
         self.position = logged.position;
@@ -132,6 +154,7 @@
             let first = errors.first().map_or("", |e| e.message.as_str());
             Error::corrupt(format!("note {} can't be applied: {first}", note.number()))
         })?;
+        self.document = note.document().cloned();
         self.notes.push_back(Arc::new(NoteHead {
             number: note.number(),
             title: note.title().map(str::to_owned),
@@ -168,6 +191,15 @@
 
     /// Encodes the state for a snapshot.
     pub fn encode(&self) -> Bytes {
+        self.encode_with(self.document.clone())
+    }
+
+    /// Encodes the state for a node, without the operator's text, which may hold keys.
+    pub fn encode_for_node(&self) -> Bytes {
+        self.encode_with(None)
+    }
+
+    fn encode_with(&self, document: Option<Bytes>) -> Bytes {
         let registries = self
             .registries
             .iter()
@@ -189,6 +221,8 @@
             waiting: self.waiting.iter().map(|p| p.0).collect(),
             notes: notes.collect(),
             voters: self.voters.iter().map(|v| v.0).collect(),
+            links: self.links.iter().map(SocketAddr::to_string).collect(),
+            document,
         };
         record.encode_to_vec().into()
     }
@@ -215,7 +249,10 @@
                 position: Position(n.position),
             }));
         }
+        let links = record.links.iter().map(|l| l.parse().map_err(|_| bad()));
         Ok(State {
+            links: links.collect::<Result<_>>()?,
+            document: record.document,
             position: Position(record.position),
             config: Config::decode(&record.config)?,
             accepted: Position(record.accepted),
@@ -263,4 +300,8 @@
     notes: Vec<NoteRecord>,
     #[prost(fixed64, repeated, tag = "7")]
     voters: Vec<u64>,
+    #[prost(string, repeated, tag = "8")]
+    links: Vec<String>,
+    #[prost(bytes = "bytes", optional, tag = "9")]
+    document: Option<Bytes>,
 }
--- a/src/control/view.rs
+++ b/src/control/view.rs
@@ -204,7 +204,7 @@
             return (*position, bytes.clone());
         }
         let state = self.state();
-        let fresh = (state.position(), state.encode());
+        let fresh = (state.position(), state.encode_for_node());
         *cached = Some(fresh.clone());
         fresh
     }
--- a/src/http/headers.rs
+++ b/src/http/headers.rs
@@ -23,6 +23,12 @@
 pub const WEIGHT: HeaderName = HeaderName::from_static("laburnum-weight");
 /// Remaining time until the answer must start, in milliseconds.
 pub const DEADLINE_MS: HeaderName = HeaderName::from_static("laburnum-deadline-ms");
+/// Service of the VM on which the request began, between nodes only.
+pub const ORIGIN: HeaderName = HeaderName::from_static("laburnum-origin");
+/// Present if a request without a key is queued like those of a client account, between nodes only.
+pub const SHARED: HeaderName = HeaderName::from_static("laburnum-shared");
+/// Rank of the request, between nodes only.
+pub const PRIORITY: HeaderName = HeaderName::from_static("laburnum-priority");
 /// Name of the target, between nodes only.
 pub const TARGET: HeaderName = HeaderName::from_static("laburnum-target");
 /// Kind of request, for the measurement of targets, between nodes only.
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -11,7 +11,7 @@
 
 use crate::metrics::Metrics;
 use crate::node::flight::{Flight, Step};
-use crate::node::local::{Announcement, Local};
+use crate::node::local::{Announcement, Heard, Local};
 use crate::node::plug::{Freshness, Policy};
 
 /// Most bytes of an announcement.
@@ -20,6 +20,7 @@
 /// The admin listener of a node.
 #[derive(Debug)]
 pub struct Admin<F> {
+    announce: bool,
     local: Arc<Local>,
     policy: Arc<Policy>,
     freshness: Arc<F>,
@@ -28,8 +29,9 @@
 }
 
 impl<F: Freshness> Admin<F> {
-    /// Creates the admin interface of a node.
+    /// Creates the admin interface of a node; targets may use it if `announce` is set.
     pub fn new(
+        announce: bool,
         local: Arc<Local>,
         policy: Arc<Policy>,
         freshness: Arc<F>,
@@ -37,6 +39,7 @@
         flight: Flight,
     ) -> Admin<F> {
         Admin {
+            announce,
             local,
             policy,
             freshness,
@@ -57,7 +60,9 @@
         let method = request.method().clone();
         let path = request.uri().path().to_owned();
         Ok(match (method, path.as_str()) {
-            (Method::POST, "/announce") => self.announce(request.into_body()).await,
+            (Method::POST, "/announce") if self.announce => {
+                self.announce(request.into_body()).await
+            }
             (Method::GET, "/live") => text(StatusCode::OK, "live\n"),
             (Method::GET, "/ready") => self.ready(),
             (Method::GET, "/metrics") => text(StatusCode::OK, self.metrics.render()),
@@ -87,10 +92,10 @@
             return text(StatusCode::PAYLOAD_TOO_LARGE, "announcement is too large\n");
         };
         match parse(&body.to_bytes()) {
-            Ok(announcement) => {
-                self.local.announce(&announcement);
-                text(StatusCode::OK, "announced\n")
-            }
+            Ok(announcement) => match self.local.announce(&announcement) {
+                Heard::Taken => text(StatusCode::OK, "announced\n"),
+                Heard::Late => text(StatusCode::OK, "late, not taken over\n"),
+            },
             Err(message) => text(StatusCode::BAD_REQUEST, message),
         }
     }
--- a/src/node/call.rs
+++ b/src/node/call.rs
@@ -8,7 +8,8 @@
 
 use crate::config::{Account, Config, Route};
 use crate::http::UploadSlot;
-use crate::ids::{KeyDigest, RequestId};
+use crate::ids::{KeyDigest, RequestId, ServiceName};
+use crate::node::edge::Asked;
 use crate::outcome::{Outcome, Reason, Refusal};
 use crate::repeat::IdempotencyKey;
 use crate::route::Exposure;
@@ -41,6 +42,14 @@
     pub head: Parts,
     /// Route that the request matched.
     pub route: &'a Route,
+    /// Service that answers.
+    pub service: &'a ServiceName,
+    /// Service of the VM on which the request began, if targets are told.
+    pub origin: Option<ServiceName>,
+    /// True if a request without a key is queued like those of a client account.
+    pub shared: bool,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
     /// Who sent it; none on open routes.
     pub identity: Option<Identity>,
     /// Idempotency key; only with a client account.
@@ -58,7 +67,7 @@
 impl<'a> Call<'a> {
     /// Creates a call that nothing was sent of.
     pub fn new(
-        id: RequestId,
+        asked: Asked,
         head: Parts,
         route: &'a Route,
         identity: Option<Identity>,
@@ -66,14 +75,20 @@
         weight: Rate,
         body: Arc<UploadSlot>,
     ) -> Call<'a> {
+        let ranked = identity.as_ref().and_then(|i| i.account.priority);
+        let patience = asked.patience.unwrap_or(route.deadline);
         Call {
-            id,
+            id: asked.request,
             head,
             route,
+            service: route.service_for(rand::random()),
+            origin: asked.origin,
+            shared: false,
+            priority: ranked.unwrap_or(route.priority),
             identity,
             key,
             weight,
-            deadline: Instant::now() + route.deadline,
+            deadline: Instant::now() + patience.min(route.deadline),
             body,
             exposure: Exposure::default(),
         }
--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -6,9 +6,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
+use http::header::HeaderValue;
 use http::{HeaderMap, HeaderName, Request, Response, StatusCode};
-use http_body::Body;
 use http_body_util::{Either, Empty};
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
@@ -17,8 +16,9 @@
 use crate::gate::{Load, Offer};
 use crate::http::body::Paced;
 use crate::http::headers;
-use crate::http::refusal::{ANSWER, NOT_RUN, UNKNOWN, id_value};
-use crate::ids::{AccountName, AttemptId, RequestId, TargetName};
+use crate::http::refusal::{ANSWER, NOT_RUN, UNKNOWN};
+use crate::ids::{AccountName, AttemptId, RequestId, ServiceName, TargetName};
+use crate::node::edge::{Edge, Handover};
 use crate::node::flight::{Flight, Step, Ticket};
 use crate::node::local::{Local, LocalTarget};
 use crate::node::plug::Freshness;
@@ -35,12 +35,16 @@
 /// Longest time from the arrival of a keyed request to its hand-over.
 const HAND_OVER_MAX: Duration = Duration::from_millis(1_800);
 
+/// Name under which requests without a key are queued that have no limit of their own.
+const OPEN_FLOW: &str = "open";
+
 /// The answer body from an egress to an ingress.
 pub type EgressBody = Either<TargetBody, Empty<Bytes>>;
 
 /// The egress of a node.
 #[derive(Debug)]
-pub struct Egress<F> {
+pub struct Egress<F, E> {
+    edge: E,
     local: Arc<Local>,
     freshness: Arc<F>,
     clock: Monotonic,
@@ -57,14 +61,18 @@
     account: Option<AccountName>,
     weight: Rate,
     kind: String,
+    priority: u8,
+    shared: bool,
+    origin: Option<ServiceName>,
     arrived: Instant,
     deadline: Instant,
     target: TargetName,
 }
 
-impl<F: Freshness> Egress<F> {
+impl<F: Freshness, E: Edge> Egress<F, E> {
     /// Creates an egress for the targets in `local`.
     pub fn new(
+        edge: E,
         local: Arc<Local>,
         freshness: Arc<F>,
         clock: Monotonic,
@@ -72,6 +80,7 @@
         limits: &Limits,
     ) -> Self {
         Egress {
+            edge,
             local,
             freshness,
             clock,
@@ -116,13 +125,17 @@
         let left = job.deadline.saturating_duration_since(Instant::now());
         let offer = Offer {
             attempt: job.attempt,
-            account: job.account.clone(),
+            account: job.flow(),
             weight: job.weight,
             deadline: self.clock.now() + left,
         };
         let lease = target.gate.enter(offer).await.map_err(not_run)?;
         self.check_evidence(job).map_err(not_run)?;
-        let request = self.prepare(job, request);
+        // It may have begun to leave while the request waited.
+        check_open(&target).map_err(not_run)?;
+        let handover = job.handover();
+        let request = self.prepare(&handover, request);
+        let echo = self.edge.echo(request.headers()).cloned();
         log::debug!(
             event = "handed-over", request:% = job.request, attempt:% = job.attempt,
             target:% = job.target; "request handed over to its target"
@@ -130,7 +143,12 @@
         let mut measured = target.measure.start(job.attempt, &job.kind);
         let sent = timeout_at(job.deadline, target.pool.send(request)).await;
         let reply = sent.unwrap_or(Err(Outcome::Unknown(Reason::Timeout)));
-        let checked = reply.and_then(|reply| check(job, &reply.response).map(|()| reply));
+        let checked = reply.and_then(|reply| {
+            check_kind(&reply.response)?;
+            self.edge
+                .check_answer(&handover, echo.as_ref(), &reply.response)?;
+            Ok(reply)
+        });
         let reply = checked.inspect_err(|outcome| measured.set_outcome(outcome))?;
         let hold = Hold {
             target,
@@ -170,13 +188,11 @@
         }
         let target = self.local.get(&job.target);
         let target = target.ok_or(Refusal::after(Reason::Connect, RETRY_LATER))?;
-        if !target.takes_work() {
-            return Err(Refusal::after(Reason::Draining, RETRY_LATER));
-        }
+        check_open(&target)?;
         Ok(target)
     }
 
-    fn prepare(&self, job: &Job, request: Request<Incoming>) -> Request<Paced> {
+    fn prepare(&self, handover: &Handover, request: Request<Incoming>) -> Request<Paced> {
         let (mut head, body) = request.into_parts();
         head.version = http::Version::HTTP_11;
         head.extensions.clear();
@@ -184,13 +200,7 @@
         if let Some(path) = head.uri.path_and_query() {
             head.uri = path.clone().into();
         }
-        let left = job.deadline.saturating_duration_since(Instant::now());
-        let left = HeaderValue::from(left.as_millis() as u64);
-        head.headers.insert(headers::DEADLINE_MS, left);
-        let id = id_value(job.request);
-        head.headers.insert(headers::REQUEST_ID, id);
-        let attempt = attempt_value(job.attempt);
-        head.headers.insert(headers::ATTEMPT, attempt);
+        self.edge.complete_request(&mut head.headers, handover);
         Request::from_parts(head, Paced::new(body, self.body_time))
     }
 
@@ -222,6 +232,23 @@
 }
 
 impl Job {
+    /// Returns the account under which the request is queued.
+    fn flow(&self) -> Option<AccountName> {
+        let shared = || OPEN_FLOW.parse().expect("the name is legal");
+        self.account.clone().or_else(|| self.shared.then(shared))
+    }
+
+    fn handover(&self) -> Handover {
+        Handover {
+            request: self.request,
+            attempt: self.attempt,
+            account: self.account.clone(),
+            origin: self.origin.clone(),
+            target: self.target.clone(),
+            left: self.deadline.saturating_duration_since(Instant::now()),
+        }
+    }
+
     fn read(from: &HeaderMap) -> Result<Job> {
         let left: u64 = field(from, &headers::DEADLINE_MS)?;
         let arrived = Instant::now();
@@ -234,6 +261,12 @@
             },
             weight: Rate::from_millis(field(from, &headers::WEIGHT)?),
             kind: field(from, &headers::KIND)?,
+            priority: field(from, &headers::PRIORITY).unwrap_or_default(),
+            shared: from.contains_key(headers::SHARED),
+            origin: match from.contains_key(headers::ORIGIN) {
+                true => Some(field(from, &headers::ORIGIN)?),
+                false => None,
+            },
             arrived,
             deadline: arrived + Duration::from_millis(left),
             target: field(from, &headers::TARGET)?,
@@ -284,48 +317,20 @@
     Outcome::NotRun(refusal)
 }
 
-/// Checks that an answer belongs to its request and that its end can be seen.
-fn check(job: &Job, response: &Response<Incoming>) -> std::result::Result<(), Outcome> {
-    let echoes = [
-        (headers::REQUEST_ID, job.request.0),
-        (headers::ATTEMPT, job.attempt.0),
-    ];
-    for (name, own) in echoes {
-        let strange = response.headers().get_all(&name).iter().any(|value| {
-            let echoed = value.to_str().ok();
-            echoed.and_then(|v| u64::from_str_radix(v, 16).ok()) != Some(own)
-        });
-        if strange {
-            return Err(Outcome::Unknown(Reason::Crossed));
-        }
-    }
-    if response.status() == StatusCode::SWITCHING_PROTOCOLS || !is_delimited(response) {
-        return Err(Outcome::Unknown(Reason::TargetError));
-    }
-    if is_shed(response) {
-        return Err(not_run(Refusal::after(Reason::Shed, retry_after(response))));
+/// Checks that an answer can be passed on by its kind.
+fn check_kind(response: &Response<Incoming>) -> std::result::Result<(), Outcome> {
+    match response.status() == StatusCode::SWITCHING_PROTOCOLS {
+        true => Err(Outcome::Unknown(Reason::TargetError)),
+        false => Ok(()),
     }
-    Ok(())
 }
 
-/// An answer that ends when its connection closes can't be told from one that was cut.
-fn is_delimited(response: &Response<Incoming>) -> bool {
-    let headers = response.headers();
-    headers.contains_key(CONTENT_LENGTH)
-        || headers.contains_key(TRANSFER_ENCODING)
-        || response.body().is_end_stream()
-}
-
-/// Only a target that says so itself proves that a refused request did not run.
-fn is_shed(response: &Response<Incoming>) -> bool {
-    response.status() == StatusCode::SERVICE_UNAVAILABLE
-        && response.headers().get(headers::OUTCOME) == Some(&NOT_RUN)
-}
-
-fn retry_after(response: &Response<Incoming>) -> Duration {
-    field(response.headers(), &http::header::RETRY_AFTER)
-        .map(Duration::from_secs)
-        .unwrap_or(RETRY_LATER)
+/// Checks that a target still takes new work.
+fn check_open(target: &LocalTarget) -> std::result::Result<(), Refusal> {
+    match target.takes_work() {
+        true => Ok(()),
+        false => Err(Refusal::after(Reason::Draining, RETRY_LATER)),
+    }
 }
 
 fn outcome_response(outcome: &Outcome) -> Response<EgressBody> {
--- a/src/node/forward.rs
+++ b/src/node/forward.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 use tokio::time::timeout_at;
 
+use crate::config::Route;
 use crate::http::Upload;
 use crate::http::headers;
 use crate::http::refusal::{ANSWER, NOT_RUN, id_value};
@@ -20,7 +21,7 @@
 use crate::route::{self, RetryBudget, RetryQuestion, Sample};
 use crate::time::{Clock, Monotonic};
 
-/// Most attempts for one request.
+/// Most attempts for one request of a route that states no number.
 const ATTEMPTS_MAX: usize = 3;
 
 /// The egress gives up this much earlier, so that its exact outcome arrives in time.
@@ -93,13 +94,13 @@
     }
 
     fn no_target(&self, call: &Call<'_>) -> Refusal {
-        let delay = self.targets.retry_after(&call.route.service);
+        let delay = self.targets.retry_after(call.service);
         Refusal::after(Reason::NoTarget, delay)
     }
 
     fn pick(&self, call: &Call<'_>, tried: &[TargetId]) -> Option<Pick> {
         self.targets.pick(&route::Request {
-            service: &call.route.service,
+            service: call.service,
             kind: call.route.name.as_str(),
             idempotent: call.is_idempotent(),
             tried,
@@ -116,8 +117,9 @@
             replayable: call.body.is_whole(),
             deadline: now + call.left(),
         };
-        let again =
-            attempts < ATTEMPTS_MAX && route::may_retry(now, &question) && self.budget().withdraw();
+        let again = attempts < attempts_max(call.route)
+            && route::may_retry(now, &question)
+            && self.budget().withdraw();
         if !again {
             return None;
         }
@@ -220,6 +222,14 @@
     }
 }
 
+/// Returns the most targets that one request of `route` is sent to.
+fn attempts_max(route: &Route) -> usize {
+    match route.attempts {
+        0 => ATTEMPTS_MAX,
+        stated => stated as usize,
+    }
+}
+
 fn build(call: &Call<'_>, pick: &Pick, attempt: AttemptId, upload: Upload) -> Request<Upload> {
     let mut request = Request::new(upload);
     *request.method_mut() = call.head.method.clone();
@@ -237,9 +247,19 @@
         let account = name_value(identity.account.name.as_str());
         fields.insert(headers::ACCOUNT, account);
     }
+    if call.shared {
+        fields.insert(headers::SHARED, HeaderValue::from_static("1"));
+    }
+    if let Some(origin) = &call.origin {
+        fields.insert(headers::ORIGIN, name_value(origin.as_str()));
+    }
     let weight = HeaderValue::from(call.weight.as_millis());
     fields.insert(headers::WEIGHT, weight);
     fields.insert(headers::KIND, name_value(call.route.name.as_str()));
+    fields.insert(
+        headers::PRIORITY,
+        HeaderValue::from(u16::from(call.priority)),
+    );
     *request.headers_mut() = fields;
     request
 }
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HeaderValue};
+use http::header::{AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderValue};
 use http::{HeaderMap, Request, Response};
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
@@ -14,12 +14,12 @@
 use crate::http::body::{Paced, UploadSlot};
 use crate::http::headers::IDEMPOTENCY_KEY;
 use crate::http::path::{is_safe, resolve};
-use crate::http::refusal::{ANSWER, id_value, refusal_response};
 use crate::http::{FAULT_METHOD, headers};
 use crate::ids::{AccountName, KeyDigest, RequestId, RouteName};
 use crate::metrics::Metrics;
 use crate::node::answer::Download;
 use crate::node::call::{Call, Identity, reason_of};
+use crate::node::edge::{Asked, Edge};
 use crate::node::flight::{Flight, Step, Ticket};
 use crate::node::forward::Forwarder;
 use crate::node::open::OpenLimit;
@@ -34,6 +34,10 @@
 /// When a caller may come back after a refusal whose end is not known.
 const RETRY_LATER: Duration = Duration::from_secs(1);
 
+/// Weight of an account, or of open routes, without a limit in the queues of targets: that of a
+/// usual account.
+const UNLIMITED_WEIGHT: Rate = Rate::per_sec(10);
+
 /// Most bytes of a refused request that are read so that the refusal arrives.
 const LEFTOVER_MAX_BYTES: u64 = 256 * 1024;
 
@@ -44,8 +48,9 @@
 pub type CallerBody = Either<Download, Full<Bytes>>;
 
 /// The ingress of a node.
-pub struct Ingress<F, A, R> {
+pub struct Ingress<F, A, R, E> {
     parts: Parts<F, A, R>,
+    edge: E,
     forwarder: Forwarder,
     sessions: Arc<Sessions>,
     open: OpenLimit,
@@ -55,10 +60,11 @@
     body_time: Duration,
 }
 
-impl<F: Freshness, A: Admission, R: Repeats> Ingress<F, A, R> {
+impl<F: Freshness, A: Admission, R: Repeats, E: Edge> Ingress<F, A, R, E> {
     /// Creates an ingress that sends requests by `forwarder`.
     pub fn new(
         parts: Parts<F, A, R>,
+        edge: E,
         forwarder: Forwarder,
         clock: Monotonic,
         flight: Flight,
@@ -67,6 +73,7 @@
     ) -> Self {
         Ingress {
             parts,
+            edge,
             forwarder,
             sessions: Sessions::new(),
             open: OpenLimit::default(),
@@ -108,8 +115,9 @@
         let (head, body) = request.into_parts();
         let expects = head.headers.contains_key(EXPECT);
         let slot = UploadSlot::new(Paced::new(body, self.body_time));
-        let mut trace = Trace::start(RequestId::random(), &self.metrics);
-        let result = self.handle(&mut trace, head, &slot).await;
+        let asked = self.edge.asked(&head.headers);
+        let mut trace = Trace::start(asked.request, &self.metrics);
+        let result = self.handle(&mut trace, asked, head, &slot).await;
         let mut response = match result {
             Ok(response) => response.map(Either::Left),
             Err(outcome) => self.refuse(&trace, &outcome, &slot, expects),
@@ -124,6 +132,7 @@
     async fn handle(
         &self,
         trace: &mut Trace<'_>,
+        asked: Asked,
         mut head: http::request::Parts,
         slot: &Arc<UploadSlot>,
     ) -> Result<Response<Download>, Outcome> {
@@ -138,7 +147,7 @@
         check_length(&head.headers, route).map_err(refused)?;
         let identity = match route.open {
             true => None,
-            false => Some(identify(&config, &head.headers).map_err(refused)?),
+            false => Some(self.identify(&config, &head.headers).map_err(refused)?),
         };
         trace.account = identity.as_ref().map(|i| i.account.name.clone());
         let key = match identity {
@@ -149,11 +158,27 @@
         headers::strip_request(&mut head.headers);
         headers::set_host(&mut head.headers, &head.uri);
         let weight = weight(&config, route, identity.as_ref());
-        let call = Call::new(trace.id, head, route, identity, key, weight, slot.clone());
+        let shared = identity.is_none() && !has_open_limit(&config, route);
+        let mut call = Call::new(asked, head, route, identity, key, weight, slot.clone());
+        call.shared = shared;
         let response = self.run(&call, &config, session.as_ref()).await?;
         Ok(self.answer(&call, response, session, ticket))
     }
 
+    /// Finds the account of the key that came with a request.
+    fn identify(&self, config: &Config, headers: &HeaderMap) -> Result<Identity, Refusal> {
+        let mut values = headers.get_all(AUTHORIZATION).iter();
+        let value = values.next().ok_or(Refusal::new(Reason::NoKey))?;
+        if values.next().is_some() {
+            return Err(Refusal::new(Reason::BadRequest));
+        }
+        let key = self.edge.key(value).ok_or(Refusal::new(Reason::NoKey))?;
+        let digest = KeyDigest::of(key);
+        let account = config.account_of(&digest);
+        let account = account.ok_or(Refusal::new(Reason::UnknownKey))?.clone();
+        Ok(Identity { digest, account })
+    }
+
     fn enter(&self, identity: &Identity) -> Session {
         self.sessions.enter(identity.digest, &identity.account.name)
     }
@@ -237,11 +262,14 @@
     }
 
     async fn admit_account(&self, call: &Call<'_>, account: &Account) -> Result<(), Refusal> {
+        if account.rate == Rate::default() {
+            return Ok(());
+        }
         self.parts.admission.admit(account, call.left()).await
     }
 
     fn admit_open(&self, call: &Call<'_>, config: &Config) -> Result<(), Refusal> {
-        let service = config.service(&call.route.service);
+        let service = config.service(&call.service);
         let service = service.ok_or(Refusal::after(Reason::NoTarget, RETRY_LATER))?;
         self.open.admit(service, self.clock.now())
     }
@@ -262,8 +290,7 @@
         head.version = http::Version::HTTP_11;
         head.extensions.clear();
         headers::strip_answer(&mut head.headers);
-        head.headers.insert(headers::OUTCOME, ANSWER);
-        head.headers.insert(headers::REQUEST_ID, id_value(call.id));
+        self.edge.complete_answer(&mut head.headers, call.id);
         let body = Download::new(body, call.id, session, ticket);
         Response::from_parts(head, body)
     }
@@ -276,7 +303,7 @@
         expects: bool,
     ) -> Response<CallerBody> {
         trace.tell(outcome);
-        let response = refusal_response(outcome, trace.id).expect("an answer is not refused");
+        let response = self.edge.refusal(outcome, trace.id);
         let mut response = response.map(Either::Right);
         let is_fault = reason_of(outcome) == Some(Reason::BadRequest);
         let rest = slot.take_rest();
@@ -418,9 +445,10 @@
 
 fn find_route<'a>(config: &'a Config, head: &http::request::Parts) -> Result<&'a Route, Refusal> {
     let (method, path) = (head.method.as_str(), head.uri.path());
-    let found = config.route_for(method, path);
+    let host = host_of(head);
+    let found = config.route_at(host, method, path);
     if let Some(resolved) = resolve(path)
-        && config.route_for(method, &resolved) != found
+        && config.route_at(host, method, &resolved) != found
     {
         return Err(Refusal::new(Reason::BadRequest));
     }
@@ -431,16 +459,32 @@
     }
 }
 
+/// Returns the host that a request names; that of an absolute target goes first.
+fn host_of(head: &http::request::Parts) -> &str {
+    let stated = || head.headers.get(HOST)?.to_str().ok();
+    head.uri.host().or_else(stated).unwrap_or_default()
+}
+
 /// Returns the weight of a request in the queues of targets.
 fn weight(config: &Config, route: &Route, identity: Option<&Identity>) -> Rate {
-    match identity {
+    let rate = match identity {
         Some(identity) => identity.account.rate,
         None => config
             .service(&route.service)
             .map_or(Rate::default(), |service| service.open_rate),
+    };
+    match rate == Rate::default() {
+        true => UNLIMITED_WEIGHT,
+        false => rate,
     }
 }
 
+/// Returns true if requests without a key have a limit of their own at the service of `route`.
+fn has_open_limit(config: &Config, route: &Route) -> bool {
+    let service = config.service(&route.service);
+    service.is_none_or(|service| service.open_rate != Rate::default())
+}
+
 fn check_length(headers: &HeaderMap, route: &Route) -> Result<(), Refusal> {
     let Some(length) = headers.get(CONTENT_LENGTH) else {
         return Ok(());
@@ -453,20 +497,6 @@
     }
 }
 
-/// Finds the account of the bearer token.
-fn identify(config: &Config, headers: &HeaderMap) -> Result<Identity, Refusal> {
-    let mut values = headers.get_all(AUTHORIZATION).iter();
-    let value = values.next().ok_or(Refusal::new(Reason::NoKey))?;
-    if values.next().is_some() {
-        return Err(Refusal::new(Reason::BadRequest));
-    }
-    let key = bearer(value).ok_or(Refusal::new(Reason::NoKey))?;
-    let digest = KeyDigest::of(key);
-    let account = config.account_of(&digest);
-    let account = account.ok_or(Refusal::new(Reason::UnknownKey))?.clone();
-    Ok(Identity { digest, account })
-}
-
 /// Returns the idempotency key of a request; a malformed one is a fault.
 fn idempotency_key(headers: &HeaderMap) -> Result<Option<IdempotencyKey>, Refusal> {
     let mut values = headers.get_all(IDEMPOTENCY_KEY).iter();
@@ -479,10 +509,3 @@
         _ => Err(Refusal::new(Reason::BadRequest)),
     }
 }
-
-/// Returns the token of `Bearer token`; the scheme's case doesn't matter.
-fn bearer(value: &HeaderValue) -> Option<&[u8]> {
-    let (scheme, token) = value.as_bytes().split_at_checked(b"bearer ".len())?;
-    let token = token.trim_ascii();
-    (scheme.eq_ignore_ascii_case(b"bearer ") && !token.is_empty()).then_some(token)
-}
--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -13,6 +13,7 @@
 use crate::ids::NodeId;
 use crate::limit::LEASE;
 use crate::metrics::Metrics;
+use crate::node::edge::{Edge, OwnEdge};
 use crate::node::limits::RateLimits;
 use crate::node::links::Links;
 use crate::node::plug::{Freshness, Parts, Policy};
@@ -63,6 +64,15 @@
 ///
 /// Fails if a setting breaks a rule or an address can't be bound.
 pub async fn spawn(settings: Settings) -> Result<Handle> {
+    spawn_at(settings, OwnEdge).await
+}
+
+/// Like [`spawn`], with another interface to callers and targets.
+///
+/// # Errors
+///
+/// As [`spawn`].
+pub async fn spawn_at<E: Edge>(settings: Settings, edge: E) -> Result<Handle> {
     let me = NodeId::random();
     let hello = Hello {
         role: Role::Node,
@@ -76,7 +86,7 @@
     };
     let policy = Arc::new(Policy::new());
     let view = Arc::new(View::new(member, Monotonic::new(), policy.clone()));
-    let (addrs, secret) = (settings.control.clone(), settings.secret.clone());
+    let secret = settings.secret.clone();
     let metrics = Metrics::open(settings.statsd)?;
     let limits = RateLimits::new(policy.clone(), secret.clone(), hello, metrics.clone());
     let limits = Arc::new(limits);
@@ -96,7 +106,7 @@
         limits: limits.clone(),
         repeats: repeats.clone(),
     });
-    let handle = spawn_measured(settings, me, parts, frames, metrics).await?;
+    let handle = spawn_measured(settings, edge, me, parts, frames, metrics).await?;
     handle.watch(limits.clone().run());
     handle.watch(repeats.clone().run());
     handle.watch(keep_members(
@@ -105,7 +115,12 @@
         repeats,
         handle.metrics.clone(),
     ));
-    let controls = Arc::new(Controls::new(view.clone(), &addrs, &secret, hello));
+    let controls = Arc::new(Controls::new(
+        view.clone(),
+        handle.seeds.subscribe(),
+        secret.clone(),
+        hello,
+    ));
     let waiting = controls.clone();
     handle.watch(async move { controls.prove().await });
     handle.watch(async move { waiting.wait_for_changes().await });
--- a/src/node/listen.rs
+++ b/src/node/listen.rs
@@ -19,6 +19,7 @@
 use crate::http::Guard;
 use crate::ids::NodeId;
 use crate::node::admin::Admin;
+use crate::node::edge::Edge;
 use crate::node::egress::Egress;
 use crate::node::flight::Flight;
 use crate::node::ingress::Ingress;
@@ -117,9 +118,9 @@
 }
 
 /// Serves callers.
-pub async fn serve_callers<F: Freshness, A: Admission, R: Repeats>(
+pub async fn serve_callers<F: Freshness, A: Admission, R: Repeats, E: Edge>(
     listener: TcpListener,
-    ingress: Arc<Ingress<F, A, R>>,
+    ingress: Arc<Ingress<F, A, R, E>>,
     limits: Limits,
     ending: Ending,
 ) {
@@ -132,9 +133,9 @@
     .await;
 }
 
-async fn serve_caller<F: Freshness, A: Admission, R: Repeats>(
+async fn serve_caller<F: Freshness, A: Admission, R: Repeats, E: Edge>(
     stream: TcpStream,
-    ingress: Arc<Ingress<F, A, R>>,
+    ingress: Arc<Ingress<F, A, R, E>>,
     limits: Limits,
     closing: CancellationToken,
 ) {
@@ -215,21 +216,21 @@
 }
 
 /// What an accepted link is served with.
-pub struct LinkSide<F, H> {
+pub struct LinkSide<F, E, H> {
     /// Identity of this node.
     pub me: NodeId,
     /// Secret of the fleet.
     pub secret: Secret,
     /// Serves requests of other ingresses.
-    pub egress: Arc<Egress<F>>,
+    pub egress: Arc<Egress<F, E>>,
     /// Serves frames.
     pub handler: Arc<H>,
 }
 
 /// Serves links of other nodes and control processes.
-pub async fn serve_links<F: Freshness, H: Handler + Send + Sync + 'static>(
+pub async fn serve_links<F: Freshness, E: Edge, H: Handler + Send + Sync + 'static>(
     listener: TcpListener,
-    side: LinkSide<F, H>,
+    side: LinkSide<F, E, H>,
     ending: Ending,
 ) {
     let side = Arc::new(side);
@@ -245,9 +246,9 @@
     .await;
 }
 
-async fn serve_link<F: Freshness, H: Handler + Send + Sync + 'static>(
+async fn serve_link<F: Freshness, E: Edge, H: Handler + Send + Sync + 'static>(
     stream: TcpStream,
-    side: &LinkSide<F, H>,
+    side: &LinkSide<F, E, H>,
     closing: CancellationToken,
 ) -> Result<()> {
     let hello = Hello {
@@ -265,9 +266,9 @@
     }
 }
 
-async fn serve_requests<F: Freshness>(
+async fn serve_requests<F: Freshness, E: Edge>(
     stream: TcpStream,
-    egress: Arc<Egress<F>>,
+    egress: Arc<Egress<F, E>>,
     closing: CancellationToken,
 ) -> Result<()> {
     let service = service_fn(move |request| egress.clone().serve(request));
--- a/src/node/local.rs
+++ b/src/node/local.rs
@@ -1,5 +1,6 @@
 //! The targets on this VM, as they announce themselves.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
@@ -24,6 +25,13 @@
 /// A target counts as cold for this long after its start.
 pub const COLD_TIME: Duration = Duration::from_secs(10);
 
+/// A target that is cold for no longer than this gets its full share at once; the gate and the
+/// choice of targets by their measured speed take care of so short a time.
+const COLD_LEFT_MIN: Duration = Duration::from_secs(5);
+
+/// How long a target that has left is remembered, so that a late announcement does not bring it back.
+const DEPARTED_LIFE: Duration = Duration::from_secs(60);
+
 /// How far announced starts may differ by delays of announcements.
 const RESTART_MARGIN: Duration = Duration::from_secs(1);
 
@@ -54,6 +62,26 @@
     /// Its own view of its load, from 0 to 1; a hint only.
     #[serde(default)]
     pub load: f64,
+    /// Names the run of the target and grows with each start, such as the time of the start; none
+    /// if only the address and the time since the start tell two runs apart.
+    #[serde(default)]
+    pub incarnation: Option<u64>,
+    /// Grows with each announcement of one run, so that a late one is known; none if announcements
+    /// can't overtake each other.
+    #[serde(default)]
+    pub sequence: Option<u64>,
+    /// Time until the target is as fast as it will be, in milliseconds; none if it doesn't say.
+    #[serde(default)]
+    pub cold_ms: Option<u64>,
+}
+
+/// What was made of an announcement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// It is taken over.
+    Taken,
+    /// It is older than what is known, or comes from a run that has ended or left.
+    Late,
 }
 
 /// A target on this VM.
@@ -74,12 +102,16 @@
 struct Origin {
     service: ServiceName,
     address: SocketAddr,
+    incarnation: Option<u64>,
 }
 
 /// The latest announcement.
 #[derive(Clone, Debug)]
 struct Said {
     heard: Instant,
+    sequence: Option<u64>,
+    /// True once the target has said that it leaves, which no later announcement takes back.
+    left: bool,
     started: Instant,
     limits: Limits,
     draining_since: Option<Instant>,
@@ -90,12 +122,14 @@
         let age = Duration::from_millis(said.started_ms_ago);
         let limits = said.limits();
         LocalTarget {
-            gate: TargetGate::new(clock, limits, age < COLD_TIME),
+            gate: TargetGate::new(clock, limits, said.is_cold(age)),
             measure: Measure::new(clock),
             pool: Pool::new(said.address, said.connections, patience),
             origin: Origin::of(said),
             said: Mutex::new(Said {
                 heard: now,
+                sequence: said.sequence,
+                left: false,
                 started: said.started(now),
                 limits,
                 draining_since: said.draining.then_some(now),
@@ -106,10 +140,26 @@
     /// Returns true if the announcement comes from the same run of the same target.
     fn is_same(&self, announcement: &Announcement, now: Instant) -> bool {
         let earlier = self.said().started;
-        let restarted = announcement.started(now) > earlier + RESTART_MARGIN;
+        let restarted = announcement.incarnation.is_none()
+            && announcement.started(now) > earlier + RESTART_MARGIN;
         self.origin == Origin::of(announcement) && !restarted
     }
 
+    /// Returns true if the announcement is older than what is known of this address or name.
+    fn outdates(&self, announcement: &Announcement) -> bool {
+        match self.origin.incarnation.cmp(&announcement.incarnation) {
+            Ordering::Less => false,
+            Ordering::Greater => announcement.incarnation.is_some(),
+            Ordering::Equal => {
+                let said = self.said();
+                said.left
+                    || announcement
+                        .sequence
+                        .is_some_and(|s| Some(s) <= said.sequence)
+            }
+        }
+    }
+
     /// Returns true if a request may be handed over now.
     pub fn takes_work(&self) -> bool {
         let since = self.said().draining_since;
@@ -119,6 +169,7 @@
     fn hear(&self, announcement: &Announcement, now: Instant) {
         let mut said = self.said.lock().unwrap_or_else(PoisonError::into_inner);
         said.heard = now;
+        said.sequence = announcement.sequence;
         if said.limits != announcement.limits() {
             said.limits = announcement.limits();
             self.gate.set_limits(said.limits);
@@ -130,6 +181,13 @@
         };
     }
 
+    /// Takes in that the target leaves.
+    fn leave(&self, now: Instant) {
+        let mut said = self.said.lock().unwrap_or_else(PoisonError::into_inner);
+        said.left = true;
+        said.draining_since = said.draining_since.or(Some(now));
+    }
+
     fn said(&self) -> Said {
         let said = self.said.lock().unwrap_or_else(PoisonError::into_inner);
         said.clone()
@@ -158,11 +216,19 @@
         Origin {
             service: said.service.clone(),
             address: said.address,
+            incarnation: said.incarnation,
         }
     }
 }
 
 impl Announcement {
+    fn is_cold(&self, age: Duration) -> bool {
+        match self.cold_ms {
+            Some(left) => Duration::from_millis(left) > COLD_LEFT_MIN,
+            None => age < COLD_TIME,
+        }
+    }
+
     fn limits(&self) -> Limits {
         Limits {
             slots: self.slots,
@@ -182,6 +248,8 @@
     clock: Monotonic,
     patience: Duration,
     targets: RwLock<BTreeMap<TargetName, Arc<LocalTarget>>>,
+    /// Runs that have left or were replaced on their address, and when.
+    departed: Mutex<Vec<(TargetName, Option<u64>, Instant)>>,
     record: watch::Sender<NodeRecord>,
 }
 
@@ -199,13 +267,22 @@
             clock,
             patience,
             targets: RwLock::default(),
+            departed: Mutex::default(),
             record: watch::Sender::new(record),
         }
     }
 
     /// Takes over an announcement.
-    pub fn announce(&self, said: &Announcement) {
+    pub fn announce(&self, said: &Announcement) -> Heard {
         let now = Instant::now();
+        if self.is_late(said) {
+            log::info!(
+                event = "announcement-late", target:% = said.name, sequence:? = said.sequence,
+                incarnation:? = said.incarnation; "late announcement of a target"
+            );
+            return Heard::Late;
+        }
+        self.replace_on_address(said, now);
         match self.get(&said.name) {
             Some(known) if known.is_same(said, now) => known.hear(said, now),
             _ => {
@@ -218,6 +295,67 @@
             }
         }
         self.publish();
+        Heard::Taken
+    }
+
+    /// Takes in that a target leaves; its work in flight goes on.
+    pub fn withdraw(&self, name: &TargetName, incarnation: Option<u64>) {
+        let now = Instant::now();
+        if let Some(target) = self.get(name)
+            && (incarnation.is_none() || incarnation == target.origin.incarnation)
+        {
+            log::info!(event = "target-leaves", target:% = name; "target leaves");
+            target.leave(now);
+            self.depart(name, target.origin.incarnation, now);
+        }
+        self.publish();
+    }
+
+    /// Returns true if the announcement comes from a run that has ended or is older than another.
+    fn is_late(&self, said: &Announcement) -> bool {
+        let departed = self.departed.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_gone = |d: &(TargetName, Option<u64>, Instant)| {
+            d.0 == said.name && d.1 == said.incarnation && said.incarnation.is_some()
+        };
+        if departed.iter().any(is_gone) {
+            return true;
+        }
+        drop(departed);
+        let targets = self.targets.read().unwrap_or_else(PoisonError::into_inner);
+        let rivals = targets
+            .iter()
+            .filter(|(name, t)| **name == said.name || t.origin.address == said.address);
+        let mut rivals = rivals
+            .filter(|(name, t)| **name == said.name || t.origin.incarnation != said.incarnation);
+        rivals.any(|(_, t)| t.outdates(said))
+    }
+
+    /// Removes earlier targets on the address of a new one; two can't listen there.
+    fn replace_on_address(&self, said: &Announcement, now: Instant) {
+        if said.incarnation.is_none() {
+            return;
+        }
+        let mut gone = Vec::new();
+        self.write().retain(|name, target| {
+            let stays = target.origin.address != said.address || *name == said.name;
+            if !stays {
+                gone.push((name.clone(), target.origin.incarnation));
+            }
+            stays
+        });
+        for (name, incarnation) in gone {
+            log::info!(
+                event = "target-replaced", target:% = name, by:% = said.name;
+                "another target has the address"
+            );
+            self.depart(&name, incarnation, now);
+        }
+    }
+
+    fn depart(&self, name: &TargetName, incarnation: Option<u64>, now: Instant) {
+        let mut departed = self.departed.lock().unwrap_or_else(PoisonError::into_inner);
+        departed.retain(|(_, _, since)| now.duration_since(*since) < DEPARTED_LIFE);
+        departed.push((name.clone(), incarnation, now));
     }
 
     /// Returns a target.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -8,6 +8,7 @@
 pub mod admin;
 pub mod answer;
 pub mod call;
+pub mod edge;
 pub mod egress;
 pub mod flight;
 pub mod forward;
@@ -39,14 +40,16 @@
 use tokio::time::{MissedTickBehavior, interval, timeout};
 use tokio_util::sync::CancellationToken;
 
-pub use join::spawn;
+pub use edge::{Asked, Edge, Handover, OwnEdge};
+pub use join::{spawn, spawn_at};
+pub use local::{Announcement, Heard};
 pub use plug::{Admission, Freshness, Parts, Policy, Repeats};
 pub use settings::{Limits, Settings};
 
 use crate::config::Account;
 use crate::error::{Error, Result};
 use crate::fleet::NodeRecord;
-use crate::ids::{AccountName, NodeId, RequestId};
+use crate::ids::{AccountName, NodeId, RequestId, TargetName};
 use crate::metrics::Metrics;
 use crate::outcome::{Reason, Refusal};
 use crate::repeat::{self, IdempotencyKey};
@@ -81,6 +84,7 @@
     stop: CancellationToken,
     gone: CancellationToken,
     limits: Limits,
+    seeds: watch::Sender<Vec<SocketAddr>>,
 }
 
 /// A node that is never fresh; stands in until config sync is connected.
@@ -157,12 +161,13 @@
     H: Handler + Send + Sync + 'static,
 {
     let metrics = Metrics::open(settings.statsd)?;
-    spawn_measured(settings, me, parts, handler, metrics).await
+    spawn_measured(settings, OwnEdge, me, parts, handler, metrics).await
 }
 
 /// Starts the node `me` with given parts and metrics.
-async fn spawn_measured<F, A, R, H>(
+async fn spawn_measured<F, A, R, H, E>(
     settings: Settings,
+    edge: E,
     me: NodeId,
     parts: Parts<F, A, R>,
     handler: Arc<H>,
@@ -173,6 +178,7 @@
     A: Admission,
     R: Repeats,
     H: Handler + Send + Sync + 'static,
+    E: Edge,
 {
     settings.check()?;
     let limits = settings.limits.clone();
@@ -192,6 +198,7 @@
     let forwarder = Forwarder::new(targets.clone(), links.clone(), clock, metrics.clone());
     let ingress = Ingress::new(
         parts,
+        edge.clone(),
         forwarder,
         clock,
         flight.clone(),
@@ -200,6 +207,7 @@
     );
     let ingress = Arc::new(ingress);
     let egress = Arc::new(Egress::new(
+        edge,
         local.clone(),
         freshness.clone(),
         clock,
@@ -207,6 +215,7 @@
         &limits,
     ));
     let admin = Admin::new(
+        settings.announce,
         local.clone(),
         policy.clone(),
         freshness,
@@ -214,6 +223,7 @@
         flight.clone(),
     );
     let admin = Arc::new(admin);
+
     let handle = Handle {
         caller_addr: callers.local_addr()?,
         admin_addr: admins.local_addr()?,
@@ -229,6 +239,7 @@
         stop: CancellationToken::new(),
         gone: CancellationToken::new(),
         limits: limits.clone(),
+        seeds: watch::Sender::new(settings.control),
     };
     let side = LinkSide {
         me,
@@ -256,8 +267,8 @@
 
 /// Ends open requests at each change of the configuration and when the evidence runs out, and
 /// reviews the targets.
-async fn keep_swept<F: Freshness, A: Admission, R: Repeats>(
-    ingress: Arc<Ingress<F, A, R>>,
+async fn keep_swept<F: Freshness, A: Admission, R: Repeats, E: Edge>(
+    ingress: Arc<Ingress<F, A, R, E>>,
     targets: Arc<Targets>,
     policy: Arc<Policy>,
     metrics: Metrics,
@@ -346,6 +357,26 @@
         self.targets.learn(addr, record);
     }
 
+    /// Takes in what a target on this VM says of itself.
+    pub fn announce(&self, said: &Announcement) -> Heard {
+        self.local.announce(said)
+    }
+
+    /// Takes in that a target on this VM leaves without announcing a drain.
+    pub fn withdraw(&self, name: &TargetName, incarnation: Option<u64>) {
+        self.local.withdraw(name, incarnation);
+    }
+
+    /// Replaces the addresses at which the control processes are looked for.
+    pub fn set_controls(&self, addrs: Vec<SocketAddr>) {
+        self.seeds.send_replace(addrs);
+    }
+
+    /// Returns how far a drain of this node has come.
+    pub fn step(&self) -> Step {
+        self.flight.step()
+    }
+
     /// Forgets a node that is gone.
     pub fn forget(&self, node: NodeId) {
         self.targets.forget(node);
@@ -371,7 +402,7 @@
     }
 
     /// Leaves the fleet: takes no new work after a grace time, finishes what runs, then ends.
-    pub async fn drain(self) {
+    pub async fn drain(&self) {
         self.begin_drain();
         self.gone.cancelled().await;
         let finished = timeout(self.limits.drain_max, self.flight.idle()).await;
--- a/src/node/open.rs
+++ b/src/node/open.rs
@@ -8,6 +8,7 @@
 use crate::ids::ServiceName;
 use crate::outcome::{Reason, Refusal};
 use crate::time::Time;
+use crate::units::Rate;
 
 /// Thousandths of a request; a rate in thousandths a second adds this many in one second.
 const MILLIS: f64 = 1_000.0;
@@ -25,8 +26,12 @@
 }
 
 impl OpenLimit {
-    /// Admits one request to `service` or says when one will be admitted.
+    /// Admits one request to `service` or says when one will be admitted; a rate of zero means that
+    /// there is no limit.
     pub fn admit(&self, service: &Service, now: Time) -> Result<(), Refusal> {
+        if service.open_rate == Rate::default() {
+            return Ok(());
+        }
         let mut buckets = self.buckets.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(bucket) = buckets.get_mut(&service.name) {
             return bucket.admit(service, now);
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -23,7 +23,9 @@
     pub admin_listen: SocketAddr,
     /// Permits an admin listener that is not on loopback.
     pub admin_public: bool,
-    /// Link addresses of the control processes.
+    /// True if targets on this VM announce themselves on the admin listener.
+    pub announce: bool,
+    /// Link addresses of the control processes, or of some of them.
     pub control: Vec<SocketAddr>,
     /// Availability zone of this VM.
     pub zone: ZoneName,
--- a/src/node/sync.rs
+++ b/src/node/sync.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use futures::future::join_all;
+use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::error::{Error, Result};
@@ -25,22 +26,52 @@
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
 /// Calls to the control processes.
+///
+/// The addresses in the settings serve to find the group; its members are known from the log.
 #[derive(Debug)]
 pub struct Controls {
     view: Arc<View>,
-    peers: Vec<Peer>,
+    seeds: watch::Receiver<Vec<SocketAddr>>,
+    secret: Secret,
+    hello: Hello,
+    /// Links to control processes, sorted by address.
+    links: Mutex<Vec<Peer>>,
 }
 
 impl Controls {
-    /// Creates the calls to the control processes at `addrs`.
-    pub fn new(view: Arc<View>, addrs: &[SocketAddr], secret: &Secret, hello: Hello) -> Controls {
-        let peer = |addr: &SocketAddr| Peer::new(*addr, secret.clone(), hello);
+    /// Creates the calls to the control processes at `seeds` and to those that the log names.
+    pub fn new(
+        view: Arc<View>,
+        seeds: watch::Receiver<Vec<SocketAddr>>,
+        secret: Secret,
+        hello: Hello,
+    ) -> Controls {
         Controls {
             view,
-            peers: addrs.iter().map(peer).collect(),
+            seeds,
+            secret,
+            hello,
+            links: Mutex::default(),
         }
     }
 
+    /// Returns the ways to all control processes, sorted by address.
+    fn peers(&self) -> Vec<Peer> {
+        let mut addrs = self.view.controls();
+        addrs.extend(self.seeds.borrow().iter());
+        addrs.sort_unstable();
+        addrs.dedup();
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        links.retain(|peer| addrs.binary_search(&peer.addr()).is_ok());
+        for addr in addrs {
+            if let Err(i) = links.binary_search_by_key(&addr, Peer::addr) {
+                let peer = Peer::new(addr, self.secret.clone(), self.hello);
+                links.insert(i, peer);
+            }
+        }
+        links.clone()
+    }
+
     /// Asks regularly how current the node is.
     ///
     /// One answer of a leader with its lease is proof enough; only without it are the others asked,
@@ -48,23 +79,24 @@
     pub async fn prove(&self) {
         let mut ticks = interval(SYNC_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut leader = 0;
+        let mut leader: Option<SocketAddr> = None;
         loop {
             ticks.tick().await;
-            if let Ok(answer) = self.ask(&self.peers[leader]).await {
+            let peers = self.peers();
+            let known = peers.iter().find(|p| Some(p.addr()) == leader);
+            if let Some(known) = known
+                && let Ok(answer) = self.ask(known).await
+            {
                 if answer.vouch == Vouch::Group {
                     continue;
                 }
-                let named = |p: &Peer| Some(p.addr()) == answer.leader;
-                if let Some(i) = self.peers.iter().position(named) {
-                    leader = i;
-                }
+                leader = answer.leader;
             }
-            let others = self.peers.iter().map(|p| self.ask(p));
+            let others = peers.iter().map(|p| self.ask(p));
             let answers = join_all(others).await;
             let speaks = |a: &Result<Answer>| a.as_ref().is_ok_and(|a| a.vouch == Vouch::Group);
             if let Some(i) = answers.iter().position(speaks) {
-                leader = i;
+                leader = Some(peers[i].addr());
             }
         }
     }
@@ -76,11 +108,13 @@
     /// Waits for changes at one control process after the other.
     pub async fn wait_for_changes(&self) {
         // Nodes begin with different control processes, so that each feeds a share of them.
-        let mut next = rand::random_range(0..self.peers.len());
+        let mut next = rand::random_range(0..usize::MAX / 2);
         loop {
-            if let Err(e) = self.exchange(&self.peers[next], WAIT_MAX).await {
+            let peers = self.peers();
+            let peer = &peers[next % peers.len()];
+            if let Err(e) = self.exchange(peer, WAIT_MAX).await {
                 log::debug!(event = "sync-failed", error:% = e; "control process did not answer");
-                next = (next + 1) % self.peers.len();
+                next += 1;
                 sleep(RETRY_DELAY).await;
             }
         }
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -1,6 +1,7 @@
 //! What a node holds of the fleet: configuration, registry, records of other nodes and evidence.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -107,6 +108,11 @@
         self.lock().client.state().position()
     }
 
+    /// Returns the link addresses of the control processes that the log names.
+    pub fn controls(&self) -> Vec<SocketAddr> {
+        self.lock().client.state().links().to_vec()
+    }
+
     /// Returns the registry in force.
     pub fn registry(&self) -> Registry {
         self.lock().gossip.registry().clone()
--- a/src/replica/leader.rs
+++ b/src/replica/leader.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use crate::ids::ReplicaId;
 use crate::replica::entry::{Entry, Logged, Snapshot};
 use crate::replica::machine::{Action, Persist, Replica, State};
@@ -86,6 +88,16 @@
         Some(follower.matched)
     }
 
+    /// Returns the time since the last sign of another member; only a leader knows it.
+    pub(super) fn silence_of(&self, now: Time, id: ReplicaId) -> Option<Duration> {
+        let lead = self.lead()?;
+        let follower = lead.followers.iter().find(|f| f.id == id)?;
+        let heard = follower
+            .acked
+            .map_or(lead.since, |acked| acked.max(lead.since));
+        Some(now.since(heard))
+    }
+
     /// Returns when the lease given by the answers of a majority ends.
     pub(super) fn lease_end(&self, now: Time) -> Time {
         let Some(lead) = self.lead() else {
--- a/src/replica/machine.rs
+++ b/src/replica/machine.rs
@@ -142,6 +142,8 @@
     /// The length of that wait, drawn at the next tick if absent.
     pub(super) timeout: Option<Duration>,
     pub(super) founders: Replicas,
+    /// How many voters the group is to have; zero if it never grows.
+    pub(super) voters_wanted: usize,
     pub(super) incoming: Option<Incoming>,
     pub(super) actions: Vec<Action>,
 }
@@ -167,6 +169,7 @@
             waiting: now,
             timeout: None,
             founders: Replicas::default(),
+            voters_wanted: 0,
             incoming: None,
             actions: Vec::new(),
         })
@@ -177,6 +180,15 @@
         self.limits = limits;
     }
 
+    /// Lets the group grow to `count` voters.
+    ///
+    /// A replica at an unknown address is then let in as a learner. It gets a vote while voters are
+    /// missing, or else takes the place of a voter that has been silent
+    /// for [`VOTER_SILENCE_MAX`](super::VOTER_SILENCE_MAX).
+    pub fn set_voters_wanted(&mut self, count: usize) {
+        self.voters_wanted = count;
+    }
+
     /// Names the complete initial group, which founds itself by a unanimous vote.
     ///
     /// Has no effect once the replica knows a group.
--- a/src/replica/members.rs
+++ b/src/replica/members.rs
@@ -1,8 +1,8 @@
 use crate::error::{Category, Error, Result};
 use crate::ids::ReplicaId;
-use crate::replica::REPLICAS_MAX;
 use crate::replica::entry::{Entry, Member, Replicas};
 use crate::replica::machine::Replica;
+use crate::replica::{REPLICAS_MAX, VOTER_SILENCE_MAX};
 use crate::time::Time;
 
 impl Replica {
@@ -13,13 +13,18 @@
     ///
     /// # Errors
     ///
-    /// Fails if this replica doesn't lead, if no member has the address, or while another change
-    /// is on its way.
+    /// Fails if this replica doesn't lead, if no member has the address and the group does not
+    /// grow, or while another change is on its way.
     pub fn join(&mut self, now: Time, joiner: Member) -> Result<()> {
         if self.log.replicas().get(joiner.id).is_some() {
             return Ok(());
         }
-        let group = self.log.replicas().with_learner(&joiner)?;
+        let group = self.log.replicas();
+        let is_known = group.members().iter().any(|m| m.link == joiner.link);
+        let group = match !is_known && self.voters_wanted > 0 {
+            true => group.with_newcomer(&joiner),
+            false => group.with_learner(&joiner)?,
+        };
         if group.get(self.id()).is_none_or(|m| !m.voter) || joiner.link == self.own_link() {
             return Err(Error::invalid("the leader itself can't be replaced"));
         }
@@ -41,12 +46,25 @@
         let Some(learner) = group.members().iter().find(ready) else {
             return;
         };
-        let next = group.promote(learner.id);
+        let has_place = learner.replaces.is_some() || group.voters().count() < self.voters_wanted;
+        let next = match (has_place, self.silent_voter(now)) {
+            (true, _) => group.promote(learner.id),
+            (false, Some(silent)) => group.without(silent),
+            (false, None) => return,
+        };
         let entry = Entry::Replicas(next);
         // Refused without a lease; a later tick tries again.
         let _ = self.propose(now, entry);
     }
 
+    /// Returns the voter that has been silent for longest, if that is too long.
+    fn silent_voter(&self, now: Time) -> Option<ReplicaId> {
+        let group = self.log.replicas();
+        let silence = |id| Some((self.silence_of(now, id)?, id));
+        let (silence, id) = group.voters().filter_map(silence).max()?;
+        (silence >= VOTER_SILENCE_MAX).then_some(id)
+    }
+
     /// Returns true if the group in force is committed, and an entry of this term as well.
     ///
     /// Without the second condition two leaders could build on groups that share no majority.
@@ -92,6 +110,23 @@
         Ok(Replicas::new(members))
     }
 
+    /// Returns the group with `joiner` as a learner that replaces nobody yet.
+    fn with_newcomer(&self, joiner: &Member) -> Replicas {
+        let mut members: Vec<Member> = self.members().to_vec();
+        members.push(Member {
+            voter: false,
+            replaces: None,
+            ..joiner.clone()
+        });
+        Replicas::new(members)
+    }
+
+    /// Returns the group without the member `id`.
+    fn without(&self, id: ReplicaId) -> Replicas {
+        let others = self.members().iter().filter(|m| m.id != id);
+        Replicas::new(others.cloned().collect())
+    }
+
     /// Returns the next single step towards a vote for learner `id`: first the member that it
     /// replaces goes, then it gets the vote.
     fn promote(&self, id: ReplicaId) -> Replicas {
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -15,7 +15,8 @@
 //! otherwise never stands for election. A replica whose disk is lost returns under a new
 //! [`ReplicaId`](crate::ids::ReplicaId) as a learner, catches up, and takes the place of the old
 //! member in two single steps: the old member is removed, then the learner gets its vote. This
-//! order never needs more live replicas than before the repair.
+//! order never needs more live replicas than before the repair. A group that is to have more voters
+//! than it was founded with grows in the same way, by one learner after the other.
 
 mod election;
 mod entry;
@@ -61,5 +62,11 @@
 /// Time without an answer after which entries or a snapshot chunk are sent again.
 pub const RESEND: Duration = Duration::from_millis(300);
 
+/// Silence of a voter after which a learner that has caught up may take its place.
+///
+/// A VM that is gone for good weighs on every majority until it is replaced. A voter that was only
+/// cut off is let in again as a learner and loses nothing.
+pub const VOTER_SILENCE_MAX: Duration = Duration::from_millis(2_500);
+
 /// Most replicas in a group.
 pub const REPLICAS_MAX: usize = 7;
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -92,6 +92,8 @@
             link,
             operator,
             peers,
+            founds: true,
+            voters: 0,
             data,
             fleet_secret,
             operator_secret,
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -252,6 +252,8 @@
 
 /// Starts logging with `filter` and runs a daemon to its end on all cores.
 ///
+/// On a VM with one core, further threads would only take turns at it.
+///
 /// # Errors
 ///
 /// Fails if logging or the runtime can't be started, or with the error of the daemon.
@@ -260,7 +262,13 @@
     D: Future<Output = Result<()>>,
 {
     logging::init(filter)?;
-    let runtime = tokio::runtime::Runtime::new().map_err(|e| Error::io("start the runtime", e))?;
+    let cores = std::thread::available_parallelism().map_or(1, |n| n.get());
+    let mut builder = match cores {
+        1 => tokio::runtime::Builder::new_current_thread(),
+        _ => tokio::runtime::Builder::new_multi_thread(),
+    };
+    let runtime = builder.enable_all().build();
+    let runtime = runtime.map_err(|e| Error::io("start the runtime", e))?;
     runtime.block_on(daemon)
 }
 
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -157,6 +157,7 @@
             link_public,
             admin_listen,
             admin_public,
+            announce: true,
             control: controls,
             zone,
             secret,
--- a/src/wire/replica.rs
+++ b/src/wire/replica.rs
@@ -198,6 +198,8 @@
     to: u64,
     #[prost(message, repeated, tag = "4")]
     messages: Vec<MessageRecord>,
+    #[prost(string, repeated, tag = "5")]
+    links: Vec<String>,
 }
 
 /// What one replica sends another on the replica channel; the answer has the same form.
@@ -211,6 +213,8 @@
     pub to: Option<ReplicaId>,
     /// The messages in the order in which they came up.
     pub messages: Vec<Message>,
+    /// Link addresses of the group that the sender knows; only in greetings.
+    pub links: Vec<SocketAddr>,
 }
 
 impl Envelope {
@@ -221,6 +225,7 @@
             founded: self.founded,
             to: self.to.map_or(0, |id| id.0),
             messages: self.messages.iter().map(MessageRecord::from).collect(),
+            links: self.links.iter().map(SocketAddr::to_string).collect(),
         };
         record.encode_to_vec().into()
     }
@@ -233,7 +238,12 @@
     pub fn decode(bytes: Bytes) -> Result<Envelope> {
         let record = EnvelopeRecord::decode(bytes).map_err(malformed)?;
         let messages = record.messages.into_iter().map(Message::try_from);
+        let links = record
+            .links
+            .iter()
+            .map(|l| l.parse().map_err(|_| missing()));
         Ok(Envelope {
+            links: links.collect::<Result<_>>()?,
             from: record.from.ok_or_else(missing)?.try_into()?,
             founded: record.founded,
             to: (record.to != 0).then_some(ReplicaId(record.to)),
--- a/tests/control_group.rs
+++ b/tests/control_group.rs
@@ -71,6 +71,8 @@
             link: self.addr(i, 7100),
             operator: self.addr(i, 7101),
             peers: others.map(|j| self.addr(j, 7100)).collect(),
+            founds: true,
+            voters: 0,
             data: self.folder(i),
             fleet_secret: fleet_secret(),
             operator_secret: operator_secret(),
--- a/tests/data_path/site.rs
+++ b/tests/data_path/site.rs
@@ -203,6 +203,7 @@
         link_public: None,
         admin_listen: any,
         admin_public: false,
+        announce: true,
         control: Vec::new(),
         zone: "zone-a".parse().unwrap(),
         secret: Secret::new(b"fleet-secret-0123456789").unwrap(),
