Hold requests back from a target that has just failed, and repeat idempotent ones after an error

Health by comparison of measurements is too slow for a few requests a second, and an ingress sees one request of a server in three seconds.

The egress is the only way to its target, so a breaker there (pure, tested without a network) holds the next requests back before they are lost; the ingress tries another target, which is no retry since nothing was sent. Short bodies are read before the first attempt so that they can be sent again.

Ruled out: publishing suspicion by gossip (each spell would be sent to all nodes, and bytes between zones are the largest price).

--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -3,12 +3,14 @@
 //! The egress offers each request to the [`Gate`] of its target. The gate runs it, queues it or
 //! refuses it at once, and is the only place that knows whether a request was handed over.
 
+mod breaker;
 mod fair;
 mod limits;
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
+pub use self::breaker::{Breaker, Passage};
 use self::fair::{Charge, FairQueue, Waiting};
 use self::limits::Opening;
 pub use self::limits::{Limits, WARM_UP};
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -7,7 +7,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use tokio::time::{Instant, Sleep};
@@ -143,6 +143,8 @@
 #[derive(Debug, Default)]
 struct SlotState {
     body: Option<Paced>,
+    /// A short body that was read before the first attempt, so that each attempt can send it.
+    whole: Option<Bytes>,
     failure: Option<Reason>,
 }
 
@@ -152,6 +154,7 @@
         let empty = body.is_done();
         let state = SlotState {
             body: Some(body).filter(|_| !empty),
+            whole: None,
             failure: None,
         };
         Arc::new(UploadSlot {
@@ -160,14 +163,43 @@
         })
     }
 
+    /// Reads the body if it states a size of at most `most` bytes, so that it can be sent again.
+    ///
+    /// A longer body, or one of unknown size, stays unread.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason if the caller does not send the whole body.
+    pub async fn read_short(&self, most: u64) -> Result<(), Reason> {
+        let is_short = |body: &mut Paced| body.size().exact().is_some_and(|size| size <= most);
+        let Some(mut body) = self.lock().body.take_if(is_short) else {
+            return Ok(());
+        };
+        let mut whole = BytesMut::with_capacity(body.size().lower() as usize);
+        while let Some(part) = std::future::poll_fn(|cx| body.poll_data(cx)).await {
+            let part = part.map_err(|e| {
+                let reason = reason_of(&e);
+                self.lock().failure = Some(reason);
+                reason
+            })?;
+            whole.extend_from_slice(&part);
+        }
+        self.lock().whole = Some(whole.freeze());
+        Ok(())
+    }
+
     /// Takes the body for an attempt; none if an earlier attempt has read from it.
     pub fn take(self: &Arc<Self>, limit: u64) -> Option<Upload> {
-        let body = self.lock().body.take();
-        if body.is_none() && !self.empty {
+        let mut state = self.lock();
+        let whole = state.whole.clone();
+        let body = state.body.take();
+        drop(state);
+        if body.is_none() && whole.is_none() && !self.empty {
             return None;
         }
         Some(Upload {
             body,
+            whole,
             left: limit,
             touched: false,
             slot: self.clone(),
@@ -176,12 +208,13 @@
 
     /// Returns true if the body can still be sent whole.
     pub fn is_whole(&self) -> bool {
-        self.empty || self.lock().body.is_some()
+        let state = self.lock();
+        self.empty || state.body.is_some() || state.whole.is_some()
     }
 
-    /// Returns true if the request has no body.
-    pub fn is_empty(&self) -> bool {
-        self.empty
+    /// Returns true if the request has no body, or if all of it was read before the first attempt.
+    pub fn is_consumed(&self) -> bool {
+        self.empty || self.lock().whole.is_some()
     }
 
     /// Takes the untouched body, to be read to its end after a refusal.
@@ -203,6 +236,7 @@
 #[derive(Debug)]
 pub struct Upload {
     body: Option<Paced>,
+    whole: Option<Bytes>,
     left: u64,
     touched: bool,
     slot: Arc<UploadSlot>,
@@ -210,17 +244,21 @@
 
 impl Upload {
     fn fail(&mut self, error: BodyError) -> BodyError {
-        let reason = match &error {
-            BodyError::TooLarge => Reason::BodyTooLarge,
-            BodyError::Silent => Reason::Timeout,
-            BodyError::Stopped(reason) => *reason,
-            BodyError::Connection(_) => Reason::BadRequest,
-        };
-        self.slot.lock().failure = Some(reason);
+        self.slot.lock().failure = Some(reason_of(&error));
         error
     }
 }
 
+/// Returns the reason for which a request with a broken body is refused.
+fn reason_of(error: &BodyError) -> Reason {
+    match error {
+        BodyError::TooLarge => Reason::BodyTooLarge,
+        BodyError::Silent => Reason::Timeout,
+        BodyError::Stopped(reason) => *reason,
+        BodyError::Connection(_) => Reason::BadRequest,
+    }
+}
+
 impl Body for Upload {
     type Data = Bytes;
     type Error = BodyError;
@@ -230,6 +268,10 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<std::result::Result<Frame<Bytes>, BodyError>>> {
         let this = &mut *self;
+        if let Some(whole) = this.whole.take() {
+            let part = (!whole.is_empty()).then(|| Ok(Frame::data(whole)));
+            return Poll::Ready(part);
+        }
         let Some(body) = this.body.as_mut() else {
             return Poll::Ready(None);
         };
@@ -252,11 +294,15 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.as_ref().is_none_or(Paced::is_done)
+        self.whole.is_none() && self.body.as_ref().is_none_or(Paced::is_done)
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.as_ref().map(Paced::size).unwrap_or_default()
+        match (&self.whole, &self.body) {
+            (Some(whole), _) => SizeHint::with_exact(whole.len() as u64),
+            (None, Some(body)) => body.size(),
+            (None, None) => SizeHint::with_exact(0),
+        }
     }
 }
 
--- a/src/http/headers.rs
+++ b/src/http/headers.rs
@@ -27,6 +27,10 @@
 pub const ORIGIN: HeaderName = HeaderName::from_static("laburnum-origin");
 /// Present if a request without a key is queued like those of a client account, between nodes only.
 pub const SHARED: HeaderName = HeaderName::from_static("laburnum-shared");
+/// Present if the request may run twice, between nodes only.
+pub const REPEATABLE: HeaderName = HeaderName::from_static("laburnum-repeatable");
+/// Present if the request is to run although the target has just failed, between nodes only.
+pub const FORCED: HeaderName = HeaderName::from_static("laburnum-forced");
 /// Rank of the request, between nodes only.
 pub const PRIORITY: HeaderName = HeaderName::from_static("laburnum-priority");
 /// Name of the target, between nodes only.
--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -63,6 +63,8 @@
     kind: String,
     priority: u8,
     shared: bool,
+    repeatable: bool,
+    forced: bool,
     origin: Option<ServiceName>,
     arrived: Instant,
     deadline: Instant,
@@ -133,6 +135,10 @@
         self.check_evidence(job).map_err(not_run)?;
         // It may have begun to leave while the request waited.
         check_open(&target).map_err(not_run)?;
+        // The last check before hand-over, since it may choose the request as the probe.
+        let gate = &target.gate;
+        gate.check_breaker(job.attempt, job.repeatable, job.forced)
+            .map_err(not_run)?;
         let handover = job.handover();
         let request = self.prepare(&handover, request);
         let echo = self.edge.echo(request.headers()).cloned();
@@ -140,7 +146,7 @@
             event = "handed-over", request:% = job.request, attempt:% = job.attempt,
             target:% = job.target; "request handed over to its target"
         );
-        let mut measured = target.measure.start(job.attempt, &job.kind);
+        let mut measured = target.measure.start(gate, job.attempt, &job.kind);
         let sent = timeout_at(job.deadline, target.pool.send(request)).await;
         let reply = sent.unwrap_or(Err(Outcome::Unknown(Reason::Timeout)));
         let checked = reply.and_then(|reply| {
@@ -263,6 +269,8 @@
             kind: field(from, &headers::KIND)?,
             priority: field(from, &headers::PRIORITY).unwrap_or_default(),
             shared: from.contains_key(headers::SHARED),
+            repeatable: from.contains_key(headers::REPEATABLE),
+            forced: from.contains_key(headers::FORCED),
             origin: match from.contains_key(headers::ORIGIN) {
                 true => Some(field(from, &headers::ORIGIN)?),
                 false => None,
--- a/src/node/forward.rs
+++ b/src/node/forward.rs
@@ -24,6 +24,9 @@
 /// Most attempts for one request of a route that states no number.
 const ATTEMPTS_MAX: usize = 3;
 
+/// Targets that may hold a request back before the next one takes it although it has just failed.
+const HELD_MAX: usize = 3;
+
 /// The egress gives up this much earlier, so that its exact outcome arrives in time.
 const EGRESS_MARGIN: Duration = Duration::from_millis(10);
 
@@ -71,23 +74,46 @@
         self.budget().deposit();
         let mut tried = Vec::new();
         let mut last = None;
+        let mut sent = 0;
+        let mut held = 0;
         loop {
-            let Some(pick) = self.pick(call, &tried) else {
-                return Err(call.give_up(last.unwrap_or_else(|| self.no_target(call))));
+            // Once several targets have held the request back, the next one takes it in any case.
+            let forced = held >= HELD_MAX;
+            let pick = match self.pick(call, &tried) {
+                Some(pick) => pick,
+                None if held > 0 && sent == 0 && !forced => {
+                    tried.clear();
+                    held = HELD_MAX;
+                    continue;
+                }
+                None => return Err(call.give_up(last.unwrap_or_else(|| self.no_target(call)))),
             };
             let Some(upload) = call.body.take(call.route.body_max.0) else {
                 return Err(call.give_up(last.unwrap_or(Refusal::new(Reason::BadRequest))));
             };
-            let outcome = match self.attempt(call, &pick, upload, &authorize).await {
-                Ok(response) => return Ok(response),
-                Err(outcome) => outcome,
+            let attempt = self.attempt(call, &pick, upload, forced, &authorize);
+            let (outcome, answer) = match attempt.await {
+                Ok(response) if !response.status().is_server_error() => return Ok(response),
+                Ok(response) => (Outcome::Unknown(Reason::TargetError), Some(response)),
+                Err(outcome) => (outcome, None),
             };
             if let Some(reason) = call.body.failure() {
                 return Err(call.give_up(Refusal::new(reason)));
             }
             tried.push(pick.id);
-            let Some(refusal) = self.retry(call, &outcome, tried.len()) else {
-                return Err(outcome);
+            if let Outcome::NotRun(refusal) = outcome
+                && refusal.reason == Reason::Suspect
+                && held < HELD_MAX
+                && call.body.is_whole()
+            {
+                // Nothing was sent to a target, so this is no retry.
+                held += 1;
+                last = Some(refusal);
+                continue;
+            }
+            sent += 1;
+            let Some(refusal) = self.retry(call, &outcome, sent) else {
+                return answer.ok_or(outcome);
             };
             last = Some(refusal);
         }
@@ -139,6 +165,7 @@
         call: &Call<'_>,
         pick: &Pick,
         upload: Upload,
+        forced: bool,
         authorize: impl Fn() -> Result<(), Refusal>,
     ) -> Result<Response<Incoming>, Outcome> {
         let opened = self.links.sender(pick.id.node, pick.addr);
@@ -155,7 +182,11 @@
             }
         };
         let attempt = AttemptId::random();
-        let request = build(call, pick, attempt, upload);
+        let mut request = build(call, pick, attempt, upload);
+        if forced {
+            let fields = request.headers_mut();
+            fields.insert(headers::FORCED, HeaderValue::from_static("1"));
+        }
         authorize().map_err(|refusal| call.give_up(refusal))?;
         let exposed = call.exposure.begin();
         let mut trial = Trial::start(&self.targets, &pick.id);
@@ -247,6 +278,9 @@
         let account = name_value(identity.account.name.as_str());
         fields.insert(headers::ACCOUNT, account);
     }
+    if call.is_idempotent() {
+        fields.insert(headers::REPEATABLE, HeaderValue::from_static("1"));
+    }
     if call.shared {
         fields.insert(headers::SHARED, HeaderValue::from_static("1"));
     }
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -34,6 +34,10 @@
 /// When a caller may come back after a refusal whose end is not known.
 const RETRY_LATER: Duration = Duration::from_secs(1);
 
+/// Largest body that is read before the first attempt, so that a target which refuses costs nothing
+/// but time.
+const SHORT_BODY_BYTES: u64 = 64 * 1024;
+
 /// Weight of an account, or of open routes, without a limit in the queues of targets: that of a
 /// usual account.
 const UNLIMITED_WEIGHT: Rate = Rate::per_sec(10);
@@ -158,6 +162,9 @@
         headers::strip_request(&mut head.headers);
         headers::set_host(&mut head.headers, &head.uri);
         let weight = weight(&config, route, identity.as_ref());
+        slot.read_short(SHORT_BODY_BYTES)
+            .await
+            .map_err(|reason| refused(Refusal::new(reason)))?;
         let shared = identity.is_none() && !has_open_limit(&config, route);
         let mut call = Call::new(asked, head, route, identity, key, weight, slot.clone());
         call.shared = shared;
@@ -312,7 +319,7 @@
             size.is_some_and(|size| size <= LEFTOVER_MAX_BYTES)
         });
         // After a fault or within a body, it is not certain where the next request begins.
-        if is_fault || !(slot.is_empty() || is_short) || expects {
+        if is_fault || !(slot.is_consumed() || is_short) || expects {
             close(&mut response);
         }
         // Reading would ask a caller for the body that it offers to send.
--- a/src/node/measure.rs
+++ b/src/node/measure.rs
@@ -4,9 +4,10 @@
 
 use crate::fleet::Health;
 use crate::ids::AttemptId;
+use crate::node::slots::TargetGate;
 use crate::outcome::{Outcome, Reason};
 use crate::route::{Meter, Verdict};
-use crate::time::{Clock, Monotonic};
+use crate::time::{Clock, Monotonic, Time};
 
 /// The meter of one target, shared by the tasks of its requests.
 #[derive(Debug)]
@@ -28,6 +29,8 @@
     attempt: AttemptId,
     kind: String,
     verdict: Verdict,
+    gate: Arc<TargetGate>,
+    started: Time,
 }
 
 impl Measure {
@@ -43,16 +46,24 @@
         })
     }
 
-    /// Counts an attempt of the given kind that is handed over now.
+    /// Counts an attempt of the given kind that is handed over now, and tells `gate` how it ends.
     ///
     /// Until it is told otherwise, it counts as withdrawn by the caller.
-    pub fn start(self: &Arc<Self>, attempt: AttemptId, kind: &str) -> Measured {
-        self.lock().meter.start(self.clock.now(), attempt);
+    pub fn start(
+        self: &Arc<Self>,
+        gate: &Arc<TargetGate>,
+        attempt: AttemptId,
+        kind: &str,
+    ) -> Measured {
+        let started = self.clock.now();
+        self.lock().meter.start(started, attempt);
         Measured {
             measure: self.clone(),
             attempt,
             kind: kind.to_owned(),
             verdict: Verdict::Withdrawn,
+            gate: gate.clone(),
+            started,
         }
     }
 
@@ -92,6 +103,12 @@
 
 impl Drop for Measured {
     fn drop(&mut self) {
+        if self.gate.note_end(self.attempt, self.started, self.verdict) {
+            log::info!(
+                event = "target-suspect", attempt:% = self.attempt, verdict:? = self.verdict;
+                "target has failed; requests are held back"
+            );
+        }
         let now = self.measure.clock.now();
         let mut state = self.measure.lock();
         state.meter.end(now, self.attempt, &self.kind, self.verdict);
--- a/src/node/slots.rs
+++ b/src/node/slots.rs
@@ -7,10 +7,11 @@
 use tokio::sync::oneshot;
 
 use crate::fleet::TargetState;
-use crate::gate::{Cancelled, Decision, Gate, Limits, Load, Offer, Offered};
+use crate::gate::{Breaker, Cancelled, Decision, Gate, Limits, Load, Offer, Offered, Passage};
 use crate::ids::AttemptId;
 use crate::outcome::{Reason, Refusal};
-use crate::time::{Clock, Monotonic};
+use crate::route::Verdict;
+use crate::time::{Clock, Monotonic, Time};
 
 /// Longest wait before a waiting task asks its gate again.
 const RECHECK: Duration = Duration::from_secs(1);
@@ -25,6 +26,7 @@
 #[derive(Debug)]
 struct State {
     gate: Gate,
+    breaker: Breaker,
     waiting: HashMap<AttemptId, oneshot::Sender<Result<(), Refusal>>>,
 }
 
@@ -47,6 +49,7 @@
     pub fn new(clock: Monotonic, limits: Limits, cold: bool) -> Arc<TargetGate> {
         let state = State {
             gate: Gate::new(clock.now(), limits, cold),
+            breaker: Breaker::default(),
             waiting: HashMap::new(),
         };
         Arc::new(TargetGate {
@@ -77,6 +80,49 @@
         }
     }
 
+    /// Asks whether the target has just failed.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a request that is kept from the target.
+    pub fn check_breaker(
+        &self,
+        attempt: AttemptId,
+        repeatable: bool,
+        forced: bool,
+    ) -> Result<(), Refusal> {
+        let now = self.clock.now();
+        match self.lock().breaker.admit(now, attempt, repeatable, forced) {
+            Passage::Pass => Ok(()),
+            Passage::Held(delay) => Err(Refusal::after(Reason::Suspect, delay)),
+        }
+    }
+
+    /// Returns the refusal of a request that would be kept from the target now.
+    pub fn is_tripped(&self) -> bool {
+        self.lock().breaker.is_tripped()
+    }
+
+    /// Takes in how an attempt that was handed over at `started` ended at the target; returns true
+    /// if requests are kept from it from now on.
+    pub fn note_end(&self, attempt: AttemptId, started: Time, verdict: Verdict) -> bool {
+        let now = self.clock.now();
+        let breaker = &mut self.lock().breaker;
+        match verdict {
+            Verdict::Whole => {
+                breaker.succeed(attempt);
+                false
+            }
+            Verdict::Withdrawn => {
+                breaker.cancel(attempt);
+                false
+            }
+            Verdict::Failed | Verdict::TimedOut | Verdict::Cut => {
+                breaker.fail(now, attempt, started)
+            }
+        }
+    }
+
     fn lease(self: &Arc<Self>, attempt: AttemptId) -> Lease {
         Lease {
             gate: self.clone(),
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -171,6 +171,9 @@
     Shed, "shed", SERVICE_UNAVAILABLE, false,
         "The target shed the request before running it.",
         "Come back after the stated time.";
+    Suspect, "suspect", SERVICE_UNAVAILABLE, false,
+        "The target has just failed and gets no requests until it is known to work again.",
+        "Come back after the stated time; check the target.";
     Connect, "connect", BAD_GATEWAY, false,
         "No connection to the target could be made, so nothing was sent.",
         "Check the target and the links between the nodes.";
--- a/src/route/retry.rs
+++ b/src/route/retry.rs
@@ -87,7 +87,7 @@
     use Reason::*;
     matches!(
         refusal.reason,
-        Draining | Starting | QueueFull | AccountShare | Deadline | Shed | Connect
+        Draining | Starting | QueueFull | AccountShare | Deadline | Shed | Suspect | Connect
     )
 }
 
--- /dev/null
+++ b/tests/circuit_breaker.rs
@@ -0,0 +1,133 @@
+//! Requests are kept from a target that has just failed and return once it works.
+
+use std::time::Duration;
+
+use laburnumtide::gate::{Breaker, Passage};
+use laburnumtide::prelude::*;
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(10_000 + ms)
+}
+
+fn tripped() -> Breaker {
+    let mut breaker = Breaker::default();
+    assert_eq!(
+        breaker.admit(at(0), AttemptId(1), false, false),
+        Passage::Pass
+    );
+    assert!(breaker.fail(at(1), AttemptId(1), at(0)));
+    breaker
+}
+
+/// Guards against a second lost request at a target that answers its errors at once.
+#[test]
+fn first_failure() {
+    let mut breaker = tripped();
+    for (attempt, repeatable) in [(2, false), (3, true)] {
+        let passage = breaker.admit(at(5), AttemptId(attempt), repeatable, false);
+        assert!(matches!(passage, Passage::Held(_)), "{passage:?}");
+    }
+}
+
+/// Guards against a non-idempotent request that is spent as a probe while others could be.
+#[test]
+fn cheap_probe() {
+    let mut breaker = tripped();
+    let due = at(600);
+    assert!(matches!(
+        breaker.admit(due, AttemptId(2), false, false),
+        Passage::Held(_)
+    ));
+    assert_eq!(breaker.admit(due, AttemptId(3), true, false), Passage::Pass);
+    assert!(matches!(
+        breaker.admit(due, AttemptId(4), true, false),
+        Passage::Held(_)
+    ));
+}
+
+/// Guards against a service without idempotent requests that never gets its target back.
+#[test]
+fn any_probe() {
+    let mut breaker = tripped();
+    let late = at(1_100);
+    assert_eq!(
+        breaker.admit(late, AttemptId(2), false, false),
+        Passage::Pass
+    );
+}
+
+/// Guards against a sound target that waits for a slow answer before it gets requests again.
+#[test]
+fn slow_probe_passes() {
+    let mut breaker = tripped();
+    assert_eq!(
+        breaker.admit(at(600), AttemptId(2), true, false),
+        Passage::Pass
+    );
+    assert_eq!(
+        breaker.admit(at(710), AttemptId(3), false, false),
+        Passage::Pass
+    );
+    assert!(!breaker.is_tripped());
+}
+
+/// Guards against a flood of failures while a spell lasts, and against one that is never probed: the
+/// target is asked again at least every 2 s.
+#[test]
+fn failed_probes() {
+    let mut breaker = tripped();
+    let (mut now, mut attempt, mut probes) = (2, 10, Vec::new());
+    while now < 10_000 {
+        attempt += 1;
+        if breaker.admit(at(now), AttemptId(attempt), true, false) == Passage::Pass {
+            probes.push(now);
+            breaker.fail(at(now + 1), AttemptId(attempt), at(now));
+        }
+        now += 20;
+    }
+    assert!(probes.len() <= 11, "{probes:?}");
+    let gaps = probes.windows(2).map(|p| p[1] - p[0]);
+    assert!(gaps.max() < Some(2_000), "{probes:?}");
+}
+
+/// Guards against old requests that fail after the first one and prolong the hold.
+#[test]
+fn earlier_attempts() {
+    let mut breaker = tripped();
+    for n in 0..5 {
+        breaker.fail(at(300 + n), AttemptId(20 + n), at(0));
+    }
+    assert_eq!(
+        breaker.admit(at(520), AttemptId(3), true, false),
+        Passage::Pass
+    );
+}
+
+/// Guards against a service that refuses everything because all of its targets failed once.
+#[test]
+fn last_target() {
+    let mut breaker = tripped();
+    assert_eq!(
+        breaker.admit(at(5), AttemptId(2), false, true),
+        Passage::Pass
+    );
+    assert_eq!(
+        breaker.admit(at(5), AttemptId(3), false, false),
+        Passage::Held(Duration::from_millis(496))
+    );
+}
+
+/// Guards against a probe whose caller left, after which no other would be sent.
+#[test]
+fn cancelled_probe() {
+    let mut breaker = tripped();
+    assert_eq!(
+        breaker.admit(at(600), AttemptId(2), true, false),
+        Passage::Pass
+    );
+    breaker.cancel(AttemptId(2));
+    assert_eq!(
+        breaker.admit(at(610), AttemptId(3), true, false),
+        Passage::Pass
+    );
+}
