Share the budget of retries over the fleet and count only what reached a target

Attempts that end at a gate are no retries and cost nothing; an error of a target is returned when nothing better follows.

--- a/examples/added_latency.rs
+++ b/examples/added_latency.rs
@@ -198,6 +198,7 @@
         secret: Secret::new(b"fleet-secret-0123456789")?,
         statsd: None,
         retention: laburnumtide::repeat::RETENTION,
+        retries: Default::default(),
         limits: Limits::default(),
     };
     Ok(node::spawn_with(settings, NodeId::random(), parts, Arc::new(Unsynced)).await?)
--- a/src/node/forward.rs
+++ b/src/node/forward.rs
@@ -11,22 +11,19 @@
 use crate::http::Upload;
 use crate::http::headers;
 use crate::http::refusal::{ANSWER, NOT_RUN, id_value};
-use crate::ids::{AttemptId, TargetId};
+use crate::ids::{AttemptId, ServiceName, TargetId};
 use crate::metrics::Metrics;
 use crate::node::call::{Call, reason_of};
 use crate::node::egress::{attempt_value, field, read_load};
 use crate::node::links::Links;
 use crate::node::targets::{Pick, Targets};
 use crate::outcome::{Outcome, Reason, Refusal};
-use crate::route::{self, RetryBudget, RetryQuestion, Sample};
+use crate::route::{self, Course, Next, RetryBudget, RetryQuestion, RetryTerms, Sample};
 use crate::time::{Clock, Monotonic};
 
 /// Most attempts for one request of a route that states no number.
 const ATTEMPTS_MAX: usize = 3;
 
-/// Targets that may hold a request back before the next one takes it although it has just failed.
-const HELD_MAX: usize = 3;
-
 /// The egress gives up this much earlier, so that its exact outcome arrives in time.
 const EGRESS_MARGIN: Duration = Duration::from_millis(10);
 
@@ -36,13 +33,21 @@
 /// Authority of requests on links; the target is named by internal headers.
 const EGRESS_AUTHORITY: &str = "egress";
 
+/// The budgets of retries, sorted by service.
+#[derive(Debug, Default)]
+struct Budgets {
+    nodes: usize,
+    services: Vec<(ServiceName, RetryBudget)>,
+}
+
 /// Sends requests to the nodes of targets.
 #[derive(Debug)]
 pub struct Forwarder {
     targets: Arc<Targets>,
     links: Arc<Links>,
     clock: Monotonic,
-    budget: Mutex<RetryBudget>,
+    terms: Option<RetryTerms>,
+    budgets: Mutex<Budgets>,
     metrics: Metrics,
 }
 
@@ -53,12 +58,14 @@
         links: Arc<Links>,
         clock: Monotonic,
         metrics: Metrics,
+        terms: Option<RetryTerms>,
     ) -> Forwarder {
         Forwarder {
             targets,
             links,
             clock,
-            budget: Mutex::new(RetryBudget::default()),
+            terms,
+            budgets: Mutex::default(),
             metrics,
         }
     }
@@ -71,51 +78,49 @@
         call: &Call<'_>,
         authorize: impl Fn() -> Result<(), Refusal>,
     ) -> Result<Response<Incoming>, Outcome> {
-        self.budget().deposit();
-        let mut tried = Vec::new();
+        self.budget(call.service, RetryBudget::deposit);
+        let mut course = Course::new(attempts_max(call.route));
         let mut last = None;
-        let mut sent = 0;
-        let mut held = 0;
         loop {
-            // Once several targets have held the request back, the next one takes it in any case.
-            let forced = held >= HELD_MAX;
-            let pick = match self.pick(call, &tried) {
+            let pick = match self.pick(call, course.tried()) {
                 Some(pick) => pick,
-                None if held > 0 && sent == 0 && !forced => {
-                    tried.clear();
-                    held = HELD_MAX;
-                    continue;
-                }
-                None => return Err(call.give_up(last.unwrap_or_else(|| self.no_target(call)))),
+                None if course.force() => continue,
+                None => return self.give_up(call, last),
             };
             let Some(upload) = call.body.take(call.route.body_max.0) else {
-                return Err(call.give_up(last.unwrap_or(Refusal::new(Reason::BadRequest))));
+                return self.give_up(call, last);
             };
-            let attempt = self.attempt(call, &pick, upload, forced, &authorize);
-            let (outcome, answer) = match attempt.await {
+            let attempt = self.attempt(call, &pick, upload, course.is_forced(), &authorize);
+            let failed = match attempt.await {
                 Ok(response) if !response.status().is_server_error() => return Ok(response),
-                Ok(response) => (Outcome::Unknown(Reason::TargetError), Some(response)),
-                Err(outcome) => (outcome, None),
+                Ok(response) => Failed::Answer(response),
+                Err(outcome) => Failed::Outcome(outcome),
             };
             if let Some(reason) = call.body.failure() {
                 return Err(call.give_up(Refusal::new(reason)));
             }
-            tried.push(pick.id);
-            if let Outcome::NotRun(refusal) = outcome
-                && refusal.reason == Reason::Suspect
-                && held < HELD_MAX
-                && call.body.is_whole()
-            {
-                // Nothing was sent to a target, so this is no retry.
-                held += 1;
-                last = Some(refusal);
-                continue;
+            let outcome = failed.outcome();
+            if !self.goes_on(call, &mut course, pick.id, &outcome) {
+                return failed.into_result();
             }
-            sent += 1;
-            let Some(refusal) = self.retry(call, &outcome, sent) else {
-                return answer.ok_or(outcome);
-            };
-            last = Some(refusal);
+            // An answer of a target, though an error, says more than a later refusal.
+            if !matches!(last, Some(Failed::Answer(_))) {
+                last = Some(failed);
+            }
+        }
+    }
+
+    /// Ends a request for which no target is left after `last`.
+    fn give_up(
+        &self,
+        call: &Call<'_>,
+        last: Option<Failed>,
+    ) -> Result<Response<Incoming>, Outcome> {
+        match last {
+            Some(Failed::Answer(answer)) => Ok(answer),
+            Some(Failed::Outcome(Outcome::NotRun(refusal))) => Err(call.give_up(refusal)),
+            Some(Failed::Outcome(outcome)) => Err(outcome),
+            None => Err(call.give_up(self.no_target(call))),
         }
     }
 
@@ -133,9 +138,17 @@
         })
     }
 
-    /// Returns the refusal to repeat if no other target is left; none if the outcome is final.
-    fn retry(&self, call: &Call<'_>, outcome: &Outcome, attempts: usize) -> Option<Refusal> {
-        let reason = reason_of(outcome)?;
+    /// Returns true if the request goes to another target after `outcome` at `target`.
+    fn goes_on(
+        &self,
+        call: &Call<'_>,
+        course: &mut Course,
+        target: TargetId,
+        outcome: &Outcome,
+    ) -> bool {
+        let Some(reason) = reason_of(outcome) else {
+            return false;
+        };
         let now = self.clock.now();
         let question = RetryQuestion {
             outcome,
@@ -143,21 +156,22 @@
             replayable: call.body.is_whole(),
             deadline: now + call.left(),
         };
-        let again = attempts < attempts_max(call.route)
-            && route::may_retry(now, &question)
-            && self.budget().withdraw();
-        if !again {
-            return None;
+        let next = course.after(now, target.clone(), &question);
+        let goes_on = match next {
+            Next::Elsewhere => true,
+            Next::Retry => self.budget(call.service, RetryBudget::withdraw),
+            Next::Stop => false,
+        };
+        if next == Next::Retry && goes_on {
+            self.metrics.retried(reason);
         }
-        self.metrics.retried(reason);
-        log::info!(
-            event = "retry", request:% = call.id, reason:% = reason, attempt = attempts;
-            "request is sent again"
-        );
-        Some(match outcome {
-            Outcome::NotRun(refusal) => *refusal,
-            _ => Refusal::new(reason),
-        })
+        if next != Next::Stop {
+            log::info!(
+                event = "retry", request:% = call.id, target:% = target, reason:% = reason,
+                sent = next == Next::Retry, goes_on; "attempt ended without an answer"
+            );
+        }
+        goes_on
     }
 
     async fn attempt(
@@ -218,8 +232,56 @@
         })
     }
 
-    fn budget(&self) -> std::sync::MutexGuard<'_, RetryBudget> {
-        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Takes in how many nodes share the retries of a service.
+    pub fn set_nodes(&self, nodes: usize) {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        budgets.nodes = nodes;
+        let Some(terms) = self.terms else {
+            return;
+        };
+        for (_, budget) in &mut budgets.services {
+            budget.set_nodes(terms, nodes);
+        }
+    }
+
+    fn budget<T>(&self, service: &ServiceName, with: impl Fn(&mut RetryBudget) -> T) -> T {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        let nodes = budgets.nodes;
+        let services = &mut budgets.services;
+        let at = match services.binary_search_by(|(name, _)| name.cmp(service)) {
+            Ok(at) => at,
+            Err(at) => {
+                let shared = |terms| RetryBudget::shared(terms, nodes);
+                let budget = self.terms.map_or_else(RetryBudget::new, shared);
+                services.insert(at, (service.clone(), budget));
+                at
+            }
+        };
+        with(&mut services[at].1)
+    }
+}
+
+/// An attempt that brought no good answer.
+enum Failed {
+    /// A target answered with an error of its own.
+    Answer(Response<Incoming>),
+    /// There is no answer.
+    Outcome(Outcome),
+}
+
+impl Failed {
+    fn outcome(&self) -> Outcome {
+        match self {
+            Failed::Answer(_) => Outcome::Unknown(Reason::TargetError),
+            Failed::Outcome(outcome) => outcome.clone(),
+        }
+    }
+
+    fn into_result(self) -> Result<Response<Incoming>, Outcome> {
+        match self {
+            Failed::Answer(answer) => Ok(answer),
+            Failed::Outcome(outcome) => Err(outcome),
+        }
     }
 }
 
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -55,7 +55,7 @@
 pub struct Ingress<F, A, R, E> {
     parts: Parts<F, A, R>,
     edge: E,
-    forwarder: Forwarder,
+    forwarder: Arc<Forwarder>,
     sessions: Arc<Sessions>,
     open: OpenLimit,
     clock: Monotonic,
@@ -69,7 +69,7 @@
     pub fn new(
         parts: Parts<F, A, R>,
         edge: E,
-        forwarder: Forwarder,
+        forwarder: Arc<Forwarder>,
         clock: Monotonic,
         flight: Flight,
         metrics: Metrics,
--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -14,6 +14,7 @@
 use crate::limit::LEASE;
 use crate::metrics::Metrics;
 use crate::node::edge::{Edge, OwnEdge};
+use crate::node::forward::Forwarder;
 use crate::node::limits::RateLimits;
 use crate::node::links::Links;
 use crate::node::plug::{Freshness, Parts, Policy};
@@ -113,6 +114,7 @@
         view.clone(),
         limits,
         repeats,
+        handle.forwarder.clone(),
         handle.metrics.clone(),
     ));
     let controls = Arc::new(Controls::new(
@@ -137,6 +139,7 @@
     view: Arc<View>,
     limits: Arc<RateLimits>,
     repeats: Arc<RepeatRecords>,
+    forwarder: Arc<Forwarder>,
     metrics: Metrics,
 ) {
     let mut accepted: Option<(Position, Instant)> = None;
@@ -148,6 +151,7 @@
         metrics.gauge("fleet.nodes", members.nodes.len() as u64);
         metrics.gauge("fleet.live", members.live.len() as u64);
         let is_live = |id| members.live.binary_search(&id).is_ok();
+        forwarder.set_nodes(members.nodes.len());
         limits.set_members(&members.nodes, is_live);
         limits.set_leaving(&members.leaving);
         repeats.set_members(&members.nodes, is_live);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -81,6 +81,7 @@
     metrics: Metrics,
     flight: Flight,
     ending: Ending,
+    forwarder: Arc<Forwarder>,
     stop: CancellationToken,
     gone: CancellationToken,
     limits: Limits,
@@ -195,11 +196,18 @@
     let links = Arc::new(Links::new(me, settings.secret.clone(), limits.connect_time));
     let local = Local::new(me, settings.zone, clock, limits.connect_time);
     let local = Arc::new(local);
-    let forwarder = Forwarder::new(targets.clone(), links.clone(), clock, metrics.clone());
+    let forwarder = Forwarder::new(
+        targets.clone(),
+        links.clone(),
+        clock,
+        metrics.clone(),
+        settings.retries,
+    );
+    let forwarder = Arc::new(forwarder);
     let ingress = Ingress::new(
         parts,
         edge.clone(),
-        forwarder,
+        forwarder.clone(),
         clock,
         flight.clone(),
         metrics.clone(),
@@ -236,6 +244,7 @@
         metrics: metrics.clone(),
         flight,
         ending: ending.clone(),
+        forwarder,
         stop: CancellationToken::new(),
         gone: CancellationToken::new(),
         limits: limits.clone(),
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -8,6 +8,7 @@
 use crate::http::framing::HEADER_COUNT_MAX;
 use crate::ids::ZoneName;
 use crate::repeat::RETENTION_MIN;
+use crate::route::RetryTerms;
 use crate::wire::Secret;
 
 /// Settings of a node, checked by [`Settings::check`] before anything is opened.
@@ -36,6 +37,8 @@
     /// Time in which a repeat of a request with an idempotency key is refused; the same on every
     /// node.
     pub retention: Duration,
+    /// How many requests the fleet sends again; none for the usual share at each node.
+    pub retries: Option<RetryTerms>,
     /// Limits on callers, links and targets.
     pub limits: Limits,
 }
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -5,6 +5,7 @@
 //! of a service, adds what this ingress saw of the paths, and picks a target for each request.
 
 mod balancer;
+mod course;
 mod evidence;
 mod floor;
 mod health;
@@ -17,8 +18,9 @@
 mod target;
 
 pub use balancer::{Balancer, Event, Request, Sample};
+pub use course::{Course, Next};
 pub use floor::Capacity;
 pub use health::{Meter, Verdict};
 pub use judge::Cause;
-pub use retry::{Exposure, RetryBudget, RetryQuestion, may_retry};
+pub use retry::{Exposure, RetryBudget, RetryQuestion, RetryTerms, may_retry};
 pub use standing::{EJECT_BASE, RETURN_TIME, Standing};
--- a/src/route/retry.rs
+++ b/src/route/retry.rs
@@ -6,44 +6,82 @@
 use crate::outcome::{Outcome, Reason, Refusal};
 use crate::time::Time;
 
-/// Retries that each request earns, in thousandths: a tenth of the traffic.
-const RETRY_MILLIS: u64 = 100;
+/// Retries that each request earns where no terms are set: a tenth of the traffic.
+const RETRY_SHARE: f64 = 0.1;
 
-/// One retry in thousandths.
-const ONE_MILLIS: u64 = 1_000;
+/// Retries that can be saved up where no terms are set, so that a lost target's requests in flight
+/// can move at once.
+const SAVED_MAX: f64 = 20.0;
 
-/// Retries that can be saved up, so that a lost target's requests in flight can move at once.
-const SAVED_MAX: u64 = 20;
-
-/// Least time that must be left before the deadline for another attempt.
-pub const LEAST_TIME_LEFT: Duration = Duration::from_millis(2);
+/// Part of the share of retries in the terms that nodes use.
+///
+/// The rest is for the calls that a repeated run makes again, which count at the service that is
+/// called, and for requests that move between two windows.
+const RATIO_USED: f64 = 0.75;
+
+/// Part of the retries beyond the share that nodes use, for the same reasons.
+const EXTRA_USED: f64 = 0.8;
+
+/// Retries that the whole fleet may send to one service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryTerms {
+    /// Retries as a share of the requests.
+    pub ratio: f64,
+    /// Retries beyond that share in any window.
+    pub extra: u32,
+}
 
-/// A budget of retries that is a share of traffic.
+/// A budget of retries of one service at one node.
 ///
 /// Without it, retries multiply the load of a service that fails as a whole.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
-    millis: u64,
+    share: f64,
+    saved: f64,
+    most: f64,
 }
 
 impl RetryBudget {
     /// Creates a budget with the saved-up retries of a quiet time.
     pub fn new() -> Self {
         RetryBudget {
-            millis: SAVED_MAX * ONE_MILLIS,
+            share: RETRY_SHARE,
+            saved: SAVED_MAX,
+            most: SAVED_MAX,
         }
     }
 
+    /// Creates the budget of one of `nodes` nodes that keep `terms` together: each earns a share of
+    /// its own requests and saves up no more than its part of the extra.
+    pub fn shared(terms: RetryTerms, nodes: usize) -> Self {
+        let mut budget = RetryBudget {
+            share: terms.ratio * RATIO_USED,
+            saved: f64::INFINITY,
+            most: 0.0,
+        };
+        budget.set_nodes(terms, nodes);
+        budget
+    }
+
+    /// Takes in how many nodes keep `terms` together.
+    pub fn set_nodes(&mut self, terms: RetryTerms, nodes: usize) {
+        let part = f64::from(terms.extra) * EXTRA_USED / nodes.max(1) as f64;
+        // At least one retry can be saved up, or a node among very many could never repeat.
+        self.most = part.max(1.0);
+        self.saved = self.saved.min(self.most);
+    }
+
     /// Counts a first attempt.
     pub fn deposit(&mut self) {
-        self.millis = (self.millis + RETRY_MILLIS).min(SAVED_MAX * ONE_MILLIS);
+        self.saved = (self.saved + self.share).min(self.most);
     }
 
     /// Takes one retry; returns false if none is left.
     pub fn withdraw(&mut self) -> bool {
-        let enough = self.millis >= ONE_MILLIS;
+        // The sum of many shares is off by rounding.
+        let enough = self.saved >= 1.0 - f64::EPSILON * SAVED_MAX;
         if enough {
-            self.millis -= ONE_MILLIS;
+            self.saved -= 1.0;
         }
         enough
     }
@@ -55,6 +93,9 @@
     }
 }
 
+/// Least time that must be left before the deadline for another attempt.
+pub const LEAST_TIME_LEFT: Duration = Duration::from_millis(2);
+
 /// What is known when an attempt has ended.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryQuestion<'a> {
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -163,6 +163,7 @@
             secret,
             statsd,
             retention,
+            retries: None,
             limits,
         };
         if let Err(e) = node.check() {
--- a/tests/data_path/site.rs
+++ b/tests/data_path/site.rs
@@ -209,6 +209,7 @@
         secret: Secret::new(b"fleet-secret-0123456789").unwrap(),
         statsd: None,
         retention: RETENTION,
+        retries: Default::default(),
         limits: limits.clone(),
     }
 }
