Ask targets for a free slot before a request waits, and let it wait only while it makes its aim

Now up to three targets are asked in turn; the request waits where the wait is shortest, and only if it can still make its objective. Queues are fair by account and rank, a rank of urgency doubles the weight.

--- a/examples/health_table/model.rs
+++ b/examples/health_table/model.rs
@@ -370,6 +370,9 @@
         let server = attempt.target;
         let account = attempt.ingress % 8;
         let offer = Offer {
+            priority: 0,
+            aim: None,
+            patient: true,
             attempt: AttemptId(id),
             account: Some(format!("account-{account}").parse().expect("legal name")),
             weight: Rate::per_sec(if account < 2 { 300 } else { 50 }),
--- a/src/gate/fair.rs
+++ b/src/gate/fair.rs
@@ -1,4 +1,4 @@
-//! Start-time fair queueing between client accounts.
+//! Start-time fair queueing between client accounts, and between the ranks of their requests.
 //!
 //! Start-time fair queueing is preferred to deficit round robin for two reasons. Rates differ by
 //! more than a thousand between accounts, so one round with a quantum for the smallest account
@@ -12,6 +12,13 @@
 use crate::time::Time;
 use crate::units::Rate;
 
+/// Requests of one client account and one rank, which wait in the order of their arrival.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct FlowId {
+    pub account: AccountName,
+    pub priority: u8,
+}
+
 /// A request that waits for a slot.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Waiting {
@@ -22,7 +29,7 @@
 /// A request that left the queue, with the tag from which its account was charged.
 #[derive(Clone, Debug)]
 pub(super) struct Charge {
-    pub account: AccountName,
+    pub flow: FlowId,
     pub weight: Rate,
     start: f64,
     cost: Duration,
@@ -30,7 +37,7 @@
 
 #[derive(Clone, Debug)]
 struct Flow {
-    account: AccountName,
+    id: FlowId,
     weight: Rate,
     /// Virtual time up to which the account has used its share.
     finish: f64,
@@ -55,7 +62,7 @@
 /// The queues of all accounts with the virtual clock that orders them.
 #[derive(Clone, Debug, Default)]
 pub(super) struct FairQueue {
-    /// Sorted by account.
+    /// Sorted by account and rank.
     flows: Vec<Flow>,
     clock: f64,
     len: usize,
@@ -68,26 +75,24 @@
 
     /// Returns how many requests of `account` wait.
     pub fn len_of(&self, account: &AccountName) -> usize {
-        match self.find(account) {
-            Ok(at) => self.flows[at].waiting.len(),
-            Err(_) => 0,
-        }
+        let own = self.flows.iter().filter(|f| f.id.account == *account);
+        own.map(|f| f.waiting.len()).sum()
     }
 
-    /// Returns how many waiting requests would go before a new one of `account`.
+    /// Returns how many waiting requests would go before a new one of `flow`.
     ///
     /// A flow's k-th request starts k steps after its head, so those below the new tag are ahead.
-    pub fn ahead_of(&self, account: &AccountName, weight: Rate, cost: Duration) -> usize {
+    pub fn ahead_of(&self, flow: &FlowId, weight: Rate, cost: Duration) -> usize {
         let cost = cost.max(LEAST_COST);
-        let (start, own) = match self.find(account) {
+        let (start, own) = match self.find(flow) {
             Ok(at) => {
-                let flow = &self.flows[at];
-                (flow.start(self.clock), flow.waiting.len())
+                let known = &self.flows[at];
+                (known.start(self.clock), known.waiting.len())
             }
             Err(_) => (self.clock, 0),
         };
         let tag = start + own as f64 * virtual_time(cost, weight);
-        let others = self.flows.iter().filter(|f| f.account != *account);
+        let others = self.flows.iter().filter(|f| f.id != *flow);
         let before = |f: &Flow| {
             let steps = (tag - f.start(self.clock)) / f.step(cost);
             (steps.floor().max(-1.0) as i64 + 1).clamp(0, f.waiting.len() as i64) as usize
@@ -95,8 +100,8 @@
         own + others.map(before).sum::<usize>()
     }
 
-    pub fn push(&mut self, account: &AccountName, weight: Rate, waiting: Waiting) {
-        self.flow(account, weight).waiting.push_back(waiting);
+    pub fn push(&mut self, flow: &FlowId, weight: Rate, waiting: Waiting) {
+        self.flow(flow, weight).waiting.push_back(waiting);
         self.len += 1;
     }
 
@@ -109,22 +114,22 @@
             .filter(|f| !f.waiting.is_empty())
             .min_by(|a, b| a.start(clock).total_cmp(&b.start(clock)))?;
         let waiting = next.waiting.pop_front()?;
-        let (account, weight) = (next.account.clone(), next.weight);
+        let (flow, weight) = (next.id.clone(), next.weight);
         self.len -= 1;
-        Some((waiting, self.charge(&account, weight, cost)))
+        Some((waiting, self.charge(&flow, weight, cost)))
     }
 
     /// Charges an account for a request that starts now, whether it waited or not.
-    pub fn charge(&mut self, account: &AccountName, weight: Rate, cost: Duration) -> Charge {
+    pub fn charge(&mut self, id: &FlowId, weight: Rate, cost: Duration) -> Charge {
         let clock = self.clock;
         let cost = cost.max(LEAST_COST);
-        let flow = self.flow(account, weight);
+        let flow = self.flow(id, weight);
         let start = flow.start(clock);
         flow.finish = start + flow.step(cost);
         self.clock = start;
         self.drop_idle();
         Charge {
-            account: account.clone(),
+            flow: id.clone(),
             weight,
             start,
             cost,
@@ -136,12 +141,12 @@
         let real = real.max(LEAST_COST);
         let clock = self.clock;
         let end = charge.start + virtual_time(real, charge.weight);
-        match self.find(&charge.account) {
+        match self.find(&charge.flow) {
             Ok(at) => {
                 let flow = &mut self.flows[at];
                 flow.finish += flow.step(real) - flow.step(charge.cost);
             }
-            Err(_) if end > clock => self.flow(&charge.account, charge.weight).finish = end,
+            Err(_) if end > clock => self.flow(&charge.flow, charge.weight).finish = end,
             Err(_) => {}
         }
     }
@@ -176,16 +181,16 @@
         self.clock = 0.0;
     }
 
-    fn find(&self, account: &AccountName) -> Result<usize, usize> {
-        self.flows.binary_search_by(|f| f.account.cmp(account))
+    fn find(&self, id: &FlowId) -> Result<usize, usize> {
+        self.flows.binary_search_by(|f| f.id.cmp(id))
     }
 
-    fn flow(&mut self, account: &AccountName, weight: Rate) -> &mut Flow {
-        let at = match self.find(account) {
+    fn flow(&mut self, id: &FlowId, weight: Rate) -> &mut Flow {
+        let at = match self.find(id) {
             Ok(at) => at,
             Err(at) => {
                 let flow = Flow {
-                    account: account.clone(),
+                    id: id.clone(),
                     weight,
                     finish: self.clock,
                     waiting: VecDeque::new(),
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 pub use self::breaker::{Breaker, Passage};
-use self::fair::{Charge, FairQueue, Waiting};
+use self::fair::{Charge, FairQueue, FlowId, Waiting};
 use self::limits::Opening;
 pub use self::limits::{Limits, WARM_UP};
 
@@ -30,10 +30,43 @@
     pub account: Option<AccountName>,
     /// The account's rate, or the open rate of the service; it weighs the share of the account.
     pub weight: Rate,
+    /// The rank of the request; 0 is the most urgent.
+    pub priority: u8,
     /// The time by which the answer must be complete.
     pub deadline: Time,
+    /// The time by which an answer has its full worth; a request that waits for a slot is to make
+    /// it. None if only the deadline counts.
+    pub aim: Option<Time>,
+    /// True if the request may wait; otherwise it is refused as busy unless it runs at once.
+    pub patient: bool,
 }
 
+impl Offer {
+    fn flow(&self) -> Option<FlowId> {
+        let account = self.account.clone()?;
+        Some(FlowId {
+            account,
+            priority: self.priority,
+        })
+    }
+
+    /// Returns the weight in the queue: that of the account, doubled for each rank of urgency.
+    ///
+    /// Under load the urgent requests get the larger part and the others are not starved.
+    fn queue_weight(&self) -> Rate {
+        let rank = self.priority.min(RANK_MAX);
+        Rate::from_millis(self.weight.as_millis() << (RANK_MAX - rank))
+    }
+
+    /// Returns the time that a wait must leave enough time for.
+    fn wait_limit(&self) -> Time {
+        self.aim.map_or(self.deadline, |aim| aim.min(self.deadline))
+    }
+}
+
+/// Least urgent rank that is told apart from those above it.
+const RANK_MAX: u8 = 8;
+
 /// The answer to an [`Offer`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Offered {
@@ -129,7 +162,10 @@
 ///     attempt: AttemptId(n),
 ///     account: Some("bank".parse().unwrap()),
 ///     weight: Rate::per_sec(10),
+///     priority: 0,
 ///     deadline: Time::from_millis(9_000),
+///     aim: None,
+///     patient: true,
 /// };
 /// assert_eq!(gate.offer(now, offer(1)), Offered::Run);
 /// assert_eq!(gate.offer(now, offer(2)), Offered::Queued);
@@ -176,6 +212,10 @@
         }
         match self.refusal(now, &offer) {
             Some(refusal) => Offered::Refused(refusal),
+            None if !offer.patient => {
+                let wait = self.wait_behind(now, self.ahead_of(now, &offer));
+                Offered::Refused(Refusal::after(Reason::Busy, wait.max(LEAST_RETRY)))
+            }
             None => {
                 self.enqueue(&offer);
                 Offered::Queued
@@ -343,16 +383,17 @@
             }
             _ => {}
         }
-        let late = self.is_late(now + self.wait_behind(now, ahead), offer.deadline);
+        let late = self.is_late(now + self.wait_behind(now, ahead), offer.wait_limit());
         late.then(|| self.too_late(now, offer, wait))
     }
 
     /// Returns how many waiting requests go before `offer`.
     fn ahead_of(&self, now: Time, offer: &Offer) -> usize {
-        match &offer.account {
-            Some(account) => self
-                .accounts
-                .ahead_of(account, offer.weight, self.service(now)),
+        match &offer.flow() {
+            Some(flow) => {
+                let cost = self.service(now);
+                self.accounts.ahead_of(flow, offer.queue_weight(), cost)
+            }
             None => self.queued(),
         }
     }
@@ -361,7 +402,7 @@
     ///
     /// It may come back when the wait has shrunk to what its deadline allows.
     fn too_late(&self, now: Time, offer: &Offer, wait: Duration) -> Refusal {
-        let allowed = offer.deadline.since(now + self.service(now) / 2);
+        let allowed = offer.wait_limit().since(now + self.service(now) / 2);
         let delay = wait.saturating_sub(allowed);
         // The wait shrinks only when a request ends, so the delay is a whole number of such steps.
         let step = self.wait_behind(now, 0).max(LEAST_RETRY);
@@ -374,18 +415,16 @@
             attempt: offer.attempt,
             deadline: offer.deadline,
         };
-        match &offer.account {
-            Some(account) => self.accounts.push(account, offer.weight, waiting),
+        match &offer.flow() {
+            Some(flow) => self.accounts.push(flow, offer.queue_weight(), waiting),
             None => self.open.push_back(waiting),
         }
     }
 
     fn start_offer(&mut self, now: Time, offer: &Offer) {
         let cost = self.service(now);
-        let charge = offer
-            .account
-            .as_ref()
-            .map(|account| self.accounts.charge(account, offer.weight, cost));
+        let flow = offer.flow();
+        let charge = flow.map(|flow| self.accounts.charge(&flow, offer.queue_weight(), cost));
         self.start(now, offer.attempt, charge);
     }
 
--- a/src/http/headers.rs
+++ b/src/http/headers.rs
@@ -27,6 +27,11 @@
 pub const ORIGIN: HeaderName = HeaderName::from_static("laburnum-origin");
 /// Present if a request without a key is queued like those of a client account, between nodes only.
 pub const SHARED: HeaderName = HeaderName::from_static("laburnum-shared");
+/// Remaining time until the answer has less than its full worth, in milliseconds, between nodes
+/// only; absent if only the deadline counts.
+pub const AIM_MS: HeaderName = HeaderName::from_static("laburnum-aim-ms");
+/// Present if the request may wait for a slot, between nodes only.
+pub const PATIENT: HeaderName = HeaderName::from_static("laburnum-patient");
 /// Present if the request may run twice, between nodes only.
 pub const REPEATABLE: HeaderName = HeaderName::from_static("laburnum-repeatable");
 /// Present if the request is to run although the target has just failed, between nodes only.
--- a/src/node/call.rs
+++ b/src/node/call.rs
@@ -58,6 +58,8 @@
     pub weight: Rate,
     /// Time by which the answer must have started.
     pub deadline: Instant,
+    /// Time by which an answer has its full worth; none if only the deadline counts.
+    pub aim: Option<Instant>,
     /// Body, as far as it is unread.
     pub body: Arc<UploadSlot>,
     /// Whether an attempt may have reached a target.
@@ -88,6 +90,7 @@
             identity,
             key,
             weight,
+            aim: (!route.objective.is_zero()).then(|| Instant::now() + route.objective),
             deadline: Instant::now() + patience.min(route.deadline),
             body,
             exposure: Exposure::default(),
--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -63,6 +63,9 @@
     kind: String,
     priority: u8,
     shared: bool,
+    /// Time from the arrival after which the answer has less than its full worth.
+    aim: Option<Duration>,
+    patient: bool,
     repeatable: bool,
     forced: bool,
     origin: Option<ServiceName>,
@@ -129,6 +132,9 @@
             attempt: job.attempt,
             account: job.flow(),
             weight: job.weight,
+            priority: job.priority,
+            aim: job.aim.map(|aim| self.clock.now() + aim),
+            patient: job.patient,
             deadline: self.clock.now() + left,
         };
         let lease = target.gate.enter(offer).await.map_err(not_run)?;
@@ -269,6 +275,11 @@
             kind: field(from, &headers::KIND)?,
             priority: field(from, &headers::PRIORITY).unwrap_or_default(),
             shared: from.contains_key(headers::SHARED),
+            aim: match from.contains_key(headers::AIM_MS) {
+                true => Some(Duration::from_millis(field(from, &headers::AIM_MS)?)),
+                false => None,
+            },
+            patient: from.contains_key(headers::PATIENT),
             repeatable: from.contains_key(headers::REPEATABLE),
             forced: from.contains_key(headers::FORCED),
             origin: match from.contains_key(headers::ORIGIN) {
--- a/src/node/forward.rs
+++ b/src/node/forward.rs
@@ -5,7 +5,7 @@
 
 use http::{HeaderMap, HeaderValue, Request, Response, Uri};
 use hyper::body::Incoming;
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 
 use crate::config::Route;
 use crate::http::Upload;
@@ -82,15 +82,16 @@
         let mut course = Course::new(attempts_max(call.route));
         let mut last = None;
         loop {
-            let pick = match self.pick(call, course.tried()) {
+            let queue_at = course.queue_at().and_then(|id| self.targets.way_to(id));
+            let pick = match queue_at.or_else(|| self.pick(call, course.tried())) {
                 Some(pick) => pick,
-                None if course.force() => continue,
+                None if course.insist() => continue,
                 None => return self.give_up(call, last),
             };
             let Some(upload) = call.body.take(call.route.body_max.0) else {
                 return self.give_up(call, last);
             };
-            let attempt = self.attempt(call, &pick, upload, course.is_forced(), &authorize);
+            let attempt = self.attempt(call, &pick, upload, &course, &authorize);
             let failed = match attempt.await {
                 Ok(response) if !response.status().is_server_error() => return Ok(response),
                 Ok(response) => Failed::Answer(response),
@@ -179,7 +180,7 @@
         call: &Call<'_>,
         pick: &Pick,
         upload: Upload,
-        forced: bool,
+        course: &Course,
         authorize: impl Fn() -> Result<(), Refusal>,
     ) -> Result<Response<Incoming>, Outcome> {
         let opened = self.links.sender(pick.id.node, pick.addr);
@@ -197,10 +198,13 @@
         };
         let attempt = AttemptId::random();
         let mut request = build(call, pick, attempt, upload);
-        if forced {
-            let fields = request.headers_mut();
+        let fields = request.headers_mut();
+        if course.is_forced() {
             fields.insert(headers::FORCED, HeaderValue::from_static("1"));
         }
+        if course.is_patient() {
+            fields.insert(headers::PATIENT, HeaderValue::from_static("1"));
+        }
         authorize().map_err(|refusal| call.give_up(refusal))?;
         let exposed = call.exposure.begin();
         let mut trial = Trial::start(&self.targets, &pick.id);
@@ -340,6 +344,11 @@
         let account = name_value(identity.account.name.as_str());
         fields.insert(headers::ACCOUNT, account);
     }
+    if let Some(aim) = call.aim {
+        let left = aim.saturating_duration_since(Instant::now());
+        let left = HeaderValue::from(left.as_millis() as u64);
+        fields.insert(headers::AIM_MS, left);
+    }
     if call.is_idempotent() {
         fields.insert(headers::REPEATABLE, HeaderValue::from_static("1"));
     }
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -162,9 +162,7 @@
         headers::strip_request(&mut head.headers);
         headers::set_host(&mut head.headers, &head.uri);
         let weight = weight(&config, route, identity.as_ref());
-        slot.read_short(SHORT_BODY_BYTES)
-            .await
-            .map_err(|reason| refused(Refusal::new(reason)))?;
+        slot.read_short(SHORT_BODY_BYTES).await.map_err(broken)?;
         let shared = identity.is_none() && !has_open_limit(&config, route);
         let mut call = Call::new(asked, head, route, identity, key, weight, slot.clone());
         call.shared = shared;
@@ -431,6 +429,14 @@
     response.headers_mut().insert(CONNECTION, value);
 }
 
+/// Returns the outcome of a request whose body did not come whole.
+fn broken(reason: Reason) -> Outcome {
+    match reason.may_have_run() {
+        true => Outcome::Unknown(reason),
+        false => Outcome::NotRun(Refusal::new(reason)),
+    }
+}
+
 fn refused(refusal: Refusal) -> Outcome {
     Outcome::NotRun(refusal)
 }
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -50,6 +51,8 @@
     placement: ArcSwap<Placement>,
     parts: Vec<Part>,
     peers: Mutex<BTreeMap<SocketAddr, Peer>>,
+    /// Shards owned at the last look, for the log.
+    owned: AtomicUsize,
 }
 
 /// The shards whose number leaves the same rest.
@@ -132,6 +135,7 @@
             placement: ArcSwap::from_pointee(Placement::new(me)),
             parts: (0..PART_COUNT).map(new_part).collect(),
             peers: Mutex::default(),
+            owned: AtomicUsize::new(0),
         }
     }
 
@@ -298,6 +302,13 @@
         }
         self.send_asks(asks);
         if sweep {
+            let before = self.owned.swap(owned, Ordering::Relaxed);
+            if before != owned {
+                log::info!(
+                    event = "limit-leases", owned, before, accounts = used;
+                    "leases of rate limits changed"
+                );
+            }
             self.metrics.gauge("limit.shards", owned as u64);
             self.metrics.gauge("limit.accounts", used as u64);
             self.metrics.gauge("limit.buckets", buckets as u64);
--- a/src/node/targets.rs
+++ b/src/node/targets.rs
@@ -79,6 +79,13 @@
         Some(Pick { id, addr })
     }
 
+    /// Returns the way to a target whose node is known.
+    pub fn way_to(&self, id: &TargetId) -> Option<Pick> {
+        let addr = *self.lock().addrs.get(&id.node)?;
+        let id = id.clone();
+        Some(Pick { id, addr })
+    }
+
     /// Takes in what became of an attempt.
     pub fn report(&self, id: &TargetId, sample: Sample) {
         let now = self.clock.now();
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -159,6 +159,9 @@
     QueueFull, "queue-full", SERVICE_UNAVAILABLE, false,
         "Every slot is in use and the queue is full.",
         "Come back after the stated time, or add targets.";
+    Busy, "busy", SERVICE_UNAVAILABLE, false,
+        "Every slot of the target is in use, and another target may have a free one.",
+        "Come back after the stated time, or add targets.";
     AccountShare, "account-share", SERVICE_UNAVAILABLE, false,
         "The client account holds its share of the queue already.",
         "Come back after the stated time.";
--- a/src/route/course.rs
+++ b/src/route/course.rs
@@ -1,5 +1,7 @@
 //! What to do next with a request after each of its attempts.
 
+use std::time::Duration;
+
 use super::retry::{RetryQuestion, may_retry};
 use crate::ids::TargetId;
 use crate::outcome::{Outcome, Reason};
@@ -8,10 +10,15 @@
 /// Attempts that ended at the gate of a target because it has just failed, before one is forced.
 const SUSPECTS_MAX: usize = 5;
 
-/// Attempts that ended at the gate of a target for lack of room.
+/// Attempts that ended at the gate of a target which refused to queue the request.
+///
+/// It may happen once more after the choice of the shortest queue.
+const FULL_MAX: usize = 1;
+
+/// Targets that are asked for a free slot before the request waits at one of them.
 ///
-/// The ingress chooses by expected wait, so that others are hardly better after a few.
-const FULL_MAX: usize = 2;
+/// What an ingress knows of the load of targets is seconds old, and a question takes milliseconds.
+const ASKED_MAX: usize = 3;
 
 /// What follows an attempt that brought no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,6 +41,9 @@
     sent: usize,
     suspects: usize,
     full: usize,
+    /// Targets without a free slot, with the wait that they expected.
+    busy: Vec<(Duration, TargetId)>,
+    patient: bool,
     tried: Vec<TargetId>,
     held: Vec<TargetId>,
     forced: bool,
@@ -47,6 +57,8 @@
             sent: 0,
             suspects: 0,
             full: 0,
+            busy: Vec::new(),
+            patient: false,
             tried: Vec::new(),
             held: Vec::new(),
             forced: false,
@@ -63,9 +75,28 @@
         self.forced
     }
 
-    /// Takes in that no target is left; returns true if those that held the request back may be
-    /// asked once more, with force.
-    pub fn force(&mut self) -> bool {
+    /// Returns true if the request may wait for a slot at the next target.
+    pub fn is_patient(&self) -> bool {
+        self.patient
+    }
+
+    /// Returns the target with the shortest wait, once enough were asked for a free slot.
+    pub fn queue_at(&self) -> Option<&TargetId> {
+        let best = self.busy.iter().min().map(|(_, id)| id);
+        best.filter(|_| self.patient)
+    }
+
+    /// Takes in that no target is left to ask for a free slot, or to go to.
+    ///
+    /// Returns true if the request may wait at one that was busy, or if those that held it back may
+    /// be asked once more, with force.
+    pub fn insist(&mut self) -> bool {
+        if !self.patient {
+            self.patient = true;
+            if !self.busy.is_empty() {
+                return true;
+            }
+        }
         if self.forced || self.held.is_empty() {
             return false;
         }
@@ -90,11 +121,21 @@
                 self.forced |= self.suspects >= SUSPECTS_MAX;
                 decide(goes_on && self.suspects <= SUSPECTS_MAX, Next::Elsewhere)
             }
+            Some(Reason::Busy) => {
+                let wait = match question.outcome {
+                    Outcome::NotRun(refusal) => refusal.retry_after.unwrap_or_default(),
+                    _ => Duration::MAX,
+                };
+                self.busy.push((wait, target));
+                self.patient = self.busy.len() >= ASKED_MAX;
+                decide(goes_on, Next::Elsewhere)
+            }
             Some(Reason::Shed) | None => {
                 self.sent += 1;
                 decide(goes_on && self.sent < self.most, Next::Retry)
             }
             Some(_) => {
+                self.busy.retain(|(_, id)| *id != target);
                 self.full += 1;
                 decide(goes_on && self.full <= FULL_MAX, Next::Elsewhere)
             }
--- a/src/route/retry.rs
+++ b/src/route/retry.rs
@@ -128,7 +128,7 @@
     use Reason::*;
     matches!(
         refusal.reason,
-        Draining | Starting | QueueFull | AccountShare | Deadline | Shed | Suspect | Connect
+        Draining | Starting | QueueFull | Busy | AccountShare | Deadline | Shed | Suspect | Connect
     )
 }
 
--- a/tests/gate_bounds.rs
+++ b/tests/gate_bounds.rs
@@ -21,6 +21,9 @@
 
 fn offer(attempt: u64, account: Option<u8>, weight: u64, deadline: Time) -> Offer {
     Offer {
+        priority: 0,
+        aim: None,
+        patient: true,
         attempt: AttemptId(attempt),
         account: account.map(|a| format!("account-{a}").parse().unwrap()),
         weight: Rate::per_sec(weight),
--- a/tests/retry_safety.rs
+++ b/tests/retry_safety.rs
@@ -234,6 +234,9 @@
             return;
         }
         let offer = Offer {
+            priority: 0,
+            aim: None,
+            patient: true,
             attempt: AttemptId(attempt),
             account: Some("bank".parse().unwrap()),
             weight: Rate::per_sec(10),
