Judge each attempt by its own outcome, and queue by the service time of each kind

A call of 40 ms with a deadline of 500 ms was refused as late because the mean service time of its target was 400 ms. After a restart of all nodes the limits of rates had no owner for 4 s.

Now the exposure counts for the request as a whole only; the gate keeps the service time of each kind; a node that has just been registered counts as alive at once.

--- a/examples/health_table/model.rs
+++ b/examples/health_table/model.rs
@@ -371,6 +371,7 @@
         let account = attempt.ingress % 8;
         let offer = Offer {
             priority: 0,
+            kind: String::new(),
             aim: None,
             patient: true,
             attempt: AttemptId(id),
--- a/src/fleet/roll.rs
+++ b/src/fleet/roll.rs
@@ -18,7 +18,7 @@
 ///
 /// Nodes that start together then join together. Otherwise the first would be the whole registry,
 /// and the change that adds the others would move its seats and owners a few seconds later.
-const GATHER_QUIET: Duration = Duration::from_millis(500);
+const GATHER_QUIET: Duration = Duration::from_millis(200);
 
 /// Longest time that a new node waits for others.
 const GATHER_MAX: Duration = Duration::from_secs(2);
--- a/src/gate/fair.rs
+++ b/src/gate/fair.rs
@@ -20,10 +20,11 @@
 }
 
 /// A request that waits for a slot.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Waiting {
     pub attempt: AttemptId,
     pub deadline: Time,
+    pub kind: String,
 }
 
 /// A request that left the queue, with the tag from which its account was charged.
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -30,6 +30,8 @@
     pub account: Option<AccountName>,
     /// The account's rate, or the open rate of the service; it weighs the share of the account.
     pub weight: Rate,
+    /// The kind of request, usually the name of its route; kinds differ in service time.
+    pub kind: String,
     /// The rank of the request; 0 is the most urgent.
     pub priority: u8,
     /// The time by which the answer must be complete.
@@ -143,8 +145,19 @@
     since: Time,
     /// The charge to its account, or `None` for an anonymous request.
     charge: Option<Charge>,
+    kind: String,
 }
 
+/// The mean service time of one kind of request.
+#[derive(Clone, Debug)]
+struct KindTime {
+    kind: String,
+    mean: Duration,
+}
+
+/// Most kinds whose service time is kept apart; further ones count with the mean of all.
+const KINDS_MAX: usize = 64;
+
 /// The slots and the queue of one target.
 ///
 /// Attempt ids must be unique; the edge drops repeated ones before it offers them.
@@ -162,6 +175,7 @@
 ///     attempt: AttemptId(n),
 ///     account: Some("bank".parse().unwrap()),
 ///     weight: Rate::per_sec(10),
+///     kind: String::new(),
 ///     priority: 0,
 ///     deadline: Time::from_millis(9_000),
 ///     aim: None,
@@ -178,6 +192,8 @@
     accounts: FairQueue,
     open: VecDeque<Waiting>,
     service: Option<Duration>,
+    /// Sorted by kind.
+    kinds: Vec<KindTime>,
     latest: Time,
 }
 
@@ -193,6 +209,7 @@
             accounts: FairQueue::default(),
             open: VecDeque::new(),
             service: None,
+            kinds: Vec::new(),
             latest: now,
         }
     }
@@ -203,7 +220,7 @@
         if self.draining {
             return Offered::Refused(Refusal::new(Reason::Draining));
         }
-        if self.is_late(now, offer.deadline) {
+        if self.is_late(now, offer.deadline, &offer.kind) {
             return Offered::Refused(self.too_late(now, &offer, Duration::ZERO));
         }
         if self.has_room(now, offer.account.is_none()) && self.is_next(&offer) {
@@ -228,7 +245,7 @@
         if let Some(at) = self.running.iter().position(|r| r.attempt == attempt) {
             let ended = self.running.swap_remove(at);
             let real = now.since(ended.since);
-            self.measure(real);
+            self.measure(&ended.kind, real);
             if let Some(charge) = &ended.charge {
                 self.accounts.settle(charge, real);
             }
@@ -341,12 +358,23 @@
         measured.max(mean_age)
     }
 
-    fn measure(&mut self, real: Duration) {
-        let mean = match self.service {
-            Some(old) => old.mul_f64(1.0 - SERVICE_GAIN) + real.mul_f64(SERVICE_GAIN),
-            None => real,
-        };
-        self.service = Some(mean);
+    fn measure(&mut self, kind: &str, real: Duration) {
+        self.service = Some(self.service.map_or(real, |old| blend(old, real)));
+        match self.kinds.binary_search_by(|k| k.kind.as_str().cmp(kind)) {
+            Ok(at) => self.kinds[at].mean = blend(self.kinds[at].mean, real),
+            Err(at) if self.kinds.len() < KINDS_MAX => {
+                let kind = kind.to_owned();
+                self.kinds.insert(at, KindTime { kind, mean: real });
+            }
+            Err(_) => {}
+        }
+    }
+
+    /// Returns the measured service time of a kind of request, or that of all.
+    fn service_of(&self, kind: &str) -> Duration {
+        let at = self.kinds.binary_search_by(|k| k.kind.as_str().cmp(kind));
+        let own = at.ok().map(|at| self.kinds[at].mean);
+        own.or(self.service).unwrap_or_default()
     }
 
     /// Returns the expected time until a slot is free for a request behind `ahead` others.
@@ -357,9 +385,9 @@
 
     /// Returns true if a request that started now would most likely miss its deadline.
     ///
-    /// Half the mean service time is asked for, since many requests take less than the mean.
-    fn is_late(&self, now: Time, deadline: Time) -> bool {
-        now + self.service.unwrap_or_default() / 2 > deadline
+    /// Half the mean service time of its kind is asked for, since many requests take less.
+    fn is_late(&self, now: Time, deadline: Time, kind: &str) -> bool {
+        now + self.service_of(kind) / 2 > deadline
     }
 
     /// Returns why `offer` may not wait, if so.
@@ -383,7 +411,8 @@
             }
             _ => {}
         }
-        let late = self.is_late(now + self.wait_behind(now, ahead), offer.wait_limit());
+        let start = now + self.wait_behind(now, ahead);
+        let late = self.is_late(start, offer.wait_limit(), &offer.kind);
         late.then(|| self.too_late(now, offer, wait))
     }
 
@@ -402,7 +431,9 @@
     ///
     /// It may come back when the wait has shrunk to what its deadline allows.
     fn too_late(&self, now: Time, offer: &Offer, wait: Duration) -> Refusal {
-        let allowed = offer.wait_limit().since(now + self.service(now) / 2);
+        let allowed = offer
+            .wait_limit()
+            .since(now + self.service_of(&offer.kind) / 2);
         let delay = wait.saturating_sub(allowed);
         // The wait shrinks only when a request ends, so the delay is a whole number of such steps.
         let step = self.wait_behind(now, 0).max(LEAST_RETRY);
@@ -414,6 +445,7 @@
         let waiting = Waiting {
             attempt: offer.attempt,
             deadline: offer.deadline,
+            kind: offer.kind.clone(),
         };
         match &offer.flow() {
             Some(flow) => self.accounts.push(flow, offer.queue_weight(), waiting),
@@ -425,7 +457,7 @@
         let cost = self.service(now);
         let flow = offer.flow();
         let charge = flow.map(|flow| self.accounts.charge(&flow, offer.queue_weight(), cost));
-        self.start(now, offer.attempt, charge);
+        self.start(now, offer.attempt, offer.kind.clone(), charge);
     }
 
     /// Starts the next waiting request, accounts before anonymous requests.
@@ -435,31 +467,39 @@
         }
         let cost = self.service(now);
         if let Some((waiting, charge)) = self.accounts.pop(cost) {
-            self.start(now, waiting.attempt, Some(charge));
-            return Some(waiting.attempt);
+            let attempt = waiting.attempt;
+            self.start(now, attempt, waiting.kind, Some(charge));
+            return Some(attempt);
         }
         if !self.has_room(now, true) {
             return None;
         }
         let waiting = self.open.pop_front()?;
-        self.start(now, waiting.attempt, None);
-        Some(waiting.attempt)
+        let attempt = waiting.attempt;
+        self.start(now, attempt, waiting.kind, None);
+        Some(attempt)
     }
 
-    fn start(&mut self, now: Time, attempt: AttemptId, charge: Option<Charge>) {
+    fn start(&mut self, now: Time, attempt: AttemptId, kind: String, charge: Option<Charge>) {
         self.running.push(Running {
             attempt,
             since: now,
             charge,
+            kind,
         });
     }
 
     fn drop_late(&mut self, now: Time) -> Vec<Decision> {
-        let need = self.service.unwrap_or_default() / 2;
+        let kinds = std::mem::take(&mut self.kinds);
+        let all = self.service.unwrap_or_default();
+        let need = |kind: &str| {
+            let at = kinds.binary_search_by(|k| k.kind.as_str().cmp(kind));
+            at.map_or(all, |at| kinds[at].mean) / 2
+        };
         let retry = self.wait_behind(now, self.queued()).max(LEAST_RETRY);
         let mut late = Vec::new();
         let mut keep = |w: &Waiting| {
-            let in_time = now + need <= w.deadline;
+            let in_time = now + need(&w.kind) <= w.deadline;
             if !in_time {
                 let refusal = Refusal::after(Reason::Deadline, retry);
                 late.push(Decision::Refuse(w.attempt, refusal));
@@ -468,10 +508,15 @@
         };
         self.open.retain(&mut keep);
         self.accounts.retain(&mut keep);
+        self.kinds = kinds;
         late
     }
 }
 
+fn blend(old: Duration, new: Duration) -> Duration {
+    old.mul_f64(1.0 - SERVICE_GAIN) + new.mul_f64(SERVICE_GAIN)
+}
+
 /// Returns how many of `slots` anonymous requests may hold.
 fn open_slots(slots: usize) -> usize {
     (slots / OPEN_SLOTS_DIVISOR).max(1)
--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -132,6 +132,7 @@
             attempt: job.attempt,
             account: job.flow(),
             weight: job.weight,
+            kind: job.kind.clone(),
             priority: job.priority,
             aim: job.aim.map(|aim| self.clock.now() + aim),
             patient: job.patient,
--- a/src/node/forward.rs
+++ b/src/node/forward.rs
@@ -72,6 +72,9 @@
 
     /// Sends `call` to a target and tries others where that is safe.
     ///
+    /// Each attempt has an outcome of its own. The request as a whole did not run only if none of its
+    /// attempts may have reached a target.
+    ///
     /// `authorize` is asked just before each attempt, since a process may have been paused.
     pub async fn send(
         &self,
@@ -101,17 +104,18 @@
                 return Err(call.give_up(Refusal::new(reason)));
             }
             let outcome = failed.outcome();
-            if !self.goes_on(call, &mut course, pick.id, &outcome) {
-                return failed.into_result();
-            }
+            let goes_on = self.goes_on(call, &mut course, pick.id, &outcome);
             // An answer of a target, though an error, says more than a later refusal.
-            if !matches!(last, Some(Failed::Answer(_))) {
+            if !matches!(last, Some(Failed::Answer(_))) || matches!(failed, Failed::Answer(_)) {
                 last = Some(failed);
             }
+            if !goes_on {
+                return self.give_up(call, last);
+            }
         }
     }
 
-    /// Ends a request for which no target is left after `last`.
+    /// Ends a request after its last attempt; `last` says most of what came of them.
     fn give_up(
         &self,
         call: &Call<'_>,
@@ -189,11 +193,11 @@
             Ok(Err(e)) => {
                 log::info!(event = "link-failed", target:% = pick.id, error:% = e; "link failed");
                 self.targets.report(&pick.id, Sample::ConnectFailed);
-                return Err(call.give_up(Refusal::new(Reason::Connect)));
+                return Err(Outcome::NotRun(Refusal::new(Reason::Connect)));
             }
             Err(_) => {
                 self.targets.report(&pick.id, Sample::ConnectFailed);
-                return Err(call.give_up(Refusal::new(Reason::Deadline)));
+                return Err(Outcome::NotRun(Refusal::new(Reason::Deadline)));
             }
         };
         let attempt = AttemptId::random();
@@ -205,7 +209,7 @@
         if course.is_patient() {
             fields.insert(headers::PATIENT, HeaderValue::from_static("1"));
         }
-        authorize().map_err(|refusal| call.give_up(refusal))?;
+        authorize().map_err(Outcome::NotRun)?;
         let exposed = call.exposure.begin();
         let mut trial = Trial::start(&self.targets, &pick.id);
         let sent = timeout_at(call.deadline, loan.sender.try_send_request(request)).await;
@@ -227,12 +231,10 @@
                 })
             }
         };
-        result.map_err(|outcome| match outcome {
-            Outcome::NotRun(refusal) => {
+        result.inspect_err(|outcome| {
+            if matches!(outcome, Outcome::NotRun(_)) {
                 call.exposure.restore(exposed);
-                call.give_up(refusal)
             }
-            other => other,
         })
     }
 
@@ -280,13 +282,6 @@
             Failed::Outcome(outcome) => outcome.clone(),
         }
     }
-
-    fn into_result(self) -> Result<Response<Incoming>, Outcome> {
-        match self {
-            Failed::Answer(answer) => Ok(answer),
-            Failed::Outcome(outcome) => Err(outcome),
-        }
-    }
 }
 
 /// Reports what became of an attempt, also if the caller gave up in the meantime.
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -39,8 +39,8 @@
 const SHORT_BODY_BYTES: u64 = 64 * 1024;
 
 /// Weight of an account, or of open routes, without a limit in the queues of targets: that of a
-/// usual account.
-const UNLIMITED_WEIGHT: Rate = Rate::per_sec(10);
+/// large account, since calls of targets come this way and hold up those who wait for them.
+const UNLIMITED_WEIGHT: Rate = Rate::per_sec(100);
 
 /// Most bytes of a refused request that are read so that the refusal arrives.
 const LEFTOVER_MAX_BYTES: u64 = 256 * 1024;
@@ -166,6 +166,10 @@
         let shared = identity.is_none() && !has_open_limit(&config, route);
         let mut call = Call::new(asked, head, route, identity, key, weight, slot.clone());
         call.shared = shared;
+        if shared {
+            // Most of these are calls of targets, whose own caller loses everything with them.
+            call.aim = None;
+        }
         let response = self.run(&call, &config, session.as_ref()).await?;
         Ok(self.answer(&call, response, session, ticket))
     }
--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::error::{Error, Result};
 use crate::fleet::{Member, NodeRecord};
@@ -142,6 +142,7 @@
     forwarder: Arc<Forwarder>,
     metrics: Metrics,
 ) {
+    let mut changes = view.changes();
     let mut accepted: Option<(Position, Instant)> = None;
     let (mut limits_settled, mut repeats_settled) = (None, None);
     loop {
@@ -173,7 +174,10 @@
                 repeats_settled = Some(position);
             }
         }
-        sleep(LIVENESS_INTERVAL).await;
+        // A changed registry decides at once who owns the limits.
+        let registry = members.registry;
+        let changed = changes.wait_for(|_| view.registry_position() != registry);
+        let _ = timeout(LIVENESS_INTERVAL, changed).await;
     }
 }
 
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -11,7 +11,9 @@
 
 use crate::error::Result;
 use crate::fleet::gossip::{GOSSIP_INTERVAL, GOSSIP_PEERS};
-use crate::fleet::{Answer, Ask, Gossip, Member, NodeRecord, Published, Push, Registry, Relayed};
+use crate::fleet::{
+    Answer, Ask, Gossip, Member, NodeRecord, Published, Push, Registry, RegistryChange, Relayed,
+};
 use crate::freshness::{AGE_UNIT, Heard};
 use crate::ids::NodeId;
 use crate::node::plug::{Freshness, Policy};
@@ -25,6 +27,9 @@
 /// Entries kept for peers that are behind while no control process answers.
 const KEPT_ENTRIES: usize = 1_024;
 
+/// How long a node that has just been registered counts as alive before it is heard of.
+const JOINED_LIVE: Duration = Duration::from_millis(1_500);
+
 /// Bytes of entries in one answer to a peer.
 const RELAYED_MAX_BYTES: usize = 256 * 1024;
 
@@ -64,6 +69,8 @@
     client: sync::Client,
     gossip: Gossip,
     entries: VecDeque<Relayed>,
+    /// Members by identity and when this node learned of them.
+    joined: Vec<(NodeId, Time)>,
     /// Number of the note in force; none before the first proof that it is current.
     in_force: Option<NoteNumber>,
 }
@@ -88,6 +95,7 @@
                 client: sync::Client::new(),
                 gossip,
                 entries: VecDeque::new(),
+                joined: Vec::new(),
                 in_force: None,
             }),
         }
@@ -113,6 +121,11 @@
         self.lock().client.state().links().to_vec()
     }
 
+    /// Returns the position of the entry that put the registry in force.
+    pub fn registry_position(&self) -> Position {
+        self.lock().client.state().registry_position()
+    }
+
     /// Returns the registry in force.
     pub fn registry(&self) -> Registry {
         self.lock().gossip.registry().clone()
@@ -126,7 +139,15 @@
         let nodes = gossip.registry().members().to_vec();
         let ages = gossip.evidence().ages(self.clock.now());
         let age_max = age_max(nodes.len());
-        let is_live = |(_, age): &(&Member, &u8)| AGE_UNIT * u32::from(**age) <= age_max;
+        let now = self.clock.now();
+        // The leader met each new member a moment before it was registered.
+        let is_new = |id: &NodeId| {
+            let joined = inner.joined.binary_search_by_key(id, |(member, _)| *member);
+            joined.is_ok_and(|at| now.since(inner.joined[at].1) < JOINED_LIVE)
+        };
+        let is_live = |(member, age): &(&Member, &u8)| {
+            AGE_UNIT * u32::from(**age) <= age_max || is_new(&member.id)
+        };
         let leaves = |member: &&Member| {
             let record = gossip.records().get(member.id);
             record.is_some_and(|p| p.record.leaving)
@@ -172,7 +193,7 @@
     pub fn hear_control(&self, answer: &sync::Answer) -> Result<bool> {
         let mut inner = self.lock();
         match &answer.update {
-            Update::Entries(entries) => inner.apply_entries(entries)?,
+            Update::Entries(entries) => inner.apply_entries(self.clock.now(), entries)?,
             Update::Chunk(_) => {
                 let applied = inner.client.apply(answer)?;
                 if applied.changed {
@@ -219,7 +240,7 @@
     pub fn hear_gossip(&self, answer: &Answer) -> Result<Option<Push>> {
         let mut inner = self.lock();
         let entries: Vec<Bytes> = answer.entries.iter().map(|e| e.entry.clone()).collect();
-        inner.apply_entries(&entries)?;
+        inner.apply_entries(self.clock.now(), &entries)?;
         let push = inner.gossip.hear(self.clock.now(), answer);
         self.settle(inner);
         Ok(push)
@@ -270,7 +291,15 @@
 }
 
 impl Inner {
-    fn apply_entries(&mut self, entries: &[Bytes]) -> Result<()> {
+    fn note_joined(&mut self, now: Time, change: &RegistryChange) {
+        self.joined
+            .retain(|(_, since)| now.since(*since) < JOINED_LIVE);
+        self.joined
+            .extend(change.joined.iter().map(|m| (m.id, now)));
+        self.joined.sort_unstable();
+    }
+
+    fn apply_entries(&mut self, now: Time, entries: &[Bytes]) -> Result<()> {
         for bytes in entries {
             let logged = decode_entry(bytes.clone())?;
             let position = logged.position;
@@ -286,6 +315,9 @@
             let is_valid = self.client.state().registry_position() == position;
             self.gossip
                 .apply(position, change.as_ref().filter(|_| is_valid))?;
+            if is_valid && let Some(change) = &change {
+                self.note_joined(now, change);
+            }
             if matches!(logged.entry, Entry::Replicas(_)) {
                 self.set_replicas(position);
             }
--- a/tests/gate_bounds.rs
+++ b/tests/gate_bounds.rs
@@ -22,6 +22,7 @@
 fn offer(attempt: u64, account: Option<u8>, weight: u64, deadline: Time) -> Offer {
     Offer {
         priority: 0,
+        kind: String::new(),
         aim: None,
         patient: true,
         attempt: AttemptId(attempt),
--- a/tests/retry_safety.rs
+++ b/tests/retry_safety.rs
@@ -235,6 +235,7 @@
         }
         let offer = Offer {
             priority: 0,
+            kind: String::new(),
             aim: None,
             patient: true,
             attempt: AttemptId(attempt),
