Log every decision on standard output through a bounded queue, and keep latency histograms

Cause: after a failed request there was one line, on standard error, written by the thread that serves. Now one line for each decision on a request at ingress and egress with its id, inputs and outcome, and for each change of belief; at most 200 lines a second of served requests and 1,000 others, counted in one line a second where left out. Quantiles of answers and refusals stand on the metrics address.

--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,16 +1,53 @@
-//! Structured logs: one line of key=value pairs for each event.
+//! Structured logs: one line of key=value pairs for each event, on standard output.
 //!
 //! Events are written with the `log` macros and their key-value form, for example
 //! `log::info!(event = "note-accepted", number = 7; "release note accepted")`.
+//!
+//! Writing never waits: lines go to a bounded [`Queue`] that one thread empties. Beyond a rate the
+//! lines of served requests are left out first, and a line that is left out is counted; the counts
+//! follow in one line a second.
+
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::{Duration, Instant};
 
-use logforth::append::Stderr;
 use logforth::bridge::log::LogBridge;
 use logforth::filter::rustlog::RustLogFilterBuilder;
+use logforth::kv::{KeyView, ValueView, Visitor};
 use logforth::layout::LogfmtLayout;
+use logforth::record::Record;
+use logforth::{Append, Diagnostic, Layout};
 
 use crate::error::{Error, Result};
 
-/// Starts logging to standard error with a filter such as `info` or `laburnumtide=debug`.
+/// Events of a request that is served; they are left out before any other.
+pub const SERVED_EVENTS: [&str; 5] = [
+    "admitted",
+    "answered",
+    "attempt",
+    "handed-over",
+    "target-answered",
+];
+
+/// Lines of served requests in one second: those of 40 requests, which shows what is usual.
+const SERVED_LINES_MAX: u32 = 200;
+
+/// Other lines in one second, so that an overload with thousands of refusals costs bounded time.
+const LINES_MAX: u32 = 1_000;
+
+/// Bytes that wait for the writer; a reader may stop for some seconds at the usual rate.
+const QUEUE_MAX_BYTES: usize = 512 * 1024;
+
+/// Time that the writer waits for more lines, so that it wakes up seldom.
+const BATCH_TIME: Duration = Duration::from_millis(50);
+
+/// Longest time that the end of a process waits for its last lines.
+const FINISH_TIME: Duration = Duration::from_millis(300);
+
+static QUEUE: OnceLock<Arc<Queue>> = OnceLock::new();
+
+/// Starts logging to standard output with a filter such as `info` or `laburnumtide=debug`.
 ///
 /// # Errors
 ///
@@ -19,14 +56,187 @@
     let filter = RustLogFilterBuilder::try_from_spec(filter)
         .map_err(|e| Error::invalid(format!("log filter: {e}")))?
         .build();
+    let queue = QUEUE.get_or_init(Queue::new).clone();
+    let appender = QueueAppend {
+        queue: queue.clone(),
+        layout: LogfmtLayout::default(),
+    };
     let logger = logforth::core::builder()
-        .dispatch(|d| {
-            d.filter(filter)
-                .append(Stderr::default().with_layout(LogfmtLayout::default()))
-        })
+        .dispatch(|d| d.filter(filter).append(appender))
         .build();
     log::set_boxed_logger(Box::new(LogBridge::new(logger)))
         .map_err(|_| Error::invalid("logging was started before"))?;
     log::set_max_level(log::LevelFilter::Trace);
+    std::thread::Builder::new()
+        .name("log".to_owned())
+        .spawn(move || queue.drain_to(std::io::stdout()))
+        .map_err(|e| Error::io("start the log writer", e))?;
     Ok(())
 }
+
+/// Waits a bounded time until the lines so far are written, for the end of a process.
+pub fn finish() {
+    if let Some(queue) = QUEUE.get() {
+        queue.wait_empty(FINISH_TIME);
+    }
+}
+
+/// Lines that wait for their writer, bounded in rate and size.
+#[derive(Debug)]
+pub struct Queue {
+    state: Mutex<State>,
+    filled: Condvar,
+    emptied: Condvar,
+    start: Instant,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    bytes: Vec<u8>,
+    writing: bool,
+    second: u64,
+    served: u32,
+    others: u32,
+    dropped: BTreeMap<String, u64>,
+}
+
+impl Queue {
+    /// Creates an empty queue.
+    pub fn new() -> Arc<Queue> {
+        Arc::new(Queue {
+            state: Mutex::default(),
+            filled: Condvar::new(),
+            emptied: Condvar::new(),
+            start: Instant::now(),
+        })
+    }
+
+    /// Adds the line of `event`, without its end, or counts it as left out; never waits for the
+    /// writer.
+    pub fn push(&self, event: &str, line: &[u8]) {
+        let second = self.start.elapsed().as_secs();
+        let mut state = self.lock();
+        if state.second != second {
+            state.second = second;
+            (state.served, state.others) = (0, 0);
+            state.tell_dropped();
+        }
+        let was_empty = state.bytes.is_empty();
+        if state.admits(event) && state.bytes.len() + line.len() < QUEUE_MAX_BYTES {
+            state.bytes.extend_from_slice(line);
+            state.bytes.push(b'\n');
+        } else {
+            *state.dropped.entry(event.to_owned()).or_default() += 1;
+        }
+        if was_empty && !state.bytes.is_empty() {
+            self.filled.notify_one();
+        }
+    }
+
+    /// Writes lines to `out` until that fails, which means that nobody reads them.
+    pub fn drain_to(&self, mut out: impl Write) {
+        loop {
+            let mut state = self.lock();
+            while state.bytes.is_empty() {
+                state = self
+                    .filled
+                    .wait(state)
+                    .unwrap_or_else(PoisonError::into_inner);
+            }
+            drop(state);
+            std::thread::sleep(BATCH_TIME);
+            let mut state = self.lock();
+            let batch = std::mem::take(&mut state.bytes);
+            state.writing = true;
+            drop(state);
+            let written = out.write_all(&batch).and_then(|()| out.flush());
+            self.lock().writing = false;
+            self.emptied.notify_all();
+            if written.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn wait_empty(&self, limit: Duration) {
+        let is_busy = |state: &mut State| state.writing || !state.bytes.is_empty();
+        // After the limit the process ends without its last lines.
+        let _ = self
+            .emptied
+            .wait_timeout_while(self.lock(), limit, is_busy)
+            .unwrap_or_else(PoisonError::into_inner);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Counts a line and returns true if its kind has not used up its part of this second.
+    fn admits(&mut self, event: &str) -> bool {
+        let (count, most) = match SERVED_EVENTS.binary_search(&event) {
+            Ok(_) => (&mut self.served, SERVED_LINES_MAX),
+            Err(_) => (&mut self.others, LINES_MAX),
+        };
+        *count += 1;
+        *count <= most
+    }
+
+    /// Adds the line that counts what was left out since the last one.
+    fn tell_dropped(&mut self) {
+        if self.dropped.is_empty() || self.bytes.len() >= QUEUE_MAX_BYTES {
+            return;
+        }
+        self.bytes
+            .extend_from_slice(b"level=WARN message=\"log lines left out\" event=log-dropped");
+        for (event, count) in std::mem::take(&mut self.dropped) {
+            self.bytes
+                .extend_from_slice(format!(" {event}={count}").as_bytes());
+        }
+        self.bytes.push(b'\n');
+    }
+}
+
+/// Formats records and passes them to the queue.
+#[derive(Debug)]
+struct QueueAppend {
+    queue: Arc<Queue>,
+    layout: LogfmtLayout,
+}
+
+/// Finds the name of the event among the key-value pairs of a record.
+#[derive(Default)]
+struct EventName(String);
+
+impl Visitor for EventName {
+    fn visit(
+        &mut self,
+        key: KeyView<'_>,
+        value: ValueView<'_>,
+    ) -> std::result::Result<(), logforth::Error> {
+        if key.to_string() == "event" {
+            self.0 = value.to_string();
+        }
+        Ok(())
+    }
+}
+
+impl Append for QueueAppend {
+    fn append(
+        &self,
+        record: &Record<'_>,
+        diags: &[Box<dyn Diagnostic>],
+    ) -> std::result::Result<(), logforth::Error> {
+        let mut name = EventName::default();
+        record.key_values().visit(&mut name)?;
+        let line = self.layout.format(record, diags)?;
+        self.queue.push(&name.0, &line);
+        Ok(())
+    }
+
+    fn flush(&self) -> std::result::Result<(), logforth::Error> {
+        self.queue.wait_empty(FINISH_TIME);
+        Ok(())
+    }
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,10 +1,14 @@
 //! Counters, gauges and timers by `cadence`, sent as statsd lines and shown on the admin listener.
+//!
+//! The admin listener shows quantiles of the timers, kept in histograms.
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use cadence::{BufferedUdpMetricSink, MetricSink, StatsdClient};
+use hdrhistogram::Histogram;
 
 use crate::error::{Error, Result};
 use crate::outcome::Reason;
@@ -12,6 +16,15 @@
 /// Prefix of every metric.
 pub const PREFIX: &str = "laburnum";
 
+/// Longest time that a histogram tells apart.
+const TIME_MAX: Duration = Duration::from_secs(600);
+
+/// Digits of a time in a histogram; two keep each at some tens of kilobytes.
+const TIME_DIGITS: u8 = 2;
+
+/// Quantiles that are shown.
+const QUANTILES: [f64; 4] = [0.5, 0.9, 0.99, 0.999];
+
 /// Totals by metric name and tags, as the admin listener shows them.
 type Table = BTreeMap<String, f64>;
 
@@ -20,6 +33,8 @@
 pub struct Metrics {
     client: Arc<StatsdClient>,
     table: Arc<Mutex<Table>>,
+    /// Times in microseconds, sorted by name.
+    times: Arc<Mutex<Vec<(String, Histogram<u64>)>>>,
 }
 
 impl Metrics {
@@ -38,6 +53,7 @@
         Ok(Metrics {
             client: Arc::new(StatsdClient::from_sink(PREFIX, sink)),
             table,
+            times: Arc::default(),
         })
     }
 
@@ -76,17 +92,57 @@
         self.client.gauge_with_tags(name, value).send();
     }
 
-    /// Returns all totals as lines of `name value`, sorted by name.
+    /// Adds `time` to the timer `name`.
+    pub fn time(&self, name: &str, time: Duration) {
+        use cadence::prelude::*;
+        self.client.time_with_tags(name, time).send();
+        let mut times = self.times.lock().unwrap_or_else(PoisonError::into_inner);
+        let at = match times.binary_search_by(|(n, _)| n.as_str().cmp(name)) {
+            Ok(at) => at,
+            Err(at) => {
+                let most = TIME_MAX.as_micros() as u64;
+                let histogram = Histogram::new_with_max(most, TIME_DIGITS);
+                let histogram = histogram.expect("the bounds are legal");
+                times.insert(at, (name.to_owned(), histogram));
+                at
+            }
+        };
+        times[at].1.saturating_record(time.as_micros() as u64);
+    }
+
+    /// Returns all totals as lines of `name value`, sorted by name, then the quantiles of timers in
+    /// seconds with their counts and sums.
     pub fn render(&self) -> String {
         let table = self.table.lock().unwrap_or_else(PoisonError::into_inner);
         let mut text = String::new();
         for (name, value) in table.iter() {
             text.push_str(&format!("{name} {value}\n"));
         }
+        drop(table);
+        let times = self.times.lock().unwrap_or_else(PoisonError::into_inner);
+        for (name, histogram) in times.iter() {
+            text.push_str(&quantiles(name, histogram));
+        }
         text
     }
 }
 
+fn quantiles(name: &str, histogram: &Histogram<u64>) -> String {
+    let seconds = |micros: f64| micros / 1e6;
+    let mut text = String::new();
+    for q in QUANTILES {
+        let value = seconds(histogram.value_at_quantile(q) as f64);
+        text.push_str(&format!(
+            "{PREFIX}.{name}.seconds{{quantile=\"{q}\"}} {value}\n"
+        ));
+    }
+    let count = histogram.len();
+    let sum = seconds(histogram.mean() * count as f64);
+    text.push_str(&format!("{PREFIX}.{name}.seconds_count {count}\n"));
+    text.push_str(&format!("{PREFIX}.{name}.seconds_sum {sum}\n"));
+    text
+}
+
 fn open_udp(addr: SocketAddr) -> Result<BufferedUdpMetricSink> {
     let local = if addr.is_ipv4() {
         "0.0.0.0:0"
@@ -105,7 +161,7 @@
 
 impl MetricSink for TableSink {
     fn emit(&self, metric: &str) -> std::io::Result<usize> {
-        if let Some(line) = Line::parse(metric) {
+        if let Some(line) = Line::parse(metric).filter(|line| line.kind != "ms") {
             let mut table = self.table.lock().unwrap_or_else(PoisonError::into_inner);
             let total = table.entry(line.name()).or_default();
             *total = if line.kind == "g" {
--- a/src/node/call.rs
+++ b/src/node/call.rs
@@ -58,6 +58,8 @@
     pub weight: Rate,
     /// Time by which the answer must have started.
     pub deadline: Instant,
+    /// When the request arrived.
+    pub arrived: Instant,
     /// Time by which an answer has its full worth; none if only the deadline counts.
     pub aim: Option<Instant>,
     /// Body, as far as it is unread.
@@ -90,6 +92,7 @@
             identity,
             key,
             weight,
+            arrived: Instant::now(),
             aim: (!route.objective.is_zero()).then(|| Instant::now() + route.objective),
             deadline: Instant::now() + patience.min(route.deadline),
             body,
@@ -97,6 +100,12 @@
         }
     }
 
+    /// Returns the name of the account for a log line; a dash on open routes.
+    pub fn account_shown(&self) -> &str {
+        let identity = self.identity.as_ref();
+        identity.map_or("-", |i| i.account.name.as_str())
+    }
+
     /// Returns the time left until the answer must have started.
     pub fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -149,9 +149,11 @@
         let handover = job.handover();
         let request = self.prepare(&handover, request);
         let echo = self.edge.echo(request.headers()).cloned();
-        log::debug!(
+        let waited = job.arrived.elapsed();
+        log::info!(
             event = "handed-over", request:% = job.request, attempt:% = job.attempt,
-            target:% = job.target; "request handed over to its target"
+            target:% = job.target, waited_ms = waited.as_millis() as u64,
+            left_ms = handover.left.as_millis() as u64; "request handed over to its target"
         );
         let mut measured = target.measure.start(gate, job.attempt, &job.kind);
         let sent = timeout_at(job.deadline, target.pool.send(request)).await;
@@ -163,6 +165,12 @@
             Ok(reply)
         });
         let reply = checked.inspect_err(|outcome| measured.set_outcome(outcome))?;
+        let taken = job.arrived.elapsed().saturating_sub(waited);
+        log::info!(
+            event = "target-answered", request:% = job.request, attempt:% = job.attempt,
+            target:% = job.target, status = reply.response.status().as_u16(),
+            ms = taken.as_millis() as u64; "target answered"
+        );
         let hold = Hold {
             target,
             sender: reply.sender,
@@ -186,9 +194,11 @@
     }
 
     fn refuse(&self, job: &Job, outcome: &Outcome, load: Option<Load>) -> Response<EgressBody> {
-        log::debug!(
-            event = "egress-refused", request:% = job.request, target:% = job.target,
-            outcome:? = outcome; "request ended without an answer"
+        log::info!(
+            event = "egress-refused", request:% = job.request, attempt:% = job.attempt,
+            target:% = job.target, outcome:? = outcome, running = load.map(|l| l.running),
+            queued = load.map(|l| l.queued), slots = load.map(|l| l.slots),
+            ms = job.arrived.elapsed().as_millis() as u64; "attempt ended without an answer"
         );
         let mut response = outcome_response(outcome);
         mark(response.headers_mut(), job.attempt, load);
--- a/src/node/forward.rs
+++ b/src/node/forward.rs
@@ -210,6 +210,11 @@
             fields.insert(headers::PATIENT, HeaderValue::from_static("1"));
         }
         authorize().map_err(Outcome::NotRun)?;
+        log::info!(
+            event = "attempt", request:% = call.id, attempt:% = attempt, target:% = pick.id,
+            patient = course.is_patient(), forced = course.is_forced(),
+            left_ms = call.left().as_millis() as u64; "attempt sent"
+        );
         let exposed = call.exposure.begin();
         let mut trial = Trial::start(&self.targets, &pick.id);
         let sent = timeout_at(call.deadline, loan.sender.try_send_request(request)).await;
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -9,6 +9,7 @@
 use http::{HeaderMap, Request, Response};
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
+use tokio::time::Instant;
 
 use crate::config::{Account, Config, Route, RouteMatch};
 use crate::http::body::{Paced, UploadSlot};
@@ -100,6 +101,11 @@
         });
     }
 
+    /// Returns true while this node's configuration is proved current.
+    pub fn is_fresh(&self) -> bool {
+        self.parts.freshness.is_fresh()
+    }
+
     /// Ends all open requests with a key if a withdrawal could be unknown to this node.
     pub fn sweep_stale(&self) {
         if !self.parts.freshness.is_fresh() {
@@ -170,6 +176,7 @@
             // Most of these are calls of targets, whose own caller loses everything with them.
             call.aim = None;
         }
+        self.tell_admitted(&call, &config);
         let response = self.run(&call, &config, session.as_ref()).await?;
         Ok(self.answer(&call, response, session, ticket))
     }
@@ -188,6 +195,16 @@
         Ok(Identity { digest, account })
     }
 
+    fn tell_admitted(&self, call: &Call<'_>, config: &Config) {
+        log::info!(
+            event = "admitted", request:% = call.id, route:% = call.route.name,
+            service:% = call.service, account:% = call.account_shown(),
+            priority = call.priority, left_ms = call.left().as_millis() as u64,
+            config:% = config.number(), fresh = self.parts.freshness.is_fresh();
+            "request taken in"
+        );
+    }
+
     fn enter(&self, identity: &Identity) -> Session {
         self.sessions.enter(identity.digest, &identity.account.name)
     }
@@ -291,9 +308,12 @@
         ticket: Ticket,
     ) -> Response<Download> {
         self.metrics.count("answered");
-        log::debug!(
+        let taken = call.arrived.elapsed();
+        self.metrics.time("answer", taken);
+        log::info!(
             event = "answered", request:% = call.id, route:% = call.route.name,
-            status = response.status().as_u16(); "request answered"
+            account:% = call.account_shown(), status = response.status().as_u16(),
+            ms = taken.as_millis() as u64; "request answered"
         );
         let (mut head, body) = response.into_parts();
         head.version = http::Version::HTTP_11;
@@ -365,6 +385,7 @@
     account: Option<AccountName>,
     metrics: &'a Metrics,
     ended: bool,
+    arrived: Instant,
 }
 
 impl<'a> Trace<'a> {
@@ -375,6 +396,7 @@
             account: None,
             metrics,
             ended: false,
+            arrived: Instant::now(),
         }
     }
 
@@ -383,13 +405,17 @@
             return;
         };
         self.metrics.refused(reason);
-        let outcome = match outcome {
-            Outcome::Unknown(_) => "unknown",
-            _ => "not-run",
+        let taken = self.arrived.elapsed();
+        self.metrics.time("refusal", taken);
+        let (outcome, retry_ms) = match outcome {
+            Outcome::NotRun(refusal) => ("not-run", refusal.retry_after),
+            _ => ("unknown", None),
         };
         log::info!(
             event = "refused", request:% = self.id, outcome, reason:% = reason,
-            route:% = shown(&self.route), account:% = shown(&self.account); "request refused"
+            route:% = shown(&self.route), account:% = shown(&self.account),
+            ms = taken.as_millis() as u64, retry_ms = retry_ms.map(|d| d.as_millis() as u64);
+            "request refused"
         );
     }
 }
@@ -400,7 +426,8 @@
             self.metrics.count("cancelled");
             log::info!(
                 event = "cancelled", request:% = self.id, route:% = shown(&self.route),
-                account:% = shown(&self.account); "caller went away"
+                account:% = shown(&self.account),
+                ms = self.arrived.elapsed().as_millis() as u64; "caller went away"
             );
         }
     }
--- a/src/node/local.rs
+++ b/src/node/local.rs
@@ -176,7 +176,12 @@
             self.pool.set_limit(announcement.connections);
         }
         said.draining_since = match announcement.draining {
-            true => said.draining_since.or(Some(now)),
+            true => {
+                if said.draining_since.is_none() {
+                    log::info!(event = "target-drains", target:% = announcement.name; "target drains");
+                }
+                said.draining_since.or(Some(now))
+            }
             false => None,
         };
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -284,6 +284,7 @@
 ) {
     let mut changes = policy.changes();
     changes.mark_changed();
+    let mut fresh = false;
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -298,6 +299,12 @@
                 }
             }
             _ = ticks.tick() => {
+                let is_fresh = ingress.is_fresh();
+                if is_fresh != fresh {
+                    fresh = is_fresh;
+                    let state = if fresh { "fresh" } else { "stale" };
+                    log::info!(event = "evidence", state; "proof of the configuration changed");
+                }
                 ingress.sweep_stale();
                 targets.tick(&metrics);
             }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -269,7 +269,14 @@
     };
     let runtime = builder.enable_all().build();
     let runtime = runtime.map_err(|e| Error::io("start the runtime", e))?;
-    runtime.block_on(daemon)
+    log::info!(event = "process-started", version = env!("CARGO_PKG_VERSION"), cores; "process started");
+    let ended = runtime.block_on(daemon);
+    match &ended {
+        Ok(()) => log::info!(event = "process-ended"; "process ended"),
+        Err(e) => log::error!(event = "process-failed", error:% = e; "process failed"),
+    }
+    logging::finish();
+    ended
 }
 
 /// Waits for SIGTERM or SIGINT.
