--- /dev/null
+++ b/tests/control_seeds.rs
@@ -0,0 +1,204 @@
+//! A control group that is found from seeds, grows, and is repaired at other addresses.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use laburnumtide::config::{Note, Replacement};
+use laburnumtide::control::core::Submitted;
+use laburnumtide::control::journal::MemoryJournal;
+use laburnumtide::control::{Handle, Settings, spawn_with, voters_for};
+use laburnumtide::prelude::*;
+use laburnumtide::wire::Secret;
+
+/// Generous limit for a condition on a busy machine.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+static NETWORKS: AtomicU32 = AtomicU32::new(0);
+
+/// A loopback network of its own for each test.
+struct Network(u32);
+
+impl Network {
+    fn new() -> Network {
+        let count = NETWORKS.fetch_add(1, Ordering::Relaxed);
+        Network((std::process::id() << 3) | count)
+    }
+
+    fn addr(&self, host: u8, port: u16) -> SocketAddr {
+        let ip = [127, 208 + (self.0 >> 8 & 31) as u8, self.0 as u8, host];
+        SocketAddr::from((ip, port))
+    }
+
+    async fn start(&self, host: u8, seeds: &[u8], first: bool) -> Handle {
+        let seeds: Vec<SocketAddr> = seeds.iter().map(|s| self.addr(*s, 7100)).collect();
+        let settings = Settings {
+            link: self.addr(host, 7100),
+            operator: self.addr(host, 7101),
+            peers: Vec::new(),
+            founds: false,
+            voters: voters_for(2),
+            data: "unused".into(),
+            fleet_secret: Secret::new(b"fleet-secret-0123456789").unwrap(),
+            operator_secret: Secret::new(b"operator-secret-0123456789").unwrap(),
+            statsd: None,
+        };
+        let settings = settings.with_seeds(&seeds, first);
+        let start = Instant::now();
+        loop {
+            // The tasks of an earlier process on the address end a moment after its thread.
+            match spawn_with(settings.clone(), MemoryJournal::new()).await {
+                Ok(handle) => return handle,
+                Err(e) => assert!(start.elapsed() < PATIENCE, "{e}"),
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+async fn eventually(what: &str, mut test: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !test() {
+        assert!(start.elapsed() < PATIENCE, "not in time: {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+fn voters(handle: &Handle) -> Vec<SocketAddr> {
+    let meta = handle.view().meta();
+    let members = meta.replicas.members().iter();
+    let mut links: Vec<SocketAddr> = members.filter(|m| m.voter).map(|m| m.link).collect();
+    links.sort();
+    links
+}
+
+fn leader(handles: &[Handle]) -> Option<&Handle> {
+    let leads = |h: &&Handle| h.operators().newest_state().is_some();
+    handles.iter().find(leads)
+}
+
+fn note(number: u64, base: u64) -> Note {
+    Note::replace(Replacement {
+        number: NoteNumber(number),
+        base: NoteNumber(base),
+        document: Bytes::from(format!("document {number}")),
+        ..Replacement::default()
+    })
+    .unwrap()
+}
+
+/// Submits to whoever leads until the answer is clear.
+async fn submit(handles: &[Handle], number: u64, base: u64) -> Submitted {
+    let start = Instant::now();
+    loop {
+        assert!(start.elapsed() < PATIENCE, "no clear answer to {number}");
+        if let Some(leader) = leader(handles) {
+            let answer = leader.operators().submit_note(note(number, base)).await;
+            if !matches!(answer, Submitted::NotLeader | Submitted::Unavailable(_)) {
+                return answer;
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn group(network: &Network) -> Vec<Handle> {
+    let mut handles = Vec::new();
+    for host in 1..=5 {
+        handles.push(network.start(host, &[1, 2, 3], true).await);
+    }
+    eventually("five voters", || {
+        handles.iter().all(|h| voters(h).len() == 5)
+    })
+    .await;
+    handles
+}
+
+/// Guards against a group that stays at its three seeds, of which two lost disks lose everything.
+#[tokio::test]
+async fn grows_to_five() {
+    let network = Network::new();
+    let handles = group(&network).await;
+    assert!(matches!(submit(&handles, 3, 0).await, Submitted::Taken(_)));
+    assert!(matches!(submit(&handles, 3, 0).await, Submitted::Taken(_)));
+    assert!(matches!(
+        submit(&handles, 5, 0).await,
+        Submitted::Conflict(_)
+    ));
+    let leader = leader(&handles).unwrap();
+    let state = leader.operators().newest_state().unwrap();
+    assert_eq!(state.document(), Some(&Bytes::from("document 3")));
+}
+
+/// Guards against a first note that is taken while it could be lost with two disks.
+#[tokio::test]
+async fn waits_for_voters() {
+    let network = Network::new();
+    let mut handles = Vec::new();
+    for host in 1..=3 {
+        handles.push(network.start(host, &[1, 2, 3], true).await);
+    }
+    eventually("three voters lead", || leader(&handles).is_some()).await;
+    let operators = leader(&handles).unwrap().operators();
+    let answer = operators.submit_note(note(1, 0)).await;
+    assert!(matches!(answer, Submitted::Unavailable(_)), "{answer:?}");
+}
+
+/// Guards against a second group that empty disks found after the first start.
+#[tokio::test]
+async fn never_found_again() {
+    let network = Network::new();
+    let mut handles = Vec::new();
+    for host in 1..=3 {
+        handles.push(network.start(host, &[1, 2, 3], false).await);
+    }
+    // Longer than the founding takes, which the other tests show.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert!(handles.iter().all(|h| voters(h).is_empty()));
+}
+
+/// Guards against a VM that is gone for good and weighs on every majority, and against a successor at
+/// a new address that is never let in.
+#[tokio::test]
+async fn replaced_elsewhere() {
+    let network = Network::new();
+    let mut handles = group(&network).await;
+    submit(&handles, 1, 0).await;
+    let gone = handles.remove(3);
+    let address = gone.link();
+    gone.stop().await.unwrap();
+    // The seeds that the successor is told are three of the first five, one of them gone.
+    handles.push(network.start(6, &[1, 2, 4], false).await);
+    let successor = network.addr(6, 7100);
+    eventually("the successor votes", || {
+        let voters = voters(&handles[0]);
+        voters.len() == 5 && voters.contains(&successor) && !voters.contains(&address)
+    })
+    .await;
+    assert!(matches!(submit(&handles, 2, 1).await, Submitted::Taken(_)));
+}
+
+/// Guards against a lost note when two voters lose their disks right after it was taken.
+#[tokio::test]
+async fn two_disks_lost() {
+    let network = Network::new();
+    let mut handles = group(&network).await;
+    submit(&handles, 1, 0).await;
+    for host in [1, 2] {
+        let at = handles
+            .iter()
+            .position(|h| h.link() == network.addr(host, 7100));
+        handles.remove(at.unwrap()).stop().await.unwrap();
+    }
+    for host in [1, 2] {
+        handles.push(network.start(host, &[1, 2, 3], false).await);
+    }
+    eventually("five voters again", || {
+        handles.iter().all(|h| voters(h).len() == 5)
+    })
+    .await;
+    eventually("somebody leads", || leader(&handles).is_some()).await;
+    let state = leader(&handles).unwrap().operators().newest_state();
+    assert_eq!(state.unwrap().document(), Some(&Bytes::from("document 1")));
+}
