Recover limits sooner after a restart, ask near targets first, keep unsafe requests from probing

Cause: a restarted seat abstained for the longest lease of 3 s although leases last 1 s in a small fleet, so that after a loss of all nodes every keyed request was refused as starting until 3.5 s after the start. A seat now learns from the accepted registry that the votes it has forgotten were short (at most 48 nodes, well below the 64 at which leases get longer).

Bytes between zones are the largest price: targets of the own zone are asked for a free slot first.

--- a/examples/health_table/model.rs
+++ b/examples/health_table/model.rs
@@ -338,6 +338,7 @@
                 kind: "read",
                 idempotent: attempt.idempotent,
                 tried: &attempt.tried,
+                asks: false,
             };
             let picked = ingress
                 .balancer
--- a/src/gate/breaker.rs
+++ b/src/gate/breaker.rs
@@ -18,7 +18,7 @@
 const HOLD_NEXT: Duration = Duration::from_millis(1_000);
 
 /// Time after the hold in which only requests that may run twice serve as probes.
-const PROBE_WAIT: Duration = Duration::from_millis(500);
+const PROBE_WAIT: Duration = Duration::from_millis(800);
 
 /// Time after which a probe that has not failed counts as passed; errors come faster than answers.
 const PROBE_TIME: Duration = Duration::from_millis(100);
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -39,7 +39,8 @@
 /// Number of shards that accounts hash to.
 pub const SHARD_COUNT: u16 = 2_048;
 
-/// Longest vote of a seat for the owner of a shard, and how long a restarted seat abstains.
+/// Longest vote of a seat for the owner of a shard, and how long a restarted seat abstains unless it
+/// learns that the fleet is surely small.
 pub const LEASE: Duration = Duration::from_secs(3);
 
 /// Length of votes in a fleet of at most [`SMALL_FLEET`] nodes.
@@ -51,6 +52,13 @@
 /// Most nodes of a fleet that uses [`SHORT_LEASE`].
 pub const SMALL_FLEET: usize = 64;
 
+/// Most nodes of an accepted registry by which a restarted seat knows that the votes before its start
+/// were short.
+///
+/// It is well below [`SMALL_FLEET`], so that a fleet which has shrunk across that size a moment ago is
+/// not taken for one that was small all along.
+pub const SURELY_SMALL_FLEET: usize = 48;
+
 /// Period of batched reports from holders to owners.
 pub const BATCH_PERIOD: Duration = Duration::from_millis(100);
 
--- a/src/limit/seat.rs
+++ b/src/limit/seat.rs
@@ -4,13 +4,15 @@
 use std::time::Duration;
 
 use crate::ids::NodeId;
-use crate::limit::{Ballot, Claim, Held, LEASE, Shard, stretch};
+use crate::limit::{Ballot, Claim, Held, LEASE, SHORT_LEASE, Shard, stretch};
 use crate::time::Time;
 
 /// One of the seats of a shard: it gives each shard's vote to one node at a time.
 #[derive(Clone, Debug)]
 pub struct Seat {
     started: Time,
+    /// Longest vote that the process may have given before it restarted.
+    forgotten: Duration,
     votes: BTreeMap<Shard, Vote>,
     latest: BTreeMap<NodeId, Time>,
 }
@@ -28,11 +30,17 @@
     pub fn new(now: Time) -> Seat {
         Seat {
             started: now,
+            forgotten: LEASE,
             votes: BTreeMap::new(),
             latest: BTreeMap::new(),
         }
     }
 
+    /// Takes in that votes before the start were for [`SHORT_LEASE`](super::SHORT_LEASE) at most.
+    pub fn had_short_votes(&mut self) {
+        self.forgotten = SHORT_LEASE;
+    }
+
     /// Votes on a claim; `layouts` are the seat layouts that this node follows.
     ///
     /// A vote needs the same newest layout on both sides and a candidate that knows each earlier
@@ -85,7 +93,7 @@
     }
 
     fn abstains(&self, now: Time) -> Option<Duration> {
-        let end = self.started + stretch(LEASE);
+        let end = self.started + stretch(self.forgotten);
         (now < end).then(|| end.since(now))
     }
 
--- a/src/node/forward.rs
+++ b/src/node/forward.rs
@@ -140,6 +140,7 @@
             kind: call.route.name.as_str(),
             idempotent: call.is_idempotent(),
             tried,
+            asks: true,
         })
     }
 
--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -11,7 +11,7 @@
 use crate::fleet::{Member, NodeRecord};
 use crate::freshness::EVIDENCE_LIFETIME;
 use crate::ids::NodeId;
-use crate::limit::LEASE;
+use crate::limit::{LEASE, SURELY_SMALL_FLEET};
 use crate::metrics::Metrics;
 use crate::node::edge::{Edge, OwnEdge};
 use crate::node::forward::Forwarder;
@@ -143,6 +143,7 @@
     metrics: Metrics,
 ) {
     let mut changes = view.changes();
+    let mut was_small = false;
     let mut accepted: Option<(Position, Instant)> = None;
     let (mut limits_settled, mut repeats_settled) = (None, None);
     loop {
@@ -153,6 +154,11 @@
         metrics.gauge("fleet.live", members.live.len() as u64);
         let is_live = |id| members.live.binary_search(&id).is_ok();
         forwarder.set_nodes(members.nodes.len());
+        let is_small = (1..=SURELY_SMALL_FLEET).contains(&members.nodes.len());
+        if members.accepted && is_small && !was_small {
+            was_small = true;
+            limits.was_small();
+        }
         limits.set_members(&members.nodes, is_live);
         limits.set_leaving(&members.leaving);
         repeats.set_members(&members.nodes, is_live);
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -167,6 +167,14 @@
         });
     }
 
+    /// Takes in that the fleet was small before this process started, so that its seats abstain for a
+    /// short lease only.
+    pub fn was_small(&self) {
+        for part in &self.parts {
+            part.lock().seat.had_short_votes();
+        }
+    }
+
     /// Forgets the seats of earlier registries.
     ///
     /// To be called once the present registry has been accepted for longer than the lifetime of
--- a/src/node/sync.rs
+++ b/src/node/sync.rs
@@ -15,6 +15,7 @@
 use crate::ids::NodeId;
 use crate::node::view::View;
 use crate::replica::Vouch;
+use crate::units::Position;
 use crate::wire::fleet::GossipMessage;
 use crate::wire::sync::{Answer, SYNC_INTERVAL, WAIT_MAX};
 use crate::wire::{Channel, Hello, Peer, Secret};
@@ -22,6 +23,9 @@
 /// Longest time for an answer that is not held back.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Time between questions of a node that holds nothing yet, and refuses every request until it does.
+const FIRST_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Pause after a control process did not answer a question that may be held back.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
@@ -79,9 +83,14 @@
     pub async fn prove(&self) {
         let mut ticks = interval(SYNC_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut first = interval(FIRST_INTERVAL);
+        first.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut leader: Option<SocketAddr> = None;
         loop {
-            ticks.tick().await;
+            match self.view.position() == Position(0) {
+                true => first.tick().await,
+                false => ticks.tick().await,
+            };
             let peers = self.peers();
             let known = peers.iter().find(|p| Some(p.addr()) == leader);
             if let Some(known) = known
--- a/src/route/balancer.rs
+++ b/src/route/balancer.rs
@@ -43,6 +43,9 @@
     pub idempotent: bool,
     /// Targets that were tried already.
     pub tried: &'a [TargetId],
+    /// True if a target without a free slot sends the request away at once, so that it costs little
+    /// to ask those of the own zone first.
+    pub asks: bool,
 }
 
 /// A decision worth a log line and a counter.
@@ -143,6 +146,7 @@
             kind: "",
             idempotent: false,
             tried,
+            asks: false,
         };
         self.pick_for(now, &request, rng)
     }
--- a/src/route/service.rs
+++ b/src/route/service.rs
@@ -27,6 +27,9 @@
 /// Use of the slots from which requests spill over to other zones.
 const SPILL_USE: f64 = 0.7;
 
+/// Targets of the own zone that are asked for a free slot before those of other zones.
+const NEAR_ASKED_MAX: usize = 2;
+
 /// What a hop to another zone costs against a target in the own zone.
 const ZONE_COST: Duration = Duration::from_millis(2);
 
@@ -371,8 +374,9 @@
             return Some(self.targets[at].id.clone());
         }
         let near = self.choose(now, &self.near, request, rng);
+        let asks_near = request.asks && request.tried.len() < NEAR_ASKED_MAX;
         if let Some(at) = near
-            && self.targets[at].use_of_slots() < SPILL_USE
+            && (asks_near || self.targets[at].use_of_slots() < SPILL_USE)
         {
             return Some(self.targets[at].id.clone());
         }
--- a/tests/floor_kept.rs
+++ b/tests/floor_kept.rs
@@ -290,6 +290,7 @@
         kind,
         idempotent: false,
         tried: &[],
+        asks: false,
     };
     let picks = (0..2_000).filter_map(|_| balancer.pick_for(now, &request, rng));
     picks.filter(|id| *id == target_id(1)).count() as f64 / 2_000.0
