Remove silent nodes after 8 s, and let one of two candidates win when a seat is gone

Nodes that had left for good stayed registered for 60 s, and with two of three seats among them no account with a limit was served. With one seat gone, two candidates that held a vote each gave way to each other and tried again together, for ever.

Ruled out: gossip (the live nodes hear each other), the configuration (in force 0.9 s after the start), votes that abstain.

--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -495,7 +495,8 @@
 
     fn register(&mut self, now: Time, census: &mut Census) {
         let registry = self.state.registry();
-        let Some(change) = census.due_change(now, self.state.position(), &registry) else {
+        let Some(change) = census.due_change(now, self.state.position(), &registry, &self.nodes)
+        else {
             return;
         };
         let entry = Entry::Nodes(encode_change(&change).into());
--- a/src/control/nodes.rs
+++ b/src/control/nodes.rs
@@ -1,21 +1,26 @@
 //! What a replica knows about the nodes, and what follows from it for the leader.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use crate::control::state::State;
-use crate::fleet::{Member, Registry, RegistryChange, Roll, SILENCE_MAX, Sighting};
+use crate::fleet::{Member, Registry, RegistryChange, Roll, Sighting};
 use crate::freshness::EVIDENCE_GONE;
 use crate::ids::NodeId;
 use crate::time::Time;
 use crate::units::Position;
 
-/// Time between two visits of the leader to a node, well below the silence that removes one.
+/// Time between two visits of the leader to a node; questions of the node show in between that it is
+/// there.
 const VISIT_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Time between two looks at the last questions of nodes.
+const HEARD_INTERVAL: Duration = Duration::from_secs(1);
+
 /// How long a contact is kept after the last question.
-const CONTACT_MAX: Duration = Duration::from_secs(2 * SILENCE_MAX.as_secs());
+const CONTACT_MAX: Duration = Duration::from_secs(120);
 
 /// One node that has asked this replica.
 #[derive(Clone, Debug)]
@@ -67,6 +72,15 @@
         }
     }
 
+    /// Returns when each node asked its last question.
+    pub fn heard(&self) -> Vec<(Time, NodeId, SocketAddr)> {
+        let contacts = self.contacts();
+        contacts
+            .iter()
+            .map(|c| (c.last, c.member.id, c.member.addr))
+            .collect()
+    }
+
     /// Returns the position of a node and the time since its last question.
     pub fn contact(&self, now: Time, id: NodeId) -> Option<(Position, Duration)> {
         let contacts = self.contacts();
@@ -123,6 +137,8 @@
     learned: Position,
     /// The position of the last change that this leader proposed.
     proposed: Position,
+    /// When the last questions of nodes were taken in.
+    heard: Option<Time>,
 }
 
 impl Census {
@@ -155,10 +171,20 @@
         now: Time,
         position: Position,
         registry: &Registry,
+        nodes: &Nodes,
     ) -> Option<RegistryChange> {
         if position < self.proposed {
             return None;
         }
+        if self
+            .heard
+            .is_none_or(|last| now.since(last) >= HEARD_INTERVAL)
+        {
+            self.heard = Some(now);
+            for (heard, id, addr) in nodes.heard() {
+                self.roll.hear(heard, id, addr);
+            }
+        }
         self.roll.propose(now, registry)
     }
 
--- a/src/fleet/roll.rs
+++ b/src/fleet/roll.rs
@@ -25,8 +25,10 @@
 
 /// How long a registered node may be silent before it is removed.
 ///
-/// A rack that loses power for longer would otherwise weigh on every majority.
-pub const SILENCE_MAX: Duration = Duration::from_secs(60);
+/// A VM that is gone for good weighs on every majority and may hold a seat of the rate limits: with
+/// two of three seats gone no account with a limit is served. It is above the time in which a
+/// process is restarted and finds a leader, and a node that was only cut off is registered again.
+pub const SILENCE_MAX: Duration = Duration::from_secs(8);
 
 /// A link that the leader itself opened and that a node answered.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -113,6 +115,17 @@
         Some(dead)
     }
 
+    /// Takes in that the node `id` on `addr` has asked a question that arrived at `heard`.
+    ///
+    /// A question may arrive after the end of its sender, so it proves nothing about others. It only
+    /// keeps a node from being removed as silent.
+    pub fn hear(&mut self, heard: Time, id: NodeId, addr: SocketAddr) {
+        let seen = self.seen.get_mut(&addr).filter(|seen| seen.member.id == id);
+        if let Some(seen) = seen {
+            seen.alive = seen.alive.max(heard);
+        }
+    }
+
     /// Returns the next registry change, if one is due and there is anything to change.
     ///
     /// A caller proposes nothing more before the change is committed.
--- a/src/limit/owner.rs
+++ b/src/limit/owner.rs
@@ -189,7 +189,11 @@
             .or_insert_with(|| Tenure::new(released));
         tenure.lapse(now, tenure.until(placement, shard));
         tenure.votes.retain(|_, until| *until > now);
-        let held_by_other = tenure.other.is_some_and(|o| o.until > now);
+        // With one of three seats gone, two candidates that hold a vote each would both give way and
+        // both try again, for ever. The one with the lower identity keeps its vote.
+        let is_split = !tenure.votes.is_empty();
+        let gives_way = |o: Other| !(is_split && self.node < o.node);
+        let held_by_other = tenure.other.is_some_and(|o| o.until > now && gives_way(o));
         let candidate = first || tenure.wanted > now;
         tenure.taken.take_if(|t| !t.is_valid(now));
         let from = tenure.taken.as_ref().map(|t| t.from);
