--- a/src/limit/owner.rs
+++ b/src/limit/owner.rs
@@ -480,6 +480,11 @@
         self.shards.values().filter(|t| t.lease.is_some()).count()
     }
 
+    /// Lists the shards that this node holds, wants or has votes for.
+    pub fn shards(&self) -> impl Iterator<Item = Shard> + '_ {
+        self.shards.keys().copied()
+    }
+
     /// Returns the number of buckets.
     pub fn bucket_count(&self) -> usize {
         let leases = self.shards.values().filter_map(|t| t.lease.as_ref());
--- a/src/limit/placement.rs
+++ b/src/limit/placement.rs
@@ -11,8 +11,14 @@
 use crate::ids::{AccountName, NodeId, ZoneName};
 use crate::limit::{LEASE, SHARD_COUNT, SHORT_LEASE, SMALL_FLEET};
 
-/// Seats of a shard, as far as there are nodes.
-pub const SEAT_COUNT: usize = 3;
+/// Seats of a shard in a fleet of one group, as far as there are nodes.
+///
+/// Nodes may go for good at any time, and a lease needs a majority of the seats. Of 30 nodes of which 7
+/// are gone, two of three seats are among them once in seven times, four of seven once in forty.
+pub const SEAT_COUNT: usize = 7;
+
+/// Seats of a shard in a larger fleet, where the loss of a group concerns a part of the shards only.
+const GROUP_SEAT_COUNT: usize = 3;
 
 /// Nodes for which one set of seats is named, so that renewals stay inside the byte budget.
 const GROUP_NODES: usize = 64;
@@ -94,7 +100,10 @@
         }
     }
     first.extend(rest);
-    first.truncate(SEAT_COUNT);
+    first.truncate(match sites.len() <= GROUP_NODES {
+        true => SEAT_COUNT,
+        false => GROUP_SEAT_COUNT,
+    });
     first
 }
 
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -89,12 +89,12 @@
         }
     }
 
-    /// Ends open requests whose key has been withdrawn.
+    /// Notes which open requests have a key that has been withdrawn.
     pub fn sweep(&self) {
         let Some(config) = self.parts.policy.load() else {
             return;
         };
-        self.sessions.sweep(|digest, account| {
+        self.sessions.withdraw(Instant::now(), |digest, account| {
             config
                 .account_of(digest)
                 .is_some_and(|a| a.name == *account)
@@ -106,11 +106,12 @@
         self.parts.freshness.is_fresh()
     }
 
-    /// Ends all open requests with a key if a withdrawal could be unknown to this node.
+    /// Ends open requests whose key is withdrawn, or could be without the knowledge of this node,
+    /// once their grace is over.
     pub fn sweep_stale(&self) {
-        if !self.parts.freshness.is_fresh() {
-            self.sessions.sweep(|_, _| false);
-        }
+        let now = Instant::now();
+        self.sessions.set_stale(now, !self.is_fresh());
+        self.sessions.expire(now);
     }
 
     /// Serves one request of a caller.
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -17,12 +17,13 @@
 use crate::ids::{AccountName, NodeId};
 use crate::limit::{
     Accounts, Admit, Allowance, Answer, Ask, BATCH_PERIOD, Ballot, Claim, Holder, LEASE, Offer,
-    Owner, Placement, SHARD_COUNT, Seat, Shard, Site, Take, Ticket, Ticketed,
+    Owner, Placement, Seat, Shard, Site, Take, Ticket, Ticketed,
 };
 use crate::metrics::Metrics;
 use crate::node::plug::{Admission, Policy};
 use crate::outcome::{Reason, Refusal};
 use crate::time::{Clock, Monotonic, Time};
+use crate::units::Rate;
 use crate::wire::{Channel, Hello, LimitReply, LimitRequest, Peer, Role, Secret};
 
 /// Parts of the state, each under its own lock.
@@ -275,18 +276,32 @@
         }
     }
 
+    /// Returns the shards of accounts with a limit.
+    fn limited_shards(&self) -> Vec<Shard> {
+        let Some(config) = self.policy.load() else {
+            return Vec::new();
+        };
+        let limited = config.accounts().filter(|a| a.rate != Rate::default());
+        limited.map(|a| Shard::of(&a.name)).collect()
+    }
+
     /// Renews leases and reports to owners; all messages to one node go together.
     fn tick(self: &Arc<Self>, sweep: bool) {
         let now = self.clock.now();
         let placement = self.placement.load_full();
+        let limited = self.limited_shards();
         let mut claims: BTreeMap<SocketAddr, Claim> = BTreeMap::new();
         let mut takes: Vec<(NodeId, Take)> = Vec::new();
         let mut asks = Vec::new();
         let (mut owned, mut used, mut buckets) = (0, 0, 0);
         for (index, part) in self.parts.iter().enumerate() {
             let mut state = part.lock();
-            let shards = (index as u16..SHARD_COUNT).step_by(usize::from(PART_COUNT));
-            for (seat, claim) in state.owner.claims(now, &placement, shards.map(Shard)) {
+            // Only shards of accounts with a limit are worth a lease, and those that are held.
+            let mut shards = shards_of(&limited, index);
+            shards.extend(state.owner.shards());
+            shards.sort_unstable();
+            shards.dedup();
+            for (seat, claim) in state.owner.claims(now, &placement, shards) {
                 merge_claim(&mut claims, seat, claim);
             }
             takes.extend(state.owner.takes(now, &placement));
--- a/src/node/sessions.rs
+++ b/src/node/sessions.rs
@@ -3,7 +3,9 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::ids::{AccountName, KeyDigest};
@@ -11,6 +13,15 @@
 /// Number of shards, so that requests of different keys rarely wait for one lock.
 const SHARD_COUNT: usize = 64;
 
+/// Time for requests under way after the withdrawal of their key has come into force here.
+///
+/// A withdrawn key stops working within 5 s; this leaves 2 s for the change to reach every node and
+/// half a second for the end of the request.
+const WITHDRAWN_GRACE: Duration = Duration::from_millis(2_500);
+
+/// Time for requests under way after the evidence has run out, which is 3 s old then.
+const STALE_GRACE: Duration = Duration::from_millis(1_500);
+
 /// The open requests of a node.
 #[derive(Debug)]
 pub struct Sessions {
@@ -27,6 +38,10 @@
     open: usize,
     serial: u64,
     token: CancellationToken,
+    /// Since when the key is known to be withdrawn.
+    withdrawn: Option<Instant>,
+    /// Since when it is unknown whether the key is withdrawn.
+    stale: Option<Instant>,
 }
 
 /// One open request.
@@ -67,14 +82,40 @@
         }
     }
 
-    /// Ends every request whose key `is_valid` rejects.
-    pub fn sweep(&self, is_valid: impl Fn(&KeyDigest, &AccountName) -> bool) {
+    /// Takes in that the keys that `is_valid` rejects are withdrawn.
+    ///
+    /// New requests are refused from now on. Those that are under way are ended by
+    /// [`Sessions::expire`] after a grace, so that a target does not work in vain on what began with
+    /// a good key.
+    pub fn withdraw(&self, now: Instant, is_valid: impl Fn(&KeyDigest, &AccountName) -> bool) {
+        self.each(|digest, group| {
+            group.withdrawn = match is_valid(digest, &group.account) {
+                true => None,
+                false => group.withdrawn.or(Some(now)),
+            };
+        });
+    }
+
+    /// Takes in whether a withdrawal could be unknown to this node.
+    pub fn set_stale(&self, now: Instant, is_stale: bool) {
+        self.each(|_, group| group.stale = is_stale.then(|| group.stale.unwrap_or(now)));
+    }
+
+    /// Ends the requests whose grace is over.
+    pub fn expire(&self, now: Instant) {
+        let is_over = |since: Option<Instant>, grace| since.is_some_and(|t| now >= t + grace);
+        self.each(|_, group| {
+            if is_over(group.withdrawn, WITHDRAWN_GRACE) || is_over(group.stale, STALE_GRACE) {
+                group.token.cancel();
+            }
+        });
+    }
+
+    fn each(&self, mut change: impl FnMut(&KeyDigest, &mut Group)) {
         for shard in &self.shards {
-            let shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
-            for (digest, group) in shard.iter() {
-                if !is_valid(digest, &group.account) {
-                    group.token.cancel();
-                }
+            let mut shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
+            for (digest, group) in shard.iter_mut() {
+                change(digest, group);
             }
         }
     }
@@ -85,6 +126,8 @@
             open: 0,
             serial: self.serial.fetch_add(1, Ordering::Relaxed),
             token: CancellationToken::new(),
+            withdrawn: None,
+            stale: None,
         }
     }
 
