--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -45,7 +45,7 @@
     /// An envelope came from another replica.
     Envelope(Envelope),
     /// An operator submits a note.
-    Submit(Note, oneshot::Sender<Submitted>),
+    Submit(Box<Note>, oneshot::Sender<Submitted>),
     /// A node has come forward, which may complete an acceptance.
     NodeMoved,
     /// A node answered a visit.
@@ -72,7 +72,7 @@
 /// A note that is in the log and not committed yet.
 struct InFlight {
     digest: [u8; 32],
-    note: Note,
+    note: Box<Note>,
     position: Position,
     reply: oneshot::Sender<Submitted>,
 }
@@ -121,7 +121,7 @@
     metrics: Metrics,
     voters: usize,
     in_flight: Option<InFlight>,
-    queue: VecDeque<(Note, oneshot::Sender<Submitted>)>,
+    queue: VecDeque<(Box<Note>, oneshot::Sender<Submitted>)>,
     leading: Option<Leading>,
     /// When to try the journal again, while it can't be read after a failed write.
     closed: Option<Instant>,
@@ -422,7 +422,7 @@
         }
     }
 
-    fn submit(&mut self, now: Time, note: Note, reply: oneshot::Sender<Submitted>) {
+    fn submit(&mut self, now: Time, note: Box<Note>, reply: oneshot::Sender<Submitted>) {
         let digest = note.digest();
         let answer = if note.number() <= self.state.config().number() {
             match self.state.note(note.number()) {
--- a/src/control/operator.rs
+++ b/src/control/operator.rs
@@ -206,7 +206,8 @@
     pub async fn submit_note(&self, note: Note) -> Submitted {
         let number = note.number();
         let (sender, receiver) = oneshot::channel();
-        if self.commands.send(Command::Submit(note, sender)).is_err() {
+        let command = Command::Submit(Box::new(note), sender);
+        if self.commands.send(command).is_err() {
             return Submitted::Unavailable("the replica has ended".to_owned());
         }
         let submitted = match timeout(COMMIT_TIMEOUT, receiver).await {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -28,13 +28,16 @@
 /// Totals by metric name and tags, as the admin listener shows them.
 type Table = BTreeMap<String, f64>;
 
+/// Histograms of times by the name of the timer.
+type Times = Vec<(String, Histogram<u64>)>;
+
 /// The metrics of one process; clones share their totals.
 #[derive(Clone, Debug)]
 pub struct Metrics {
     client: Arc<StatsdClient>,
     table: Arc<Mutex<Table>>,
     /// Times in microseconds, sorted by name.
-    times: Arc<Mutex<Vec<(String, Histogram<u64>)>>>,
+    times: Arc<Mutex<Times>>,
 }
 
 impl Metrics {
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -296,7 +296,7 @@
     }
 
     fn admit_open(&self, call: &Call<'_>, config: &Config) -> Result<(), Refusal> {
-        let service = config.service(&call.service);
+        let service = config.service(call.service);
         let service = service.ok_or(Refusal::after(Reason::NoTarget, RETRY_LATER))?;
         self.open.admit(service, self.clock.now())
     }
