--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -30,10 +30,10 @@
 pub const HEADER_LIST_BYTES: u32 = 128 * 1024;
 
 /// Time between probes on a link; a silent cut is found after this and the timeout.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Time for the answer to a probe.
-const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Sends requests to one egress.
 pub type Sender = SendRequest<Upload>;
--- a/src/route/course.rs
+++ b/src/route/course.rs
@@ -15,6 +15,9 @@
 /// It may happen once more after the choice of the shortest queue.
 const FULL_MAX: usize = 1;
 
+/// Attempts for which no link to the node of a target could be opened.
+const LINKS_MAX: usize = 3;
+
 /// Targets that are asked for a free slot before the request waits at one of them.
 ///
 /// What an ingress knows of the load of targets is seconds old, and a question takes milliseconds.
@@ -41,6 +44,7 @@
     sent: usize,
     suspects: usize,
     full: usize,
+    unreached: usize,
     /// Targets without a free slot, with the wait that they expected.
     busy: Vec<(Duration, TargetId)>,
     patient: bool,
@@ -57,6 +61,7 @@
             sent: 0,
             suspects: 0,
             full: 0,
+            unreached: 0,
             busy: Vec::new(),
             patient: false,
             tried: Vec::new(),
@@ -130,6 +135,11 @@
                 self.patient = self.busy.len() >= ASKED_MAX;
                 decide(goes_on, Next::Elsewhere)
             }
+            Some(Reason::Connect) => {
+                self.busy.retain(|(_, id)| *id != target);
+                self.unreached += 1;
+                decide(goes_on && self.unreached <= LINKS_MAX, Next::Elsewhere)
+            }
             Some(Reason::Shed) | None => {
                 self.sent += 1;
                 decide(goes_on && self.sent < self.most, Next::Retry)
--- a/tests/request_course.rs
+++ b/tests/request_course.rs
@@ -70,6 +70,17 @@
     assert_eq!(after(&mut course, 7, &shed, false), Next::Stop);
 }
 
+/// Guards against a request that is refused because two nodes can't be reached while others can.
+#[test]
+fn cut_paths() {
+    let mut course = Course::new(2);
+    let connect = not_run(Reason::Connect, 0);
+    for n in 1..=3 {
+        assert_eq!(after(&mut course, n, &connect, false), Next::Elsewhere);
+    }
+    assert_eq!(after(&mut course, 4, &connect, false), Next::Stop);
+}
+
 /// Guards against a second run of a request that must run at most once.
 #[test]
 fn unknown_ends() {
