--- a/tests/node_registry.rs
+++ b/tests/node_registry.rs
@@ -195,3 +195,23 @@
     acceptance.forget(&mut log);
     assert_eq!(log.versions().count(), 1);
 }
+
+/// Guards against VMs that are gone for good and weigh on majorities and seats: with two of three seats
+/// gone no account with a limit was served (scale-2 --seed 448392660267 of Kylmaring).
+#[test]
+fn silent_nodes_leave() {
+    let (stays, goes) = (member(1, 1), member(2, 2));
+    let registry = Registry::new()
+        .changed(&joins(&[stays.clone(), goes.clone()]))
+        .unwrap();
+    let mut roll = Roll::default();
+    roll.learn(START, &registry);
+    let later = START + SILENCE_MAX - Duration::from_secs(1);
+    roll.hear(later, stays.id, stays.addr);
+    // A question under an earlier identity says nothing of the process that is there now.
+    roll.hear(later, NodeId(9), goes.addr);
+    assert_eq!(roll.propose(later, &registry), None);
+    let change = roll.propose(START + SILENCE_MAX, &registry).unwrap();
+    assert_eq!(change.left, [goes.id]);
+    assert!(change.joined.is_empty());
+}
