--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -120,7 +120,29 @@
 /// Most control processes of a fleet.
 const CONTROL_MAX: usize = 7;
 
+/// Part of the grace time in which a node still takes new work after it is told to end, as a divisor:
+/// callers are sent elsewhere after some missed answers to questions of readiness.
+const DRAIN_DIVISOR: u32 = 2;
+
+/// Time before the end of the grace time at which a drain ends.
+const DRAIN_MARGIN: Duration = Duration::from_millis(200);
+
+/// Time for a connection within one site, some hundred times the way between its zones; a request that
+/// meets a cut goes elsewhere after it.
+const SITE_CONNECT_TIME: Duration = Duration::from_millis(300);
+
 impl Limits {
+    /// Returns the limits of a node within one site that is killed `grace` after it is told to end.
+    pub fn for_grace(grace: Duration) -> Limits {
+        let drain_grace = grace / DRAIN_DIVISOR;
+        Limits {
+            drain_grace,
+            connect_time: SITE_CONNECT_TIME,
+            drain_max: grace.saturating_sub(drain_grace + DRAIN_MARGIN),
+            ..Limits::default()
+        }
+    }
+
     /// Returns the limits on a connection of a caller.
     pub fn guard(&self) -> GuardLimits {
         GuardLimits {
