Test the split vote of two candidates with three and with five seats

The scenario with three seats is kept in a fleet of 65 nodes, which has three. A second test plays it with five seats of which one is gone, so that four votes are split two to two. Bounds and shard are unchanged.

--- a/tests/limit_split.rs
+++ b/tests/limit_split.rs
@@ -1,4 +1,4 @@
-//! Two candidates for a shard while one of its three seats is gone.
+//! Two candidates for a shard while one of its seats is gone.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -21,9 +21,8 @@
 
 /// Guards against two candidates that each hold one of the two votes left, give way to each other and
 /// try again together: no account of the shard was served for 15 s (hunt-28bc-15 of Kylmaring).
-#[test]
-fn one_wins() {
-    let sites: Vec<Site> = (1..=7).map(site).collect();
+fn one_wins(nodes: u64, seat_count: usize) {
+    let sites: Vec<Site> = (1..=nodes).map(site).collect();
     let shard = Shard(11);
     let mut views = Vec::new();
     for me in [6, 7] {
@@ -33,10 +32,11 @@
         views.push((Owner::new(NodeId(me)), placement));
     }
     let addrs = views[0].1.seats(shard);
-    assert_eq!(addrs.len(), 3);
+    assert_eq!(addrs.len(), seat_count);
+    let live = &addrs[..seat_count - 1];
     let start = Time::from_millis(100_000);
     let mut seats: BTreeMap<SocketAddr, Seat> = BTreeMap::new();
-    for addr in &addrs[..2] {
+    for addr in live {
         seats.insert(*addr, Seat::new(start));
     }
     // Restarted seats abstain for one lease and its drift at first.
@@ -50,9 +50,9 @@
             mail.extend(claims.into_iter().map(|claim| (at, claim)));
         }
         // The seats hear them in opposite orders, so that the votes are split.
-        for (i, addr) in addrs[..2].iter().enumerate() {
+        for (i, addr) in live.iter().enumerate() {
             let mut here: Vec<_> = mail.iter().filter(|(_, (to, _))| to == addr).collect();
-            if i == 1 {
+            if i % 2 == 1 {
                 here.reverse();
             }
             for (at, (_, claim)) in here {
@@ -73,3 +73,13 @@
     assert!(first.is_some_and(|tick| tick < 30), "won at tick {first:?}");
     assert!(won[30..].iter().all(|n| *n == 1), "the lease is lost again");
 }
+
+#[test]
+fn one_of_two_wins_with_three_seats() {
+    one_wins(65, 3);
+}
+
+#[test]
+fn one_of_two_wins_with_five_seats() {
+    one_wins(7, 5);
+}
