Split the answers to other nodes from the rate limits of a node

src/node/limits.rs had 631 lines; votes, grants and handed-over shards for other nodes now stand in limits/serve.rs (96 lines), the rest in limits/mod.rs (548). A move only: two methods became visible to the parent module, nothing else changed.

--- a/src/node/limits.rs
+++ b/src/node/limits/mod.rs
@@ -1,5 +1,7 @@
 //! Runs the rate limits of a node: leases, grants and local tokens.
 
+mod serve;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -7,24 +9,23 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use bytes::Bytes;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use crate::config::{Account, Config};
-use crate::error::{Error, Result};
+use crate::error::Result;
 use crate::fleet::Member;
 use crate::ids::{AccountName, NodeId};
 use crate::limit::{
-    Accounts, Admit, Allowance, Answer, Ask, BATCH_PERIOD, Ballot, Claim, Holder, LEASE, Offer,
-    Owner, Placement, Seat, Shard, Site, Take, Ticket, Ticketed,
+    Accounts, Admit, Allowance, Answer, Ask, BATCH_PERIOD, Ballot, Claim, Holder, LEASE, Owner,
+    Placement, Seat, Shard, Site, Take, Ticket,
 };
 use crate::metrics::Metrics;
 use crate::node::plug::{Admission, Policy};
 use crate::outcome::{Reason, Refusal};
 use crate::time::{Clock, Monotonic, Time};
 use crate::units::Rate;
-use crate::wire::{Channel, Hello, LimitReply, LimitRequest, Peer, Role, Secret};
+use crate::wire::{Channel, Hello, LimitReply, LimitRequest, Peer, Secret};
 
 /// Parts of the state, each under its own lock.
 const PART_COUNT: u16 = 16;
@@ -498,90 +499,6 @@
     fn lock_peers(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Peer>> {
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
-
-    /// Answers a payload of [`Channel::Limit`] from another node.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the payload is malformed, its sender is no node, or a claim has been overtaken.
-    pub fn serve(&self, peer: Hello, payload: Bytes) -> Result<Bytes> {
-        if peer.role != Role::Node {
-            return Err(Error::invalid("limit messages come from nodes only"));
-        }
-        let from = NodeId(peer.id);
-        let reply = match LimitRequest::decode(payload)? {
-            LimitRequest::Claim(claim) => {
-                let claim = Claim {
-                    node: from,
-                    ..claim
-                };
-                let ballot = self.vote(&claim);
-                LimitReply::Ballot(ballot.ok_or_else(|| Error::invalid("claim overtaken"))?)
-            }
-            LimitRequest::Asks(asks) => LimitReply::Answers(self.answer(from, &asks)),
-            LimitRequest::Take(take) => LimitReply::Offers(self.give(from, &take)),
-        };
-        Ok(reply.encode())
-    }
-
-    /// Votes with the seats of all parts.
-    fn vote(&self, claim: &Claim) -> Option<Ballot> {
-        let layouts = self.placement.load().layouts();
-        let mut total: Option<Ballot> = None;
-        for (index, part) in self.parts.iter().enumerate() {
-            let share = Claim {
-                node: claim.node,
-                sent: claim.sent,
-                length: claim.length,
-                layouts: claim.layouts.clone(),
-                claim: shards_of(&claim.claim, index),
-                release: shards_of(&claim.release, index),
-                succeeds: claim.succeeds.clone(),
-            };
-            if share.claim.is_empty() && share.release.is_empty() {
-                continue;
-            }
-            let mut state = part.lock();
-            let now = self.clock.now();
-            let Some(ballot) = state.seat.vote(now, &layouts, &share) else {
-                continue;
-            };
-            match &mut total {
-                None => total = Some(ballot),
-                Some(total) => {
-                    total.granted.extend(ballot.granted);
-                    total.held.extend(ballot.held);
-                    total.abstains = total.abstains.max(ballot.abstains);
-                }
-            }
-        }
-        total
-    }
-
-    /// Gives up shards to a successor, if this node leaves.
-    fn give(&self, successor: NodeId, take: &Take) -> Vec<Offer> {
-        let placement = self.placement.load();
-        let give_one = |asked: &Ticketed| {
-            let mut state = self.parts[part_of(asked.shard)].lock();
-            let now = self.clock.now();
-            let asked = std::slice::from_ref(asked);
-            state.owner.give(now, &placement, successor, asked)
-        };
-        take.shards.iter().flat_map(give_one).collect()
-    }
-
-    fn answer(&self, from: NodeId, asks: &[Ask]) -> Vec<Answer> {
-        let Some(config) = self.policy.load() else {
-            return Vec::new();
-        };
-        let placement = self.placement.load();
-        let answer_one = |ask: &Ask| {
-            let mut state = self.parts[part_of(Shard::of(&ask.account))].lock();
-            let now = self.clock.now();
-            state.owner.ask(now, &placement, from, ask, &*config)
-        };
-        asks.iter().map(answer_one).collect()
-    }
 }
 
 impl Admission for Arc<RateLimits> {
--- /dev/null
+++ b/src/node/limits/serve.rs
@@ -0,0 +1,96 @@
+//! Answers other nodes about the shards of accounts: votes, grants and shards that are handed over.
+
+use bytes::Bytes;
+
+use super::{RateLimits, part_of, shards_of};
+use crate::error::{Error, Result};
+use crate::ids::NodeId;
+use crate::limit::{Answer, Ask, Ballot, Claim, Offer, Shard, Take, Ticketed};
+use crate::time::Clock;
+use crate::wire::{Hello, LimitReply, LimitRequest, Role};
+
+impl RateLimits {
+    /// Answers a payload of [`Channel::Limit`] from another node.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the payload is malformed, its sender is no node, or a claim has been overtaken.
+    pub fn serve(&self, peer: Hello, payload: Bytes) -> Result<Bytes> {
+        if peer.role != Role::Node {
+            return Err(Error::invalid("limit messages come from nodes only"));
+        }
+        let from = NodeId(peer.id);
+        let reply = match LimitRequest::decode(payload)? {
+            LimitRequest::Claim(claim) => {
+                let claim = Claim {
+                    node: from,
+                    ..claim
+                };
+                let ballot = self.vote(&claim);
+                LimitReply::Ballot(ballot.ok_or_else(|| Error::invalid("claim overtaken"))?)
+            }
+            LimitRequest::Asks(asks) => LimitReply::Answers(self.answer(from, &asks)),
+            LimitRequest::Take(take) => LimitReply::Offers(self.give(from, &take)),
+        };
+        Ok(reply.encode())
+    }
+
+    /// Votes with the seats of all parts.
+    pub(super) fn vote(&self, claim: &Claim) -> Option<Ballot> {
+        let layouts = self.placement.load().layouts();
+        let mut total: Option<Ballot> = None;
+        for (index, part) in self.parts.iter().enumerate() {
+            let share = Claim {
+                node: claim.node,
+                sent: claim.sent,
+                length: claim.length,
+                layouts: claim.layouts.clone(),
+                claim: shards_of(&claim.claim, index),
+                release: shards_of(&claim.release, index),
+                succeeds: claim.succeeds.clone(),
+            };
+            if share.claim.is_empty() && share.release.is_empty() {
+                continue;
+            }
+            let mut state = part.lock();
+            let now = self.clock.now();
+            let Some(ballot) = state.seat.vote(now, &layouts, &share) else {
+                continue;
+            };
+            match &mut total {
+                None => total = Some(ballot),
+                Some(total) => {
+                    total.granted.extend(ballot.granted);
+                    total.held.extend(ballot.held);
+                    total.abstains = total.abstains.max(ballot.abstains);
+                }
+            }
+        }
+        total
+    }
+
+    /// Gives up shards to a successor, if this node leaves.
+    fn give(&self, successor: NodeId, take: &Take) -> Vec<Offer> {
+        let placement = self.placement.load();
+        let give_one = |asked: &Ticketed| {
+            let mut state = self.parts[part_of(asked.shard)].lock();
+            let now = self.clock.now();
+            let asked = std::slice::from_ref(asked);
+            state.owner.give(now, &placement, successor, asked)
+        };
+        take.shards.iter().flat_map(give_one).collect()
+    }
+
+    pub(super) fn answer(&self, from: NodeId, asks: &[Ask]) -> Vec<Answer> {
+        let Some(config) = self.policy.load() else {
+            return Vec::new();
+        };
+        let placement = self.placement.load();
+        let answer_one = |ask: &Ask| {
+            let mut state = self.parts[part_of(Shard::of(&ask.account))].lock();
+            let now = self.clock.now();
+            state.owner.ask(now, &placement, from, ask, &*config)
+        };
+        asks.iter().map(answer_one).collect()
+    }
+}
