Log outcome and reason of a refused attempt as fields of their own

Cause: event=egress-refused printed its outcome in debug form, so that its reason could not be searched for as in event=refused. The names stood in ingress.rs and the reason in call.rs; both are methods of Outcome now, as is the time after which a caller may return, and there is one copy of each.

Nothing that decides has changed.

--- a/src/node/call.rs
+++ b/src/node/call.rs
@@ -10,7 +10,7 @@
 use crate::http::UploadSlot;
 use crate::ids::{KeyDigest, RequestId, ServiceName};
 use crate::node::edge::Asked;
-use crate::outcome::{Outcome, Reason, Refusal};
+use crate::outcome::{Outcome, Refusal};
 use crate::repeat::IdempotencyKey;
 use crate::route::Exposure;
 use crate::units::Rate;
@@ -123,12 +123,3 @@
         self.exposure.conclude(refusal)
     }
 }
-
-/// Returns the reason of an outcome; none for an answer.
-pub fn reason_of(outcome: &Outcome) -> Option<Reason> {
-    match outcome {
-        Outcome::Answer => None,
-        Outcome::NotRun(refusal) => Some(refusal.reason),
-        Outcome::Unknown(reason) => Some(*reason),
-    }
-}
--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -196,7 +196,8 @@
     fn refuse(&self, job: &Job, outcome: &Outcome, load: Option<Load>) -> Response<EgressBody> {
         log::info!(
             event = "egress-refused", request:% = job.request, attempt:% = job.attempt,
-            target:% = job.target, outcome:? = outcome, running = load.map(|l| l.running),
+            target:% = job.target, outcome = outcome.name(),
+            reason = outcome.reason().map(Reason::code), running = load.map(|l| l.running),
             queued = load.map(|l| l.queued), slots = load.map(|l| l.slots),
             ms = job.arrived.elapsed().as_millis() as u64; "attempt ended without an answer"
         );
--- a/src/node/forward.rs
+++ b/src/node/forward.rs
@@ -13,7 +13,7 @@
 use crate::http::refusal::{ANSWER, NOT_RUN, id_value};
 use crate::ids::{AttemptId, ServiceName, TargetId};
 use crate::metrics::Metrics;
-use crate::node::call::{Call, reason_of};
+use crate::node::call::Call;
 use crate::node::egress::{attempt_value, field, read_load};
 use crate::node::links::Links;
 use crate::node::targets::{Pick, Targets};
@@ -152,7 +152,7 @@
         target: TargetId,
         outcome: &Outcome,
     ) -> bool {
-        let Some(reason) = reason_of(outcome) else {
+        let Some(reason) = outcome.reason() else {
             return false;
         };
         let now = self.clock.now();
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -19,7 +19,7 @@
 use crate::ids::{AccountName, KeyDigest, RequestId, RouteName};
 use crate::metrics::Metrics;
 use crate::node::answer::Download;
-use crate::node::call::{Call, Identity, reason_of};
+use crate::node::call::{Call, Identity};
 use crate::node::edge::{Asked, Edge};
 use crate::node::flight::{Flight, Step, Ticket};
 use crate::node::forward::Forwarder;
@@ -335,7 +335,7 @@
         trace.tell(outcome);
         let response = self.edge.refusal(outcome, trace.id);
         let mut response = response.map(Either::Right);
-        let is_fault = reason_of(outcome) == Some(Reason::BadRequest);
+        let is_fault = outcome.reason() == Some(Reason::BadRequest);
         let rest = slot.take_rest();
         let is_short = rest.as_ref().is_some_and(|rest| {
             let size = rest.size().exact();
@@ -402,20 +402,17 @@
     }
 
     fn tell(&self, outcome: &Outcome) {
-        let Some(reason) = reason_of(outcome) else {
+        let Some(reason) = outcome.reason() else {
             return;
         };
         self.metrics.refused(reason);
         let taken = self.arrived.elapsed();
         self.metrics.time("refusal", taken);
-        let (outcome, retry_ms) = match outcome {
-            Outcome::NotRun(refusal) => ("not-run", refusal.retry_after),
-            _ => ("unknown", None),
-        };
+        let retry_ms = outcome.retry_after().map(|d| d.as_millis() as u64);
         log::info!(
-            event = "refused", request:% = self.id, outcome, reason:% = reason,
+            event = "refused", request:% = self.id, outcome = outcome.name(), reason:% = reason,
             route:% = shown(&self.route), account:% = shown(&self.account),
-            ms = taken.as_millis() as u64, retry_ms = retry_ms.map(|d| d.as_millis() as u64);
+            ms = taken.as_millis() as u64, retry_ms;
             "request refused"
         );
     }
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -21,6 +21,34 @@
     Unknown(Reason),
 }
 
+impl Outcome {
+    /// Returns the name for log lines: `answer`, `not-run` or `unknown`.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Outcome::Answer => "answer",
+            Outcome::NotRun(_) => "not-run",
+            Outcome::Unknown(_) => "unknown",
+        }
+    }
+
+    /// Returns why there is no answer, if there is none.
+    pub fn reason(&self) -> Option<Reason> {
+        match self {
+            Outcome::Answer => None,
+            Outcome::NotRun(refusal) => Some(refusal.reason),
+            Outcome::Unknown(reason) => Some(*reason),
+        }
+    }
+
+    /// Returns when the caller may try again, if the request did not run and that is known.
+    pub fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Outcome::NotRun(refusal) => refusal.retry_after,
+            _ => None,
+        }
+    }
+}
+
 /// A refusal of a request that did not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refusal {
