--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -234,7 +234,9 @@
             return Ok(bundle.lend(link, sender));
         }
         if entry.has_just_failed() {
-            return Err(Error::unavailable(format!("link to {addr} has just failed")));
+            return Err(Error::unavailable(format!(
+                "link to {addr} has just failed"
+            )));
         }
         if let Some(kept) = entry.usable() {
             match timeout(kept.question_time, ask(kept.sender.clone())).await {
@@ -246,7 +248,9 @@
                 Ok(Err(_)) => {}
                 Err(_) => {
                     entry.fail();
-                    return Err(Error::unavailable(format!("no answer on the link to {addr}")));
+                    return Err(Error::unavailable(format!(
+                        "no answer on the link to {addr}"
+                    )));
                 }
             }
         }
--- a/tests/data_path/lost_links.rs
+++ b/tests/data_path/lost_links.rs
@@ -151,7 +151,10 @@
     let record = mortal.node.records().borrow().clone();
     site.front.forget(record.node);
     site.front.learn(wire.addr, &record);
-    assert_eq!(outcome(&site.send(Request::post("/bake")).await).0, "answer");
+    assert_eq!(
+        outcome(&site.send(Request::post("/bake")).await).0,
+        "answer"
+    );
     wire.silent.send_replace(true);
     // Longer than an answer proves a link.
     tokio::time::sleep(Duration::from_millis(200)).await;
