Limit forced requests at a failing target, and tell the leader of a leave at once

Cause of the first: a target that answers its errors within 4 ms looks idle, and requests that find no other one pass its breaker by force. After five failures in a row forced requests are probes, one at a time and 500 ms apart.

Fewer callers get an error after which they may not send again.

Cause of the second: request_faults::egress_terminated failed once in the whole suite (429 rate) and in none of six runs alone. A fleet of two needs both seats until the leave of one is settled; the leader heard of it up to 0.75 s late, and the node ends 2 s after it has begun to leave. It is told at once now. The virtual test one_of_two_leaves shows both sides of the bound; two whole process suites side by side passed afterwards. The failing run itself has no logs left.

--- a/src/gate/breaker.rs
+++ b/src/gate/breaker.rs
@@ -23,6 +23,12 @@
 /// Time after which a probe that has not failed counts as passed; errors come faster than answers.
 const PROBE_TIME: Duration = Duration::from_millis(100);
 
+/// Failures in a row after which even requests without another target are sent one at a time.
+///
+/// A target that fails half of its requests has such a row once in 32 times, and a service whose
+/// targets all fail so much still serves the other half.
+const FAILURES_MAX: u32 = 5;
+
 /// What becomes of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Passage {
@@ -39,6 +45,8 @@
     tripped: Option<Time>,
     hold: Duration,
     probe: Option<(AttemptId, Time)>,
+    /// Failures in a row.
+    failures: u32,
 }
 
 impl Breaker {
@@ -63,7 +71,13 @@
         }
         let open = tripped + self.hold;
         let is_due = now >= open && (repeatable || now >= open + PROBE_WAIT);
-        if forced || is_due && self.probe.is_none() {
+        let is_asked = self.probe.is_some();
+        // Of the requests without another target, 86 in 100 are served by one that has just failed.
+        // After a row of failures they are probes too, one at a time, or a target that answers its
+        // errors at once would swallow them all.
+        let is_down = self.failures >= FAILURES_MAX;
+        let may_force = !is_down || !is_asked && now >= tripped + HOLD_FIRST;
+        if is_due && !is_asked || forced && may_force {
             self.probe = Some((attempt, now));
             return Passage::Pass;
         }
@@ -72,6 +86,7 @@
 
     /// Takes in that the target answered an attempt.
     pub fn succeed(&mut self, attempt: AttemptId) {
+        self.failures = 0;
         if self.probe.is_some_and(|(probe, _)| probe == attempt) {
             self.close();
         }
@@ -81,7 +96,11 @@
     ///
     /// Returns true if requests are held back from now on that were not before.
     pub fn fail(&mut self, now: Time, attempt: AttemptId, started: Time) -> bool {
-        match self.tripped {
+        let tripped = self.tripped;
+        if tripped.is_none_or(|tripped| started >= tripped) {
+            self.failures += 1;
+        }
+        match tripped {
             None => {
                 self.tripped = Some(now);
                 self.hold = HOLD_FIRST;
@@ -112,6 +131,7 @@
     }
 
     fn close(&mut self) {
+        self.failures = 0;
         self.tripped = None;
         self.probe = None;
     }
--- a/src/node/sync.rs
+++ b/src/node/sync.rs
@@ -87,10 +87,15 @@
         first.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut leader: Option<SocketAddr> = None;
         loop {
-            match self.view.position() == Position(0) {
-                true => first.tick().await,
-                false => ticks.tick().await,
+            let tick = match self.view.position() == Position(0) {
+                true => first.tick(),
+                false => ticks.tick(),
             };
+            // Seats of this node must move before it ends, so the leader is told at once.
+            tokio::select! {
+                _ = tick => {}
+                () = self.view.leaves() => {}
+            }
             let peers = self.peers();
             let known = peers.iter().find(|p| Some(p.addr()) == leader);
             if let Some(known) = known
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::error::Result;
 use crate::fleet::gossip::{GOSSIP_INTERVAL, GOSSIP_PEERS};
@@ -72,6 +72,8 @@
     /// When the evidence runs out, in microseconds; kept apart so that requests need no lock.
     expires: AtomicU64,
     changes: watch::Sender<u64>,
+    /// Notified when this node begins to leave.
+    leaves: Notify,
     inner: Mutex<Inner>,
 }
 
@@ -102,6 +104,7 @@
             policy,
             expires: AtomicU64::new(0),
             changes: watch::Sender::new(0),
+            leaves: Notify::new(),
             inner: Mutex::new(Inner {
                 client: sync::Client::new(),
                 gossip,
@@ -198,13 +201,26 @@
 
     /// Publishes the node's own record.
     pub fn publish(&self, record: NodeRecord, started: u64) {
+        let leaves = record.leaving;
         let published = Published {
             addr: self.me.addr,
             started,
             record,
         };
-        self.lock().gossip.publish(published);
+        let mut inner = self.lock();
+        let own = inner.gossip.records().get(self.me.id);
+        let is_news = leaves && own.is_none_or(|p| !p.record.leaving);
+        inner.gossip.publish(published);
+        drop(inner);
         self.notify();
+        if is_news {
+            self.leaves.notify_one();
+        }
+    }
+
+    /// Waits until this node has begun to leave, once.
+    pub async fn leaves(&self) {
+        self.leaves.notified().await;
     }
 
     /// Returns the question to a control process.
--- a/tests/circuit_breaker.rs
+++ b/tests/circuit_breaker.rs
@@ -131,3 +131,49 @@
         Passage::Pass
     );
 }
+
+/// Guards against a failing target that swallows what finds no other: it answers its errors at once, so
+/// 38 forced requests ended there within 0.6 s, most of them not to be sent again (Kylmaring,
+/// `trouble-1 --seed 1`).
+#[test]
+fn forced_requests_are_probes() {
+    let mut breaker = tripped();
+    let (mut now, mut attempt, mut lost) = (2, 10, 0);
+    while now < 4_000 {
+        attempt += 1;
+        if breaker.admit(at(now), AttemptId(attempt), false, true) == Passage::Pass {
+            lost += 1;
+            breaker.fail(at(now + 4), AttemptId(attempt), at(now));
+        }
+        now += 20;
+    }
+    // Five in a row, then one in each 500 ms.
+    assert!(lost <= 13, "{lost} requests lost");
+    // While a probe is under way no other is sent, and once it has not failed for a while all are.
+    let passage = |breaker: &mut Breaker, ms, n| breaker.admit(at(ms), AttemptId(n), false, true);
+    assert_eq!(passage(&mut breaker, 5_000, 500), Passage::Pass);
+    assert!(matches!(
+        passage(&mut breaker, 5_050, 501),
+        Passage::Held(_)
+    ));
+    assert_eq!(passage(&mut breaker, 5_100, 502), Passage::Pass);
+    assert_eq!(passage(&mut breaker, 5_101, 503), Passage::Pass);
+}
+
+/// Guards against a service whose targets all fail half of their requests and that refuses nearly all.
+#[test]
+fn half_failing_target_serves() {
+    let mut breaker = tripped();
+    let mut served = 0;
+    for n in 0..200 {
+        let (now, attempt) = (at(10 + 10 * n), AttemptId(10 + n));
+        if breaker.admit(now, attempt, false, true) == Passage::Pass {
+            match n % 4 < 2 {
+                true => breaker.succeed(attempt),
+                false => drop(breaker.fail(now, attempt, now)),
+            }
+            served += 1;
+        }
+    }
+    assert_eq!(served, 200);
+}
--- a/tests/seat_moves.rs
+++ b/tests/seat_moves.rs
@@ -388,3 +388,50 @@
         assert!(zones.values().all(|n| *n <= 2), "{zones:?}");
     }
 }
+
+/// Lets one of two nodes leave, which ends 2 s later, and returns the longest time in ticks for which
+/// the other does not hold the lease; both learn of it `delay` ticks after the node has begun to leave.
+fn leave_two(delay: usize) -> usize {
+    let mut fleet = Fleet::new(3, Settles::Moves);
+    fleet.idle = vec![1];
+    fleet.start(1);
+    fleet.start(2);
+    fleet.publish(&[1, 2], &[]);
+    fleet.learn_all();
+    let first = fleet.versions[0].position;
+    fleet.nodes.values_mut().for_each(|node| {
+        node.placement.settle_at(first);
+    });
+    for _ in 0..WARM.as_millis() / TICK.as_millis() {
+        fleet.tick(first);
+    }
+    assert_eq!(fleet.holders(), [2]);
+    let (mut without, mut longest) = (0, 0);
+    for tick in 0..60 {
+        if tick == delay {
+            fleet.publish(&[1, 2], &[1]);
+            fleet.learn_all();
+        }
+        fleet.nodes.get_mut(&1).unwrap().is_up = tick < 20;
+        let accepted = fleet.versions.last().unwrap().position;
+        fleet.tick(accepted);
+        without = match fleet.holders().is_empty() {
+            true => without + 1,
+            false => 0,
+        };
+        longest = longest.max(without);
+    }
+    longest
+}
+
+/// Guards against a fleet of two that has no owner once one of them has left: both seats were needed
+/// until 5 s after the change, and callers got 429 (`processes::request_faults::egress_terminated`, once
+/// beside other tests). The leader is told at once and writes the change within 0.75 s.
+#[test]
+fn one_of_two_leaves() {
+    for delay in 0..=12 {
+        assert_eq!(leave_two(delay), 0, "learned after {delay} ticks");
+    }
+    // Learned only after the end, as when the leader is busy for that long.
+    assert!(leave_two(21) > 10);
+}
