--- a/src/node/repeats.rs
+++ b/src/node/repeats.rs
@@ -103,9 +103,11 @@
     /// Forgets the seats of registries before the one at `position`; see
     /// [`RepeatRecords::settle_time`].
     pub fn settle(&self, position: Position) {
-        self.change_placement(|p| {
-            p.settle_at(position);
-        });
+        if position > self.placement.load().settled() {
+            self.change_placement(|p| {
+                p.settle_at(position);
+            });
+        }
     }
 
     /// Notes that the node's registry is proved current.
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -51,9 +51,7 @@
 /// The registered nodes as this node sees them.
 #[derive(Clone, Debug, Default)]
 pub struct Members {
-    /// Position of the entry that put the registry in force.
-    pub registry: Position,
-    /// True if that entry is known to be accepted.
+    /// True if the entry that put the registry in force is known to be accepted.
     pub accepted: bool,
     /// The registered nodes, sorted by identity.
     pub nodes: Vec<Member>,
@@ -186,7 +184,6 @@
         let leaving = nodes.iter().filter(leaves).map(|member| member.id);
         let live = nodes.iter().zip(&ages.bytes).filter(is_live);
         Members {
-            registry: state.registry_position(),
             accepted: state.accepted() >= state.registry_position(),
             live: live.map(|(member, _)| member.id).collect(),
             leaving: leaving.collect(),
