--- a/src/gate/breaker.rs
+++ b/src/gate/breaker.rs
@@ -72,7 +72,8 @@
         let open = tripped + self.hold;
         let is_due = now >= open && (repeatable || now >= open + PROBE_WAIT);
         let is_asked = self.probe.is_some();
-        // Of the requests without another target, 86 in 100 are served by one that has just failed.
+        // Of the requests without another target, 77 to 86 in 100 were served by one that has just
+        // failed, on three heavy days of the users' bench.
         // After a row of failures they are probes too, one at a time, or a target that answers its
         // errors at once would swallow them all.
         let is_down = self.failures >= FAILURES_MAX;
