Log and count the sync of nodes with control processes

- event=sync-progress, at most once a second while a node is behind or calls fail: position, committed, calls done and failed, bytes, last error.
- Counters sync.failed, sync.data_bytes, gossip.entry_bytes, control.sync_calls, control.sync_bytes; timer sync.call.
- registry-changed says how many of the removed nodes are proved dead.

--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -509,9 +509,10 @@
         if let Ok(position) = self.replica.propose(now, entry) {
             membership.record_proposed(position);
             let (joined, left) = (change.joined.len(), change.left.len());
+            let dead = membership.count_dead(&change.left);
             let (demoted, reinstated) = (change.demoted.len(), change.reinstated.len());
             info!(
-                event = "registry-changed", position:% = position, joined, left, demoted, reinstated;
+                event = "registry-changed", position:% = position, joined, left, dead, demoted, reinstated;
                 "node registry changed"
             );
         }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -346,6 +346,7 @@
             nodes: self.nodes.clone(),
             clock: self.clock,
             commands: self.commands.clone(),
+            metrics: self.metrics.clone(),
         });
         let operator = Arc::new(OperatorApi {
             secret: self.settings.operator_secret.clone(),
--- a/src/control/nodes.rs
+++ b/src/control/nodes.rs
@@ -208,6 +208,11 @@
         self.table.propose(now, registry)
     }
 
+    /// Returns how many of the nodes are proved dead.
+    pub fn count_dead(&self, nodes: &[NodeId]) -> usize {
+        nodes.iter().filter(|id| self.dead.contains_key(id)).count()
+    }
+
     /// Records the position of a change that [`MembershipTracker::due_change`] returned.
     pub fn record_proposed(&mut self, position: Position) {
         self.proposed = position;
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -11,6 +11,7 @@
 use crate::control::transport::introduction;
 use crate::control::view::View;
 use crate::error::{Category, Error, Result};
+use crate::metrics::Metrics;
 use crate::replica::Member;
 use crate::time::{Clock, Monotonic};
 use crate::wire::replica::Envelope;
@@ -39,6 +40,8 @@
     pub clock: Monotonic,
     /// Commands to the replica thread.
     pub commands: Sender<Command>,
+    /// The process's metrics.
+    pub metrics: Metrics,
 }
 
 impl Handler for RpcHandler {
@@ -77,7 +80,10 @@
             // After the timeout the response is sent without newer entries.
             let _ = timeout(request.wait, newer).await;
         }
-        Ok(self.response(&request).encode())
+        let bytes = self.response(&request).encode();
+        self.metrics.count("control.sync_calls");
+        self.metrics.add("control.sync_bytes", bytes.len() as u64);
+        Ok(bytes)
     }
 
     fn response(&self, request: &Request) -> Response {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -90,6 +90,12 @@
         self.client.count_with_tags(name, 1).send();
     }
 
+    /// Adds `amount` to the counter `name`.
+    pub fn add(&self, name: &str, amount: u64) {
+        use cadence::prelude::*;
+        self.client.count_with_tags(name, amount).send();
+    }
+
     /// Sets the gauge `name`.
     pub fn gauge(&self, name: &str, value: u64) {
         use cadence::prelude::*;
--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -130,11 +130,17 @@
         handle.seeds.subscribe(),
         secret.clone(),
         hello,
+        handle.metrics.clone(),
     ));
     let watcher = controls.clone();
     handle.spawn_task(async move { controls.poll_freshness().await });
     handle.spawn_task(async move { watcher.watch_changes().await });
-    let gossiper = Arc::new(Gossiper::new(view.clone(), secret, hello));
+    let gossiper = Arc::new(Gossiper::new(
+        view.clone(),
+        secret,
+        hello,
+        handle.metrics.clone(),
+    ));
     handle.spawn_task(gossiper.run());
     handle.spawn_task(publish_record(view.clone(), handle.records()));
     let (targets, links) = (handle.targets.clone(), handle.links.clone());
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -32,6 +32,7 @@
 pub mod settings;
 pub mod slots;
 pub mod sync;
+mod sync_report;
 pub mod target_body;
 pub mod targets;
 pub mod view;
--- a/src/node/sync.rs
+++ b/src/node/sync.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures::future::join_all;
@@ -13,6 +13,8 @@
 use crate::fleet::gossip::GOSSIP_INTERVAL;
 use crate::fleet::{GossipRequest, Member};
 use crate::ids::NodeId;
+use crate::metrics::Metrics;
+use crate::node::sync_report::SyncReport;
 use crate::node::view::FleetView;
 use crate::replica::Confirmation;
 use crate::units::Position;
@@ -41,6 +43,7 @@
     hello: Hello,
     /// Links to control processes, sorted by address.
     links: Mutex<Vec<Peer>>,
+    report: SyncReport,
 }
 
 impl ControlClient {
@@ -50,6 +53,7 @@
         seeds: watch::Receiver<Vec<SocketAddr>>,
         secret: Secret,
         hello: Hello,
+        metrics: Metrics,
     ) -> ControlClient {
         ControlClient {
             view,
@@ -57,6 +61,7 @@
             secret,
             hello,
             links: Mutex::default(),
+            report: SyncReport::new(metrics),
         }
     }
 
@@ -145,6 +150,14 @@
     }
 
     async fn exchange(&self, peer: &Peer, wait: Duration) -> Result<Response> {
+        let start = Instant::now();
+        let result = self.call(peer, wait).await;
+        self.report
+            .record(&result, start.elapsed(), self.view.position());
+        result
+    }
+
+    async fn call(&self, peer: &Peer, wait: Duration) -> Result<Response> {
         let request = self.view.sync_request(wait);
         let sent = request.sent;
         let limit = wait + RESPONSE_TIMEOUT;
@@ -168,16 +181,18 @@
     hello: Hello,
     /// Links to nodes, sorted by id.
     peers: Mutex<Vec<(NodeId, Peer)>>,
+    metrics: Metrics,
 }
 
 impl Gossiper {
     /// Creates the gossiper of a node.
-    pub fn new(view: Arc<FleetView>, secret: Secret, hello: Hello) -> Gossiper {
+    pub fn new(view: Arc<FleetView>, secret: Secret, hello: Hello, metrics: Metrics) -> Gossiper {
         Gossiper {
             view,
             secret,
             hello,
             peers: Mutex::default(),
+            metrics,
         }
     }
 
@@ -209,6 +224,8 @@
         let GossipMessage::Response(response) = GossipMessage::decode(bytes)? else {
             return Err(Error::invalid("unexpected response to a gossip request"));
         };
+        let size = response.entries.iter().map(|e| e.entry.len() as u64).sum();
+        self.metrics.add("gossip.entry_bytes", size);
         if let Some(push) = self.view.apply_gossip(&response)? {
             let bytes = GossipMessage::Push(push).encode();
             peer.call(Channel::Gossip, bytes, RESPONSE_TIMEOUT).await?;
