Bound response bodies that have no end

A target may send bytes that are no response without end, in a head or a body, until its caller closes. A body was passed on for as long as the caller read it, over the links of two VMs: the deadline holds for the head only, and the idle timeout never expires.

The connection to the target is closed and the attempt counts as failed.

--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -17,7 +17,7 @@
 /// An error that ended a body early.
 #[derive(Debug)]
 pub enum BodyError {
-    /// The body exceeded the limit of its route.
+    /// The body exceeded the limit of its route, or that on responses.
     TooLarge,
     /// No data arrived within the idle timeout.
     IdleTimeout,
@@ -30,7 +30,7 @@
 impl fmt::Display for BodyError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            BodyError::TooLarge => f.write_str("body exceeds the limit of the route"),
+            BodyError::TooLarge => f.write_str("body exceeds its limit"),
             BodyError::IdleTimeout => f.write_str("no data arrived within the idle timeout"),
             BodyError::Aborted(reason) => write!(f, "aborted: {reason}"),
             BodyError::Connection(e) => write!(f, "connection failed: {e}"),
--- a/src/http/headers.rs
+++ b/src/http/headers.rs
@@ -21,6 +21,8 @@
 pub const ACCOUNT: HeaderName = HeaderName::from_static("laburnum-account");
 /// Weight of the account in the fair queue of a target, between nodes only.
 pub const WEIGHT: HeaderName = HeaderName::from_static("laburnum-weight");
+/// How long the caller waits for the complete response.
+pub const TIMEOUT_MS: HeaderName = HeaderName::from_static("laburnum-timeout-ms");
 /// Time left until the response must start, in milliseconds.
 pub const DEADLINE_MS: HeaderName = HeaderName::from_static("laburnum-deadline-ms");
 /// Service that the VM of the ingress provides, between nodes only.
--- a/src/node/context.rs
+++ b/src/node/context.rs
@@ -61,6 +61,8 @@
     pub weight: Rate,
     /// Time by which the response must have started.
     pub deadline: Instant,
+    /// Time by which the response must be complete, if the caller states how long it waits.
+    pub end: Option<Instant>,
     /// Time of the request's arrival.
     pub arrived: Instant,
     /// Time of the route's latency objective; `None` if only the deadline applies.
@@ -98,6 +100,7 @@
             arrived: Instant::now(),
             objective: (!route.objective.is_zero()).then(|| Instant::now() + route.objective),
             deadline: Instant::now() + timeout.min(route.deadline),
+            end: info.timeout.map(|timeout| Instant::now() + timeout),
             body,
             delivery: Delivery::default(),
         }
--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -23,7 +23,7 @@
 use crate::node::in_flight::{DrainStage, InFlight, InFlightGuard};
 use crate::node::local::{LocalTarget, LocalTargets};
 use crate::node::settings::Limits;
-use crate::node::target_body::{AttemptResources, TargetBody};
+use crate::node::target_body::{AttemptEnd, AttemptResources, TargetBody};
 use crate::outcome::{Outcome, Reason, Refusal};
 use crate::route::AttemptResult;
 use crate::time::{Clock, Monotonic};
@@ -51,6 +51,7 @@
     in_flight: InFlight,
     body_time: Duration,
     response_time: Duration,
+    response_bytes: u64,
 }
 
 /// Metadata of an attempt, read from the internal headers that the ingress set.
@@ -92,6 +93,7 @@
             in_flight,
             body_time: limits.body_time,
             response_time: limits.response_time,
+            response_bytes: limits.response_bytes,
         }
     }
 
@@ -258,8 +260,14 @@
             false => AttemptResult::Success,
         };
         let body = TimeoutBody::new(body, self.response_time);
-        let body = TargetBody::new(body, info.request, result, resources, in_flight);
-        if body.has_failed() {
+        let attempt = AttemptEnd {
+            request: info.request,
+            result,
+            bytes_max: self.response_bytes,
+        };
+        let is_too_large = body.size().lower() > self.response_bytes;
+        let body = TargetBody::new(body, attempt, resources, in_flight);
+        if is_too_large || body.has_failed() {
             return Err(Outcome::Unknown(Reason::AnswerCut));
         }
         Ok(Response::from_parts(head, Either::Left(body)))
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -348,7 +348,7 @@
         head.extensions.clear();
         headers::strip_response(&mut head.headers);
         self.dialect.complete_response(&mut head.headers, ctx.id);
-        let body = ResponseBody::new(body, ctx.id, active, in_flight);
+        let body = ResponseBody::new(body, ctx.id, active, ctx.end, in_flight);
         Response::from_parts(head, body)
     }
 
--- a/src/node/response_body.rs
+++ b/src/node/response_body.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
+use tokio::time::{Instant, Sleep, sleep_until};
 use tokio_util::sync::WaitForCancellationFutureOwned;
 
 use crate::http::body::BodyError;
@@ -14,12 +15,15 @@
 use crate::node::in_flight::InFlightGuard;
 use crate::outcome::Reason;
 
-/// The response body of a target; it fails when the caller's key is withdrawn.
+/// The response body of a target; it fails when the caller's key is withdrawn, or when the caller's
+/// wait ends.
 #[derive(Debug)]
 pub struct ResponseBody {
     body: Incoming,
     request: RequestId,
     watch: Option<KeyWatch>,
+    /// Completes when the caller no longer waits.
+    end: Option<Pin<Box<Sleep>>>,
     _in_flight: InFlightGuard,
 }
 
@@ -30,13 +34,16 @@
 }
 
 impl ResponseBody {
-    /// Wraps the response to `request`; `active` is `None` on open routes.
+    /// Wraps the response to `request`; `active` is `None` on open routes, and `end` is when the
+    /// caller's wait ends, if that is known.
     pub fn new(
         body: Incoming,
         request: RequestId,
         active: Option<ActiveRequest>,
+        end: Option<Instant>,
         in_flight: InFlightGuard,
     ) -> ResponseBody {
+        let end = end.filter(|_| !body.is_end_stream());
         let active = active.filter(|_| !body.is_end_stream());
         let watch = active.map(|active| KeyWatch {
             cancelled: Box::pin(active.token().clone().cancelled_owned()),
@@ -46,6 +53,7 @@
             body,
             request,
             watch,
+            end: end.map(|end| Box::pin(sleep_until(end))),
             _in_flight: in_flight,
         }
     }
@@ -75,6 +83,12 @@
             let error = BodyError::Aborted(Reason::UnknownKey);
             return Poll::Ready(Some(Err(this.log_failure(error))));
         }
+        if let Some(end) = this.end.as_mut()
+            && end.as_mut().poll(cx).is_ready()
+        {
+            let error = BodyError::Aborted(Reason::Timeout);
+            return Poll::Ready(Some(Err(this.log_failure(error))));
+        }
         loop {
             let Poll::Ready(frame) = Pin::new(&mut this.body).poll_frame(cx) else {
                 return Poll::Pending;
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -58,6 +58,9 @@
     pub body_time: Duration,
     /// Longest wait for more of a target's response body.
     pub response_time: Duration,
+    /// Maximum size of a target's response body in bytes, so that one without an end doesn't take the
+    /// links of two VMs for as long as its caller reads.
+    pub response_bytes: u64,
     /// Longest time without progress in sending a response to a caller.
     pub write_time: Duration,
     /// Longest idle time between two requests on a connection.
@@ -79,6 +82,7 @@
             header_time: Duration::from_secs(10),
             body_time: Duration::from_secs(20),
             response_time: Duration::from_secs(60),
+            response_bytes: 1 << 30,
             write_time: Duration::from_secs(30),
             idle_time: Duration::from_secs(75),
             connect_time: Duration::from_secs(1),
@@ -169,6 +173,9 @@
             ("connections", self.connections),
         ];
         let zero_time = times.iter().find(|(_, t)| t.is_zero()).map(|(n, _)| n);
+        if self.response_bytes == 0 {
+            return Err(Error::invalid("response bytes must not be zero"));
+        }
         let zero_count = counts.iter().find(|(_, c)| *c == 0).map(|(n, _)| n);
         if self.header_count > HEADER_COUNT_MAX {
             return Err(Error::invalid(format!(
--- a/src/node/target_body.rs
+++ b/src/node/target_body.rs
@@ -29,12 +29,24 @@
     pub slot: SlotGuard,
 }
 
+/// How the attempt ends whose response is read.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptEnd {
+    /// The request.
+    pub request: RequestId,
+    /// The result of the attempt once the body is complete.
+    pub result: AttemptResult,
+    /// Maximum size of the body in bytes.
+    pub bytes_max: u64,
+}
+
 /// A target's response body; its slot and connection are released once it has been read completely.
 #[derive(Debug)]
 pub struct TargetBody {
     body: TimeoutBody,
-    request: RequestId,
-    result: AttemptResult,
+    end: AttemptEnd,
+    /// Number of bytes that may still follow.
+    bytes_left: u64,
     /// The result of reading ahead: a chunk, a failure or the end.
     ahead: Option<Option<Result<Bytes, BodyError>>>,
     resources: Option<AttemptResources>,
@@ -42,19 +54,17 @@
 }
 
 impl TargetBody {
-    /// Creates the body of the response to `request`; `result` is that of the attempt once the body
-    /// is complete.
+    /// Creates the body of the response to an attempt.
     pub fn new(
         body: TimeoutBody,
-        request: RequestId,
-        result: AttemptResult,
+        end: AttemptEnd,
         resources: AttemptResources,
         in_flight: InFlightGuard,
     ) -> TargetBody {
         let mut this = TargetBody {
             body,
-            request,
-            result,
+            end,
+            bytes_left: end.bytes_max,
             ahead: None,
             resources: Some(resources),
             _in_flight: in_flight,
@@ -86,6 +96,7 @@
         let Poll::Ready(part) = self.body.poll_data(cx) else {
             return Poll::Pending;
         };
+        let part = part.map(|data| self.check_size(data?));
         match &part {
             None => self.release(),
             Some(Ok(_)) => self.release_if_done(),
@@ -94,6 +105,16 @@
         Poll::Ready(part)
     }
 
+    /// Fails if the body with `data`, or the size that it states, is above the limit.
+    fn check_size(&mut self, data: Bytes) -> Result<Bytes, BodyError> {
+        let size = data.len() as u64;
+        if size.saturating_add(self.body.size().lower()) > self.bytes_left {
+            return Err(BodyError::TooLarge);
+        }
+        self.bytes_left -= size;
+        Ok(data)
+    }
+
     fn release_if_done(&mut self) {
         if self.body.is_done() {
             self.release();
@@ -102,13 +123,13 @@
 
     fn release(&mut self) {
         if let Some(mut resources) = self.resources.take() {
-            resources.measured.set(self.result);
+            resources.measured.set(self.end.result);
             resources.target.pool.put(resources.sender);
         }
     }
 
     fn fail(&mut self, error: &BodyError) {
-        let request = self.request;
+        let request = self.end.request;
         log::warn!(
             event = "response-truncated", request:% = request, error:% = error;
             "response truncated"
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -65,6 +65,9 @@
     /// maximum size of a request line with its headers in bytes (default 32768)
     #[argh(option)]
     pub header_bytes: Option<String>,
+    /// maximum size of a target's response body in bytes (default 1073741824)
+    #[argh(option)]
+    pub response_bytes: Option<String>,
 
     /// maximum number of caller connections (default 20000)
     #[argh(option)]
@@ -202,6 +205,11 @@
         limits.header_count = count("header-count", &self.header_count, limits.header_count);
         limits.header_bytes = count("header-bytes", &self.header_bytes, limits.header_bytes);
         limits.connections = count("connections", &self.connections, limits.connections);
+        limits.response_bytes = checker.default(
+            "response-bytes",
+            self.response_bytes.clone(),
+            limits.response_bytes,
+        );
         limits
     }
 }
--- a/tests/data_path/main.rs
+++ b/tests/data_path/main.rs
@@ -6,6 +6,7 @@
 mod admin_listener;
 mod body_limits;
 mod cluster;
+mod endless_responses;
 mod graceful_drain;
 mod header_rules;
 mod idempotency_rules;
