--- a/src/node/sync_report.rs
+++ b/src/node/sync_report.rs
@@ -15,6 +15,8 @@
 #[derive(Debug)]
 struct Calls {
     since: Instant,
+    /// Since when each response was ahead of the node.
+    behind_since: Option<Instant>,
     done: u32,
     failed: u32,
     bytes: u64,
@@ -25,6 +27,7 @@
     fn new() -> Calls {
         Calls {
             since: Instant::now(),
+            behind_since: None,
             done: 0,
             failed: 0,
             bytes: 0,
@@ -33,7 +36,7 @@
     }
 }
 
-/// Counts the sync calls of a node, and logs them once a second while it is behind or calls fail.
+/// Counts the sync calls of a node, and logs them once a second while it stays behind or calls fail.
 #[derive(Debug)]
 pub struct SyncReport {
     metrics: Metrics,
@@ -69,7 +72,10 @@
             }
         };
         let is_behind = position < committed || position == Position(0);
-        if calls.since.elapsed() < REPORT_INTERVAL || calls.failed == 0 && !is_behind {
+        let behind_since = calls.behind_since.filter(|_| is_behind);
+        calls.behind_since = behind_since.or(is_behind.then(Instant::now));
+        let stays_behind = behind_since.is_some_and(|at| at.elapsed() >= REPORT_INTERVAL);
+        if calls.since.elapsed() < REPORT_INTERVAL || calls.failed == 0 && !stays_behind {
             return;
         }
         log::info!(
@@ -78,7 +84,10 @@
             error = calls.last_error.as_str();
             "sync with control processes"
         );
-        *calls = Calls::new();
+        *calls = Calls {
+            behind_since: calls.behind_since,
+            ..Calls::new()
+        };
     }
 }
 
--- a/tests/docs_match.rs
+++ b/tests/docs_match.rs
@@ -83,7 +83,7 @@
     let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
     let mut count = 0;
     for text in sources(&root) {
-        for call in [".count(\"", ".gauge(\""] {
+        for call in [".count(\"", ".add(\"", ".gauge(\""] {
             for rest in text.split(call).skip(1) {
                 let name = rest.split('"').next().unwrap();
                 assert!(page.contains(&format!("`{name}`")), "no metric {name}");
