Let a connection attempt go on when a call gives up

Cause: a call with a limit of 200 to 1,000 ms opened the connection within that limit and dropped the attempt at its end; the calls that waited behind it did the same with the little time that they had left.

Now an attempt runs in a task of its own, with the handshake's timeout, and all calls wait for its result. TCP connects are limited to 1 s, since a lost first packet is sent again only after a second or more.

--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -25,6 +25,10 @@
 /// process allocate.
 const HANDSHAKE_MAX_BYTES: usize = 1_024;
 
+/// Timeout of opening a connection; a packet that is lost in a partition is sent again only after a
+/// second or more.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Timeout of the whole handshake, so that an idle unauthenticated peer doesn't hold a socket.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -205,8 +209,9 @@
 /// [`Category::Io`] or [`Category::Unavailable`] if it can't be reached in time.
 pub async fn connect(addr: SocketAddr, secret: &Secret, hello: Hello) -> Result<Link> {
     let open = async {
-        let stream = TcpStream::connect(addr)
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr))
             .await
+            .map_err(|_| Error::unavailable(format!("connection to {addr} timed out")))?
             .map_err(|e| Error::io(format!("connect to {addr}"), e))?;
         client_handshake(stream, secret, hello).await
     };
--- a/src/wire/rpc.rs
+++ b/src/wire/rpc.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
 use tokio::net::TcpStream;
-use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
 
@@ -113,15 +113,20 @@
     addr: SocketAddr,
     secret: Secret,
     hello: Hello,
-    state: tokio::sync::Mutex<State>,
+    state: Mutex<State>,
 }
 
 #[derive(Debug, Default)]
 struct State {
     open: Option<Arc<Connection>>,
+    /// The result of the connection attempt that runs.
+    opening: Option<watch::Receiver<Option<OpenResult>>>,
     failed: Option<Instant>,
 }
 
+/// The result of a connection attempt, shared by the calls that wait for it.
+type OpenResult = std::result::Result<Arc<Connection>, Arc<Error>>;
+
 /// Pending responses on one connection, sorted by call number.
 type Pending = Vec<(u64, oneshot::Sender<Frame>)>;
 
@@ -143,7 +148,7 @@
                 addr,
                 secret,
                 hello,
-                state: tokio::sync::Mutex::default(),
+                state: Mutex::default(),
             }),
         }
     }
@@ -191,33 +196,55 @@
         }
     }
 
+    /// Returns the open connection, or waits until it is open.
+    ///
+    /// A connection attempt goes on when a call gives up. Otherwise calls with a short limit would
+    /// never connect over a slow link.
     async fn connection(&self) -> Result<Arc<Connection>> {
-        let mut state = self.shared.state.lock().await;
-        if let Some(open) = &state.open
-            && !open.closed.load(Ordering::Relaxed)
-        {
-            return Ok(open.clone());
-        }
-        state.open = None;
-        if state.failed.is_some_and(|t| t.elapsed() < RECONNECT_DELAY) {
-            return Err(Error::unavailable(format!(
-                "no link to {}",
-                self.shared.addr
-            )));
-        }
-        let shared = &self.shared;
-        match connect(shared.addr, &shared.secret, shared.hello).await {
-            Ok(link) => {
-                let open = Connection::spawn(link);
-                state.failed = None;
-                state.open = Some(open.clone());
-                Ok(open)
+        let mut opening = {
+            let mut state = self.shared.lock();
+            if let Some(open) = &state.open
+                && !open.closed.load(Ordering::Relaxed)
+            {
+                return Ok(open.clone());
             }
-            Err(e) => {
-                state.failed = Some(Instant::now());
-                Err(e)
+            state.open = None;
+            if state.failed.is_some_and(|t| t.elapsed() < RECONNECT_DELAY) {
+                return Err(self.shared.no_link());
             }
-        }
+            let start = || self.shared.clone().start_opening();
+            state.opening.get_or_insert_with(start).clone()
+        };
+        let result = opening.wait_for(Option::is_some).await;
+        let result = result.ok().and_then(|result| result.clone());
+        let failure = |e: Arc<Error>| Error::new(e.category(), e.to_string());
+        result.map_or_else(|| Err(self.shared.no_link()), |r| r.map_err(failure))
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn no_link(&self) -> Error {
+        Error::unavailable(format!("no link to {}", self.addr))
+    }
+
+    /// Starts a connection attempt; the receiver gets its result.
+    fn start_opening(self: Arc<Self>) -> watch::Receiver<Option<OpenResult>> {
+        let (sender, receiver) = watch::channel(None);
+        tokio::spawn(async move {
+            let link = connect(self.addr, &self.secret, self.hello).await;
+            let result = link.map(Connection::spawn).map_err(Arc::new);
+            let mut state = self.lock();
+            state.opening = None;
+            state.open = result.as_ref().ok().cloned();
+            state.failed = result.is_err().then(Instant::now);
+            drop(state);
+            sender.send_replace(Some(result));
+        });
+        receiver
     }
 }
 
--- a/tests/slow_links.rs
+++ b/tests/slow_links.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use laburnumtide::control::{Handle, Settings, spawn};
 use laburnumtide::ctl::{Client, SubmitResponse};
 use laburnumtide::fleet::Member;
@@ -18,9 +19,12 @@
 use laburnumtide::node::sync::ControlClient;
 use laburnumtide::node::view::FleetView;
 use laburnumtide::prelude::*;
-use laburnumtide::wire::{Hello, Protocol, Role, Secret};
+use laburnumtide::wire::{
+    Channel, Handler, Hello, Peer, Protocol, Role, Secret, accept, serve_frames,
+};
 use slow_link::SlowLink;
 use tempfile::TempDir;
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
@@ -230,3 +234,51 @@
         "{received} bytes for a state of {size}"
     );
 }
+
+/// Returns the payload of each call.
+struct Echo;
+
+impl Handler for Echo {
+    async fn handle(&self, _: Hello, _: Channel, payload: Bytes) -> Result<Bytes> {
+        Ok(payload)
+    }
+}
+
+/// Guards against calls that never get a connection, since each opens one anew and gives up before
+/// the handshake has ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn short_calls_reconnect() {
+    let hello = Hello {
+        role: Role::Node,
+        id: 1,
+        protocol: Protocol::Frames,
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let server = listener.local_addr().unwrap();
+    let accepted = Arc::new(AtomicU32::new(0));
+    let count = accepted.clone();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            count.fetch_add(1, Ordering::Relaxed);
+            tokio::spawn(async move {
+                let link = accept(stream, &fleet_secret(), hello).await?;
+                serve_frames(link, Arc::new(Echo)).await
+            });
+        }
+    });
+    let link = SlowLink::new(LINK_BYTES_PER_SEC, Duration::from_millis(60));
+    let peer = Peer::new(link.relay(server).await, fleet_secret(), hello);
+    // Opening the connection takes two round trips, and a call one more.
+    let limit = Duration::from_millis(200);
+    let mut results = Vec::new();
+    for _ in 0..10 {
+        let call = peer.call(Channel::Limit, Bytes::from_static(b"x"), limit);
+        results.push(call.await.is_ok());
+    }
+    let accepted = accepted.load(Ordering::Relaxed);
+    assert!(
+        results[3..].iter().all(|ok| *ok),
+        "{results:?}, {accepted} connections"
+    );
+    assert_eq!(accepted, 1);
+}
