Share the replacement of a target between two test files

truncated_responses and endless_responses announced a raw target in the same 16 lines; Cluster::replace_target does it now. No check is changed.

--- a/tests/data_path/cluster.rs
+++ b/tests/data_path/cluster.rs
@@ -20,7 +20,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::standin::client::call;
+use crate::standin::client::{call, post};
 use crate::standin::{Options, Run, Target};
 
 /// Timeout of conditions, generous for a busy machine.
@@ -163,6 +163,25 @@
         self.front.update_node(self.back.link_addr(), &record);
     }
 
+    /// Announces a target at `address` in place of the stand-in, which drains.
+    pub async fn replace_target(&self, address: SocketAddr) {
+        let announcement = serde_json::json!({
+            "name": "oven-2", "service": "ovens", "address": address, "slots": 4,
+            "connections": 10, "started_ms_ago": 60_000,
+        });
+        let admin = self.back.admin_addr();
+        let response = post(admin, "/announce", announcement.to_string()).await;
+        assert_eq!(response.unwrap().status(), 200);
+        self.target.drain();
+        let mut records = self.back.records();
+        let record = records.wait_for(|r| {
+            use laburnumtide::fleet::TargetState::Draining;
+            r.targets.len() == 2 && r.targets.iter().any(|t| t.state == Draining)
+        });
+        let record = record.await.unwrap().clone();
+        self.front.update_node(self.back.link_addr(), &record);
+    }
+
     /// Sends a GET request with the key.
     pub async fn get(&self, path: &str) -> Response<Bytes> {
         self.send(Request::get(path)).await
--- a/tests/data_path/endless_responses.rs
+++ b/tests/data_path/endless_responses.rs
@@ -10,7 +10,6 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::cluster::{Cluster, KEY, TEST_TIMEOUT, outcome};
-use crate::standin::client::post;
 
 /// Limit on a response body in these tests.
 const RESPONSE_BYTES: u64 = 1024 * 1024;
@@ -31,10 +30,7 @@
     /// Replaces the cluster's target by one that sends `start`, and then `part` again and again.
     async fn open(cluster: &Cluster, start: &'static [u8], part: &'static [u8]) -> EndlessTarget {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let announcement = serde_json::json!({
-            "name": "oven-2", "service": "ovens", "address": listener.local_addr().unwrap(),
-            "slots": 4, "connections": 10, "started_ms_ago": 60_000,
-        });
+        let address = listener.local_addr().unwrap();
         let target = EndlessTarget {
             sent: Arc::default(),
             closed: Arc::default(),
@@ -51,17 +47,7 @@
                 closed.store(true, Ordering::SeqCst);
             }
         });
-        let admin = cluster.back.admin_addr();
-        let response = post(admin, "/announce", announcement.to_string()).await;
-        assert_eq!(response.unwrap().status(), 200);
-        cluster.target.drain();
-        let mut records = cluster.back.records();
-        let record = records.wait_for(|r| {
-            use laburnumtide::fleet::TargetState::Draining;
-            r.targets.len() == 2 && r.targets.iter().any(|t| t.state == Draining)
-        });
-        let record = record.await.unwrap().clone();
-        cluster.front.update_node(cluster.back.link_addr(), &record);
+        cluster.replace_target(address).await;
         target
     }
 
--- a/tests/data_path/truncated_responses.rs
+++ b/tests/data_path/truncated_responses.rs
@@ -7,7 +7,6 @@
 use tokio::net::TcpListener;
 
 use crate::cluster::{Cluster, KEY, header, outcome};
-use crate::standin::client::post;
 
 /// Splits a raw response into its head and its body.
 fn parts(response: &str) -> (&str, &str) {
@@ -93,23 +92,7 @@
             let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nhalf").await;
         }
     });
-    let announcement = serde_json::json!({
-        "name": "oven-2", "service": "ovens", "address": addr, "slots": 4,
-        "connections": 10, "started_ms_ago": 60_000,
-    });
-    let admin = cluster.back.admin_addr();
-    let response = post(admin, "/announce", announcement.to_string())
-        .await
-        .unwrap();
-    assert_eq!(response.status(), 200);
-    cluster.target.drain();
-    let mut records = cluster.back.records();
-    let record = records.wait_for(|r| {
-        use laburnumtide::fleet::TargetState::Draining;
-        r.targets.len() == 2 && r.targets.iter().any(|t| t.state == Draining)
-    });
-    let record = record.await.unwrap().clone();
-    cluster.front.update_node(cluster.back.link_addr(), &record);
+    cluster.replace_target(addr).await;
     let response = cluster.send(Request::post("/bake")).await;
     assert_eq!(outcome(&response), ("unknown", "target-error"));
 }
