Count the traffic between processes by purpose

On the large site nearly all bytes that cross zones are the fleet's own, and nothing told which exchange sends them. Each process counts frames and bytes of its framed links by channel and the links that it opens and accepts; a node logs the difference every 5 s and sets gauges. Bytes of HTTP/2 links aren't counted.

--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -25,6 +25,7 @@
 use crate::node::settings::Settings;
 use crate::node::sync::{ControlClient, Gossiper, serve_gossip};
 use crate::node::targets::Targets;
+use crate::node::traffic_report;
 use crate::node::view::FleetView;
 use crate::node::{Handle, spawn_with_metrics};
 use crate::time::Monotonic;
@@ -143,6 +144,7 @@
     ));
     handle.spawn_task(gossiper.run());
     handle.spawn_task(publish_record(view.clone(), handle.records()));
+    handle.spawn_task(traffic_report::run(handle.metrics.clone()));
     let (targets, links) = (handle.targets.clone(), handle.links.clone());
     handle.spawn_task(propagate_records(view, targets, links));
     Ok(handle)
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -35,6 +35,7 @@
 mod sync_report;
 pub mod target_body;
 pub mod targets;
+mod traffic_report;
 pub mod view;
 
 use std::net::SocketAddr;
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -17,6 +17,7 @@
 use tokio::time::timeout;
 
 use crate::error::{Category, Error, Result};
+use crate::wire::traffic;
 
 /// Version of the link handshake and of the frames after it.
 pub const LINK_VERSION: u32 = 1;
@@ -208,6 +209,7 @@
 /// Fails with [`Category::Denied`] if the other side has a different secret, and with
 /// [`Category::Io`] or [`Category::Unavailable`] if it can't be reached in time.
 pub async fn connect(addr: SocketAddr, secret: &Secret, hello: Hello) -> Result<Link> {
+    traffic::count_opened();
     let open = async {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr))
             .await
@@ -227,6 +229,7 @@
 /// Fails with [`Category::Denied`] if the other side has a different secret, with
 /// [`Category::Invalid`] for malformed messages, and if the handshake times out.
 pub async fn accept(stream: TcpStream, secret: &Secret, hello: Hello) -> Result<Link> {
+    traffic::count_accepted();
     timeout(HANDSHAKE_TIMEOUT, server_handshake(stream, secret, hello))
         .await
         .map_err(|_| Error::unavailable("link handshake timed out"))?
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -14,6 +14,7 @@
 pub mod replica;
 pub mod rpc;
 pub mod sync;
+pub mod traffic;
 
 pub use frame::{Channel, Frame, FrameCodec};
 pub use idempotency::{IdempotencyRequest, IdempotencyResponse};
--- a/src/wire/rpc.rs
+++ b/src/wire/rpc.rs
@@ -16,6 +16,7 @@
 use crate::error::{Error, Result};
 use crate::wire::frame::{Channel, Frame, FrameCodec};
 use crate::wire::link::{Hello, Link, Secret, connect};
+use crate::wire::traffic;
 
 /// Capacity of the send queue in frames; callers wait while it is full.
 const SEND_QUEUE_FRAMES: usize = 256;
@@ -55,6 +56,7 @@
     let (responses, mut queue) = mpsc::channel::<Frame>(SEND_QUEUE_FRAMES);
     let writer = async move {
         while let Some(frame) = queue.recv().await {
+            traffic::count_sent(frame.channel, frame.payload.len());
             sink.send(frame).await?;
         }
         Ok::<(), Error>(())
@@ -63,6 +65,7 @@
     let reader = async move {
         while let Some(frame) = stream.next().await {
             let frame = frame?;
+            traffic::count_received(frame.channel, frame.payload.len());
             let permit = permits
                 .clone()
                 .acquire_owned()
@@ -348,6 +351,7 @@
     let (mut sink, mut stream) = Framed::new(stream, FrameCodec::new()).split();
     let writer = async {
         while let Some(frame) = queue.recv().await {
+            traffic::count_sent(frame.channel, frame.payload.len());
             if sink.send(frame).await.is_err() {
                 break;
             }
@@ -355,6 +359,7 @@
     };
     let reader = async {
         while let Some(Ok(frame)) = stream.next().await {
+            traffic::count_received(frame.channel, frame.payload.len());
             match connection.upgrade() {
                 Some(connection) => connection.deliver(frame),
                 None => break,
