Exchange health of targets within zones, and bound what a round announces

Callers on the large site (354 nodes, links of 2 Mbit/s) were refused as 'starting' 100 ms after they came. Cause: every node sent each health change of each target to every other node, and announced the versions of all recently changed records in each of ten exchanges a second, so gossip grew with the square of the fleet and filled the links on which credit requests wait.

Records have a version of their own for health. Fleets of up to 64 nodes exchange it as before; larger ones exchange it between nodes of one zone, which send most of the requests, and the rest of a record everywhere. A node gossips with three peers of its zone and one other. With more than 64 announcements, as when all nodes start at once, one exchange in 800 ms carries them. What this gives up: an ingress in a larger fleet learns of a slow target in another zone only from its own requests; the egress's circuit breaker is as before.

--- a/examples/capacity/gossip.rs
+++ b/examples/capacity/gossip.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use laburnumtide::fleet::gossip::GOSSIP_INTERVAL;
 use laburnumtide::fleet::{
-    Advertisement, Gossip, Health, Member, NodeRecord, Push, RegistryChange, RelayedEntry,
+    Advertisement, Gossip, Health, Member, NodeRecord, Push, RegistryChange, RelayedEntry, Scope,
     TargetRecord, TargetState,
 };
 use laburnumtide::freshness::ReplicaReport;
@@ -126,8 +126,9 @@
             node.gossip.receive_push(&records);
             // Records are sent as updates for some time after they arrive. The first request starts
             // that time for the initial records, and the second one, 60 s later, ends it.
-            node.gossip.request(seeded);
-            node.gossip.request(sim.now);
+            let peer = member(ids[0], 0);
+            node.gossip.request(seeded, &peer);
+            node.gossip.request(sim.now, &peer);
             sim.nodes.push(Some(node));
         }
         sim
@@ -145,6 +146,7 @@
             record: NodeRecord {
                 node: id,
                 version,
+                health_version: 1,
                 zone: member(id, index).zone,
                 leaving: false,
                 targets: self.targets.clone(),
@@ -260,7 +262,10 @@
 
     fn exchange(&mut self, from: usize, to: usize) {
         let now = self.now;
-        let request = self.node(from).gossip.request(now);
+        let Some(peer) = self.nodes[to].as_ref().map(|node| member(node.id, to)) else {
+            return;
+        };
+        let request = self.node(from).gossip.request(now, &peer);
         let GossipMessage::Request(request) = self.send(from, GossipMessage::Request(request))
         else {
             return;
@@ -316,7 +321,7 @@
             .nodes
             .iter()
             .flatten()
-            .map(|n| n.gossip.records().hash());
+            .map(|n| n.gossip.records().hash(Scope::WithoutHealth));
         let first = hashes.next();
         hashes.all(|h| Some(h) == first) && self.pending_change.is_empty()
     }
--- a/examples/health_table/model.rs
+++ b/examples/health_table/model.rs
@@ -594,6 +594,7 @@
         NodeRecord {
             node: NodeId(server as u64 + 1),
             version,
+            health_version: 1,
             zone: zone_of(size, server),
             leaving: false,
             targets: vec![target],
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -8,7 +8,7 @@
 use rand::seq::IndexedRandom;
 
 use super::registry::{Member, Registry, RegistryChange, RegistryLog};
-use super::table::{Advertisement, RECORDS_MAX, RecordVersion, Records};
+use super::table::{Advertisement, RECORDS_MAX, RecordVersion, Records, Scope};
 use crate::error::Result;
 use crate::freshness::{FreshnessProof, ProofAges};
 use crate::ids::NodeId;
@@ -21,6 +21,24 @@
 /// Number of peers that a node sends a request to in each round.
 pub const GOSSIP_FANOUT: usize = 4;
 
+/// Number of these peers that are in the node's own availability zone, as far as there are as many.
+///
+/// One peer in another zone spreads what concerns all zones, since each node of a zone chooses its
+/// own.
+const ZONE_FANOUT: usize = 3;
+
+/// Number of announced versions above which only one exchange in [`MANY_INTERVAL`] carries changed
+/// records.
+///
+/// When a whole fleet starts, every node announces every other one.
+const UPDATES_MANY: usize = RECORDS_MAX;
+
+/// Shortest time between two exchanges with more than [`UPDATES_MANY`] announced versions.
+const MANY_INTERVAL: Duration = Duration::from_millis(800);
+
+/// Largest fleet, in nodes, in which nodes exchange health with those of other zones too.
+const HEALTH_EVERYWHERE_MAX: usize = 64;
+
 /// Time for which the records must differ from those of every peer before a node sends a digest,
 /// and the shortest time between two digests.
 ///
@@ -58,6 +76,10 @@
     /// True if the response should contain no entries: a node that lacks some requests them from one
     /// peer at a time.
     pub without_entries: bool,
+    /// The part of the records that the exchange covers.
+    pub scope: Scope,
+    /// True if the response should contain no recently changed records.
+    pub without_updates: bool,
 }
 
 /// An encoded log entry that one node sends another; only committed entries are sent.
@@ -82,6 +104,8 @@
     pub group_age: u8,
     /// The hash of the peer's records.
     pub hash: u64,
+    /// The scope of the request.
+    pub scope: Scope,
     /// Recently changed records, or records newer than in the digest, that the requester lacks.
     pub records: Vec<Arc<Advertisement>>,
     /// The nodes whose records the peer requests.
@@ -104,9 +128,18 @@
     registry: RegistryLog,
     proof: FreshnessProof,
     records: Records,
+    /// Differences of the records from those of peers, for exchanges with and without health.
+    divergences: [Divergence; 2],
+}
+
+/// A difference of the records from those of every peer.
+#[derive(Clone, Copy, Debug, Default)]
+struct Divergence {
     /// Since when no peer has had the same records.
-    diverged_since: Option<Time>,
+    since: Option<Time>,
     last_digest: Option<Time>,
+    /// Time of the last round in which many changed records were announced.
+    last_many: Option<Time>,
 }
 
 impl Gossip {
@@ -117,8 +150,7 @@
             registry: RegistryLog::default(),
             proof: FreshnessProof::new(me),
             records: Records::new(me),
-            diverged_since: None,
-            last_digest: None,
+            divergences: Default::default(),
         }
     }
 
@@ -176,23 +208,52 @@
         self.records.set_registry(registry);
     }
 
-    /// Chooses peers at random among the registered nodes.
+    /// Chooses peers at random among the registered nodes, most of them in the own zone.
     pub fn peers(&self, rng: &mut impl Rng) -> Vec<Member> {
         let others = self.registry().members().iter();
-        let others: Vec<&Member> = others.filter(|m| m.id != self.me).collect();
-        others
-            .sample(rng, GOSSIP_FANOUT)
-            .map(|m| (*m).clone())
-            .collect()
+        let others = others.filter(|m| m.id != self.me);
+        let (near, far): (Vec<&Member>, Vec<&Member>) = others.partition(|m| self.is_near(m));
+        let near_count = near
+            .len()
+            .min(ZONE_FANOUT.max(GOSSIP_FANOUT.saturating_sub(far.len())));
+        let near = near.sample(rng, near_count);
+        let far = far.sample(rng, GOSSIP_FANOUT - near_count);
+        near.chain(far).map(|m| (*m).clone()).collect()
     }
 
-    /// Returns the request that starts an exchange with one peer.
-    pub fn request(&mut self, now: Time) -> GossipRequest {
+    /// Returns true if a node is in the zone of this one.
+    fn is_near(&self, member: &Member) -> bool {
+        let registered = self.registry().get(self.me).map(|me| &me.zone);
+        let published = self.records.get(self.me).map(|ad| &ad.record.zone);
+        registered.or(published) == Some(&member.zone)
+    }
+
+    fn scope_with(&self, peer: &Member) -> Scope {
+        let is_small = self.registry().members().len() <= HEALTH_EVERYWHERE_MAX;
+        match is_small || self.is_near(peer) {
+            true => Scope::WithHealth,
+            false => Scope::WithoutHealth,
+        }
+    }
+
+    /// Returns the request that starts an exchange with a peer.
+    pub fn request(&mut self, now: Time, peer: &Member) -> GossipRequest {
+        let scope = self.scope_with(peer);
         let is_due = |last: Time| now.since(last) >= DIGEST_INTERVAL;
+        let divergence = &mut self.divergences[scope as usize];
         let with_digest =
-            self.diverged_since.is_some_and(is_due) && self.last_digest.is_none_or(is_due);
+            divergence.since.is_some_and(is_due) && divergence.last_digest.is_none_or(is_due);
         if with_digest {
-            self.last_digest = Some(now);
+            divergence.last_digest = Some(now);
+        }
+        let mut updates = self.records.updates(now, scope);
+        let is_recent = |last: Time| now.since(last) < MANY_INTERVAL;
+        let has_many = updates.len() > UPDATES_MANY;
+        let without_updates = has_many && divergence.last_many.is_some_and(is_recent);
+        if without_updates {
+            updates.clear();
+        } else if has_many {
+            divergence.last_many = Some(now);
         }
         GossipRequest {
             stamp: RequestStamp {
@@ -200,20 +261,26 @@
                 sent: now,
             },
             position: self.proof.position(),
-            hash: self.records.hash(),
-            updates: self.records.updates(now),
-            digest: with_digest.then(|| self.records.digest()),
+            hash: self.records.hash(scope),
+            updates,
+            digest: with_digest.then(|| self.records.digest(scope)),
             without_entries: true,
+            scope,
+            without_updates,
         }
     }
 
     /// Returns the response to a peer's request.
     pub fn respond(&mut self, now: Time, request: &GossipRequest) -> GossipResponse {
-        let mut requested = self.records.outdated(now, &request.updates);
-        let mut records = self.records.updates_for(now, &request.updates);
+        let scope = request.scope;
+        let mut requested = self.records.outdated(now, scope, &request.updates);
+        let mut records = match request.without_updates {
+            true => Vec::new(),
+            false => self.records.updates_for(now, scope, &request.updates),
+        };
         if let Some(digest) = &request.digest {
-            records = self.records.newer_than(digest);
-            requested.extend(self.records.outdated(now, digest));
+            records = self.records.newer_than(scope, digest);
+            requested.extend(self.records.outdated(now, scope, digest));
             requested.truncate(RECORDS_MAX);
         }
         GossipResponse {
@@ -221,7 +288,8 @@
             node: self.me,
             ages: self.proof.ages(now),
             group_age: self.proof.group_age(now),
-            hash: self.records.hash(),
+            hash: self.records.hash(scope),
+            scope,
             records,
             requested,
             entries: Vec::new(),
@@ -235,9 +303,10 @@
         let RequestStamp { from, sent } = response.stamp;
         // A digest goes to only one peer of the round, but all responses of the round are merged as
         // responses to a digest. That loses nothing: the other peers keep sending these updates.
-        match self.last_digest == Some(sent) {
+        let index = response.scope as usize;
+        match self.divergences[index].last_digest == Some(sent) {
             true if self.merge_missed(&response.records) >= NEW_NODE_RECORDS => {
-                self.last_digest = None
+                self.divergences[index].last_digest = None
             }
             true => {}
             false => self.merge(&response.records),
@@ -245,24 +314,27 @@
         if from != self.me {
             return None;
         }
-        self.diverged_since = match response.hash == self.records.hash() {
+        let since = self.divergences[index].since;
+        self.divergences[index].since = match response.hash == self.records.hash(response.scope) {
             true => None,
-            false => self.diverged_since.or(Some(self.divergence_start(now))),
+            false => since.or(Some(self.divergence_start(now, response.scope))),
         };
         self.proof
             .record_peer(now, sent, response.node, &response.ages, response.group_age);
         if response.requested.is_empty() {
             return None;
         }
-        let records = self.records.select(&response.requested);
+        let records = self.records.select(response.scope, &response.requested);
         Some(Push { records })
     }
 
     /// Returns the start of a difference that appears now.
     ///
-    /// A node that has just started need not wait for its first digest.
-    fn divergence_start(&self, now: Time) -> Time {
-        match self.records.iter().len() < NEW_NODE_RECORDS {
+    /// A node that has just started need not wait for its first digest, which goes to a node of its
+    /// own zone if there is one.
+    fn divergence_start(&self, now: Time, scope: Scope) -> Time {
+        let is_new = self.records.iter().len() < NEW_NODE_RECORDS;
+        match is_new && scope == Scope::WithHealth {
             true => now - DIGEST_INTERVAL,
             false => now,
         }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -20,4 +20,4 @@
     Health, KindHealth, LATENCY_BANDS, NodeRecord, TargetRecord, TargetState, Window,
 };
 pub use registry::{Member, Registry, RegistryChange, RegistryLog};
-pub use table::{Advertisement, RecordVersion, Records};
+pub use table::{Advertisement, RecordVersion, Records, Scope};
--- a/src/fleet/record.rs
+++ b/src/fleet/record.rs
@@ -93,13 +93,18 @@
     pub health: Health,
 }
 
-/// The record that one node publishes; a higher version replaces a lower one.
+/// The record that one node publishes.
+///
+/// A record with a higher version replaces one with a lower version, and of two with the same version
+/// the one with the higher health version counts.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct NodeRecord {
     /// The node.
     pub node: NodeId,
-    /// Increases with each change.
+    /// Increases with each change other than of health.
     pub version: u64,
+    /// Increases with each change of health; zero in a record without health.
+    pub health_version: u64,
     /// The node's availability zone.
     pub zone: ZoneName,
     /// True once the node accepts no new requests.
@@ -107,3 +112,30 @@
     /// The targets on the node's VM.
     pub targets: Vec<TargetRecord>,
 }
+
+impl NodeRecord {
+    /// Returns true if `targets` differ from those of the record in more than health.
+    pub fn differs_beyond_health(&self, targets: &[TargetRecord]) -> bool {
+        let pairs = self.targets.iter().zip(targets);
+        let mut pairs = pairs.map(|(a, b)| a.has_same_capacity(b));
+        self.targets.len() != targets.len() || pairs.any(|same| !same)
+    }
+
+    /// Returns the record without the health of its targets.
+    pub fn without_health(&self) -> NodeRecord {
+        let mut record = self.clone();
+        record.health_version = 0;
+        for target in &mut record.targets {
+            target.health = Health::default();
+        }
+        record
+    }
+}
+
+impl TargetRecord {
+    /// Returns true if the records are equal but for health.
+    fn has_same_capacity(&self, other: &TargetRecord) -> bool {
+        let key = |t: &TargetRecord| (t.addr, t.slots, t.connections, t.state);
+        self.name == other.name && self.service == other.service && key(self) == key(other)
+    }
+}
--- a/src/fleet/table.rs
+++ b/src/fleet/table.rs
@@ -51,14 +51,80 @@
 pub struct RecordVersion {
     /// The node whose record it is.
     pub node: NodeId,
-    /// The version.
+    /// The version of all but health.
     pub version: u64,
+    /// The version of health; zero without health.
+    pub health_version: u64,
 }
 
-fn version_of(ad: &Advertisement) -> RecordVersion {
-    RecordVersion {
-        node: ad.record.node,
-        version: ad.record.version,
+impl RecordVersion {
+    /// Returns the versions in their order.
+    fn order(&self) -> (u64, u64) {
+        (self.version, self.health_version)
+    }
+}
+
+/// The part of the records that an exchange between two nodes covers.
+///
+/// Health changes many times as often as the rest of a record. It matters most to the nodes that send
+/// most of the requests, those in the same availability zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// Whole records.
+    WithHealth,
+    /// Records without health.
+    WithoutHealth,
+}
+
+impl Scope {
+    fn version_of(self, ad: &Advertisement) -> RecordVersion {
+        RecordVersion {
+            node: ad.record.node,
+            version: ad.record.version,
+            health_version: match self {
+                Scope::WithHealth => ad.record.health_version,
+                Scope::WithoutHealth => 0,
+            },
+        }
+    }
+
+    /// Returns what an exchange of this scope sends of a record.
+    fn select(self, ad: &Arc<Advertisement>) -> Arc<Advertisement> {
+        match self {
+            Scope::WithHealth => ad.clone(),
+            Scope::WithoutHealth => Arc::new(Advertisement {
+                record: ad.record.without_health(),
+                ..**ad
+            }),
+        }
+    }
+}
+
+/// Times of the last changes of a record; `None` until the next message sets them.
+#[derive(Clone, Copy, Debug, Default)]
+struct Change {
+    /// The last change of health or of anything else.
+    any: Option<Time>,
+    /// The last change of anything but health, if there was one.
+    other: Option<Option<Time>>,
+}
+
+impl Change {
+    /// Sets the times that are missing to `now`.
+    fn set_times(&mut self, now: Time) {
+        self.any.get_or_insert(now);
+        if let Some(other) = &mut self.other {
+            other.get_or_insert(now);
+        }
+    }
+
+    /// Returns true if a change that `scope` covers is younger than `age`.
+    fn is_within(&self, now: Time, scope: Scope, age: Duration) -> bool {
+        let time = match scope {
+            Scope::WithHealth => self.any,
+            Scope::WithoutHealth => self.other.flatten(),
+        };
+        time.is_some_and(|t| now.since(t) < age)
     }
 }
 
@@ -70,14 +136,14 @@
 pub struct Records {
     me: NodeId,
     held: BTreeMap<NodeId, Arc<Advertisement>>,
-    /// Recently changed records with the time of the change; `None` until the next message sets it.
-    recent: BTreeMap<NodeId, Option<Time>>,
+    /// Recently changed records.
+    recent: BTreeMap<NodeId, Change>,
     addrs: BTreeMap<SocketAddr, NodeId>,
     registered: BTreeSet<NodeId>,
     tombstones: BTreeSet<NodeId>,
     tombstone_order: VecDeque<NodeId>,
-    /// The XOR of the hashes of all nodes with their versions.
-    hash: u64,
+    /// The XOR of the hashes of all nodes with their versions, with and without health.
+    hashes: [u64; 2],
     /// Records requested from peers, with the time of the request.
     requested: BTreeMap<NodeId, Time>,
 }
@@ -93,14 +159,22 @@
             registered: BTreeSet::new(),
             tombstones: BTreeSet::new(),
             tombstone_order: VecDeque::new(),
-            hash: 0,
+            hashes: [0; 2],
             requested: BTreeMap::new(),
         }
     }
 
-    /// Returns a hash over all nodes and versions; equal tables have equal hashes.
-    pub fn hash(&self) -> u64 {
-        self.hash
+    /// Returns a hash over all nodes and versions; tables that are equal in `scope` have equal
+    /// hashes.
+    pub fn hash(&self, scope: Scope) -> u64 {
+        self.hashes[scope as usize]
+    }
+
+    /// Adds a record to the hashes, or removes it from them.
+    fn toggle_hashes(&mut self, ad: &Advertisement) {
+        for scope in [Scope::WithHealth, Scope::WithoutHealth] {
+            self.hashes[scope as usize] ^= hash(&scope.version_of(ad));
+        }
     }
 
     /// Lists the records, sorted by node.
@@ -146,9 +220,9 @@
 
     fn put(&mut self, ad: Advertisement) -> bool {
         let node = ad.record.node;
-        if let Some(held) = self.held.get(&node)
-            && held.record.version >= ad.record.version
-        {
+        let order = |ad: &Advertisement| Scope::WithHealth.version_of(ad).order();
+        let held = self.held.get(&node).map(|held| order(held));
+        if held.is_some_and(|held| held >= order(&ad)) {
             return false;
         }
         if let Some(other) = self.addrs.get(&ad.addr).copied()
@@ -161,20 +235,26 @@
             }
             self.remove(other);
         }
+        let is_health_only = held.is_some_and(|(version, _)| version == ad.record.version);
+        let last = self.recent.get(&node).and_then(|change| change.other);
+        let change = Change {
+            any: None,
+            other: if is_health_only { last } else { Some(None) },
+        };
         self.remove(node);
         if self.held.len() >= TABLE_MAX {
             return false;
         }
-        self.hash ^= hash(node, ad.record.version);
+        self.toggle_hashes(&ad);
         self.addrs.insert(ad.addr, node);
-        self.recent.insert(node, None);
+        self.recent.insert(node, change);
         self.held.insert(node, Arc::new(ad));
         true
     }
 
     fn remove(&mut self, node: NodeId) {
         if let Some(held) = self.held.remove(&node) {
-            self.hash ^= hash(node, held.record.version);
+            self.toggle_hashes(&held);
             self.addrs.remove(&held.addr);
             self.recent.remove(&node);
         }
@@ -207,76 +287,73 @@
     ///
     /// Each change reaches a node from many peers but the record is needed only once, so records
     /// are sent only to nodes that don't announce them.
-    pub fn updates(&mut self, now: Time) -> Vec<RecordVersion> {
+    pub fn updates(&mut self, now: Time, scope: Scope) -> Vec<RecordVersion> {
         self.expire_recent(now);
-        let nodes = self.recent.keys();
-        let updates = nodes.filter_map(|node| self.held.get(node));
-        updates.map(|ad| version_of(ad)).collect()
+        let updates = self.changed_within(now, scope, ANNOUNCE_PERIOD);
+        updates.map(|ad| scope.version_of(ad)).collect()
     }
 
     /// Returns recently changed records that a peer didn't announce, at most [`RECORDS_MAX`].
     pub fn updates_for(
         &mut self,
         now: Time,
+        scope: Scope,
         announced: &[RecordVersion],
     ) -> Vec<Arc<Advertisement>> {
         self.expire_recent(now);
-        let announced: BTreeMap<NodeId, u64> =
-            announced.iter().map(|v| (v.node, v.version)).collect();
-        let is_fresh = |time: &Option<Time>| time.is_some_and(|t| now.since(t) < SEND_PERIOD);
-        let fresh = self.recent.iter().filter(|(_, time)| is_fresh(time));
-        let fresh = fresh.filter_map(|(node, _)| self.held.get(node));
-        let is_missing = |ad: &&Arc<Advertisement>| {
-            let version = announced.get(&ad.record.node);
-            version.is_none_or(|v| *v < ad.record.version)
-        };
-        fresh
-            .filter(is_missing)
+        let updates = self.changed_within(now, scope, SEND_PERIOD);
+        let missing = updates.filter(|ad| is_newer(scope, ad, announced));
+        missing
             .take(RECORDS_MAX)
-            .cloned()
+            .map(|ad| scope.select(ad))
             .collect()
     }
 
+    /// Returns the records with a change that `scope` covers and that is younger than `age`.
+    fn changed_within(
+        &self,
+        now: Time,
+        scope: Scope,
+        age: Duration,
+    ) -> impl Iterator<Item = &Arc<Advertisement>> {
+        let changes = self.recent.iter();
+        let changes = changes.filter(move |(_, change)| change.is_within(now, scope, age));
+        changes.filter_map(|(node, _)| self.held.get(node))
+    }
+
     /// Sets the time of changes since the last message and drops expired ones.
     fn expire_recent(&mut self, now: Time) {
-        self.recent.retain(|_, time| {
-            let changed = *time.get_or_insert(now);
-            now.since(changed) < ANNOUNCE_PERIOD
+        self.recent.retain(|_, change| {
+            change.set_times(now);
+            change.is_within(now, Scope::WithHealth, ANNOUNCE_PERIOD)
         });
     }
 
     /// Returns the versions of all records.
-    pub fn digest(&self) -> Vec<RecordVersion> {
-        self.held.values().map(|ad| version_of(ad)).collect()
+    pub fn digest(&self, scope: Scope) -> Vec<RecordVersion> {
+        let ads = self.held.values();
+        ads.map(|ad| scope.version_of(ad)).collect()
     }
 
     /// Returns records that are newer here than in `digest`, at most [`RECORDS_MAX`].
-    pub fn newer_than(&self, digest: &[RecordVersion]) -> Vec<Arc<Advertisement>> {
-        let theirs: BTreeMap<NodeId, u64> = digest.iter().map(|v| (v.node, v.version)).collect();
-        let is_newer = |ad: &&Arc<Advertisement>| {
-            let version = theirs.get(&ad.record.node);
-            version.is_none_or(|v| *v < ad.record.version)
-        };
-        self.iter()
-            .filter(is_newer)
-            .take(RECORDS_MAX)
-            .cloned()
-            .collect()
+    pub fn newer_than(&self, scope: Scope, digest: &[RecordVersion]) -> Vec<Arc<Advertisement>> {
+        let newer = self.iter().filter(|ad| is_newer(scope, ad, digest));
+        newer.take(RECORDS_MAX).map(|ad| scope.select(ad)).collect()
     }
 
     /// Returns the nodes whose records are newer in `versions` than in this table, at most
     /// [`RECORDS_MAX`], and marks them as requested.
     ///
     /// Records with a recent request are left out, since several peers announce them at once.
-    pub fn outdated(&mut self, now: Time, versions: &[RecordVersion]) -> Vec<NodeId> {
+    pub fn outdated(&mut self, now: Time, scope: Scope, versions: &[RecordVersion]) -> Vec<NodeId> {
         self.requested
             .retain(|_, time| now.since(*time) < REQUEST_RETRY);
         let is_newer = |v: &&RecordVersion| {
-            let held = self.get(v.node).map(|ad| ad.record.version);
+            let held = self.get(v.node).map(|ad| scope.version_of(ad).order());
             let is_excluded = v.node == self.me || self.tombstones.contains(&v.node);
             !is_excluded
                 && !self.requested.contains_key(&v.node)
-                && held.is_none_or(|held| held < v.version)
+                && held.is_none_or(|held| held < v.order())
         };
         let missing = versions.iter().filter(is_newer).take(RECORDS_MAX);
         let missing: Vec<NodeId> = missing.map(|v| v.node).collect();
@@ -286,15 +363,25 @@
     }
 
     /// Returns the records of `nodes`, at most [`RECORDS_MAX`].
-    pub fn select(&self, nodes: &[NodeId]) -> Vec<Arc<Advertisement>> {
+    pub fn select(&self, scope: Scope, nodes: &[NodeId]) -> Vec<Arc<Advertisement>> {
         let found = nodes.iter().filter_map(|n| self.get(*n));
-        found.take(RECORDS_MAX).cloned().collect()
+        found.take(RECORDS_MAX).map(|ad| scope.select(ad)).collect()
     }
 }
 
-fn hash(node: NodeId, version: u64) -> u64 {
-    let mut bytes = [0; 16];
-    bytes[..8].copy_from_slice(&node.0.to_le_bytes());
-    bytes[8..].copy_from_slice(&version.to_le_bytes());
+/// Returns true if a record is newer than in `versions`, which are sorted by node.
+fn is_newer(scope: Scope, ad: &Advertisement, versions: &[RecordVersion]) -> bool {
+    match versions.binary_search_by_key(&ad.record.node, |v| v.node) {
+        Ok(at) => versions[at].order() < scope.version_of(ad).order(),
+        Err(_) => true,
+    }
+}
+
+fn hash(version: &RecordVersion) -> u64 {
+    let parts = [version.node.0, version.version, version.health_version];
+    let mut bytes = [0; 24];
+    for (chunk, part) in bytes.chunks_exact_mut(8).zip(parts) {
+        chunk.copy_from_slice(&part.to_le_bytes());
+    }
     xxh3_64(&bytes)
 }
--- a/src/node/local.rs
+++ b/src/node/local.rs
@@ -283,6 +283,7 @@
         let record = NodeRecord {
             node: me,
             version: 1,
+            health_version: 1,
             zone,
             leaving: false,
             targets: Vec::new(),
@@ -441,8 +442,9 @@
         self.record.send_if_modified(|record| {
             let changed = record.targets != list;
             if changed {
+                record.version += u64::from(record.differs_beyond_health(&list));
+                record.health_version += 1;
                 record.targets = list;
-                record.version += 1;
             }
             changed
         });
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -282,7 +282,10 @@
         let mut inner = self.lock();
         let peers = inner.gossip.peers(&mut rand::rng());
         let now = self.clock.now();
-        let with_request = |member: Member| (member, inner.gossip.request(now));
+        let with_request = |member: Member| {
+            let request = inner.gossip.request(now, &member);
+            (member, request)
+        };
         peers.into_iter().map(with_request).collect()
     }
 
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -10,6 +10,7 @@
 use crate::fleet::table::{RECORDS_MAX, TABLE_MAX};
 use crate::fleet::{
     Advertisement, GossipRequest, GossipResponse, Push, RecordVersion, RelayedEntry, RequestStamp,
+    Scope,
 };
 use crate::freshness::ProofAges;
 use crate::ids::NodeId;
@@ -68,6 +69,10 @@
     digest: Option<DigestRecord>,
     #[prost(bool, tag = "7")]
     without_entries: bool,
+    #[prost(bool, tag = "8")]
+    with_health: bool,
+    #[prost(bool, tag = "9")]
+    without_updates: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -76,6 +81,9 @@
     nodes: Vec<u64>,
     #[prost(uint64, repeated, tag = "2")]
     versions: Vec<u64>,
+    /// Empty if every health version is zero.
+    #[prost(uint64, repeated, tag = "3")]
+    health_versions: Vec<u64>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -102,6 +110,8 @@
     wanted: Vec<u64>,
     #[prost(message, repeated, tag = "11")]
     entries: Vec<EntryRecord>,
+    #[prost(bool, tag = "12")]
+    with_health: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -179,6 +189,8 @@
                 .as_ref()
                 .map(|versions| encode_versions(versions)),
             without_entries: request.without_entries,
+            with_health: request.scope == Scope::WithHealth,
+            without_updates: request.without_updates,
         }
     }
 }
@@ -191,9 +203,18 @@
         updates: r.news.map_or(Ok(Vec::new()), decode_versions)?,
         digest: r.digest.map(decode_versions).transpose()?,
         without_entries: r.without_entries,
+        scope: decode_scope(r.with_health),
+        without_updates: r.without_updates,
     })
 }
 
+fn decode_scope(with_health: bool) -> Scope {
+    match with_health {
+        true => Scope::WithHealth,
+        false => Scope::WithoutHealth,
+    }
+}
+
 fn decode_stamp(from: u64, sent: u64) -> RequestStamp {
     RequestStamp {
         from: NodeId(from),
@@ -202,22 +223,31 @@
 }
 
 fn encode_versions(versions: &[RecordVersion]) -> DigestRecord {
+    let mut health_versions: Vec<u64> = versions.iter().map(|v| v.health_version).collect();
+    if health_versions.iter().all(|version| *version == 0) {
+        health_versions.clear();
+    }
     DigestRecord {
         nodes: versions.iter().map(|v| v.node.0).collect(),
         versions: versions.iter().map(|v| v.version).collect(),
+        health_versions,
     }
 }
 
-fn decode_versions(r: DigestRecord) -> Result<Vec<RecordVersion>> {
+fn decode_versions(mut r: DigestRecord) -> Result<Vec<RecordVersion>> {
     check_count(r.nodes.len(), TABLE_MAX)?;
-    if r.nodes.len() != r.versions.len() {
+    if r.health_versions.is_empty() {
+        r.health_versions = vec![0; r.nodes.len()];
+    }
+    if r.nodes.len() != r.versions.len() || r.nodes.len() != r.health_versions.len() {
         return Err(malformed());
     }
-    let pairs = r.nodes.into_iter().zip(r.versions);
+    let pairs = r.nodes.into_iter().zip(r.versions).zip(r.health_versions);
     let mut versions: Vec<RecordVersion> = pairs
-        .map(|(node, version)| RecordVersion {
+        .map(|((node, version), health_version)| RecordVersion {
             node: NodeId(node),
             version,
+            health_version,
         })
         .collect();
     versions.sort_by_key(|v| v.node);
@@ -238,6 +268,7 @@
             records: encode_all(&response.records),
             wanted: response.requested.iter().map(|n| n.0).collect(),
             entries: encode_entries(&response.entries),
+            with_health: response.scope == Scope::WithHealth,
         }
     }
 }
@@ -271,6 +302,7 @@
         },
         group_age: u8::try_from(r.group).map_err(|_| malformed())?,
         hash: r.hash,
+        scope: decode_scope(r.with_health),
         records: decode_all(r.records)?,
         requested: r.wanted.into_iter().map(NodeId).collect(),
         entries: decode_entries(r.entries),
--- a/src/wire/records.rs
+++ b/src/wire/records.rs
@@ -26,6 +26,8 @@
     leaving: bool,
     #[prost(message, repeated, tag = "7")]
     targets: Vec<TargetMessage>,
+    #[prost(uint64, tag = "8")]
+    health_version: u64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
@@ -91,6 +93,7 @@
             started: advertisement.started,
             node: record.node.0,
             version: record.version,
+            health_version: record.health_version,
             zone: record.zone.to_string(),
             leaving: record.leaving,
             targets: record.targets.iter().map(TargetMessage::from).collect(),
@@ -110,6 +113,7 @@
             record: NodeRecord {
                 node: NodeId(message.node),
                 version: message.version,
+                health_version: message.health_version,
                 zone: message.zone.parse()?,
                 leaving: message.leaving,
                 targets: targets.collect::<Result<_>>()?,
--- a/tests/ejection_floor.rs
+++ b/tests/ejection_floor.rs
@@ -48,6 +48,7 @@
     NodeRecord {
         node: NodeId(node),
         version,
+        health_version: 1,
         zone: format!("zone-{}", node % 3).parse().unwrap(),
         leaving: false,
         targets: vec![TargetRecord {
