Log which owner of a rate limit does not respond, and which claims stay without a lease

A refusal for want of an owner had the reason 'rate' once an owner had responded, and no line named the owner. Such refusals are 'starting' now, limit-no-owner names account, shard, owner and for how long, and limit-lease-open lists each second the votes, voters and other holder of a shard that is requested and has no lease.

--- a/src/limit/limiter.rs
+++ b/src/limit/limiter.rs
@@ -113,8 +113,6 @@
     exhausted: Option<Exhausted>,
     /// When a request first timed out because no owner responded.
     no_owner_since: Option<Time>,
-    /// True once an owner has responded.
-    had_owner: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -383,7 +381,6 @@
             return;
         };
         state.no_owner_since = None;
-        state.had_owner = true;
         let Some(credit) = &mut state.credit else {
             return;
         };
@@ -535,6 +532,13 @@
         closed
     }
 
+    /// Returns for how long no owner has responded to the requests of an account.
+    pub fn no_owner_for(&self, now: Time, account: &AccountName) -> Duration {
+        let state = self.accounts.get(account);
+        let since = state.and_then(|state| state.no_owner_since);
+        since.map_or(Duration::ZERO, |since| now.since(since))
+    }
+
     /// Returns the number of accounts in use.
     pub fn account_count(&self) -> usize {
         self.accounts.len()
@@ -565,11 +569,7 @@
     }
     let no_owner_since = state.no_owner_since?;
     let wait = (LEASE.saturating_sub(now.since(no_owner_since))).max(RETRY_MIN);
-    let reason = match state.had_owner {
-        true => Reason::Rate,
-        false => Reason::Starting,
-    };
-    Some(Refusal::after(reason, jitter(wait, wait, rng)))
+    Some(Refusal::after(Reason::Starting, jitter(wait, wait, rng)))
 }
 
 fn jitter(wait: Duration, pace: Duration, rng: &mut StdRng) -> Duration {
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -38,7 +38,7 @@
 pub use message::{
     Claim, CreditRequest, CreditResponse, CreditResult, Grant, HeldVote, LeaseVote, Succession,
 };
-pub use owner::{Accounts, Allowance, Owner};
+pub use owner::{Accounts, Allowance, OpenClaim, Owner};
 pub use placement::{NodeInfo, Placement, Shard, VOTER_COUNT};
 pub use progress::VoterProgress;
 pub use voter::Voter;
--- a/src/limit/owner.rs
+++ b/src/limit/owner.rs
@@ -47,6 +47,19 @@
     released: Time,
 }
 
+/// The state of a claim on a shard of which the node has no lease.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OpenClaim {
+    /// The shard.
+    pub shard: Shard,
+    /// The voters that have voted for this node.
+    pub votes: Vec<SocketAddr>,
+    /// Another node that a voter has voted for.
+    pub holder: Option<NodeId>,
+    /// True if other nodes have sent credit requests recently.
+    pub requested: bool,
+}
+
 /// State of one shard.
 #[derive(Clone, Debug, Default)]
 struct ShardState {
@@ -518,6 +531,18 @@
         }
     }
 
+    /// Returns the state of the claims on shards of which this node has no lease.
+    pub fn open_claims(&self, now: Time) -> Vec<OpenClaim> {
+        let open = self.shards.iter().filter(|(_, s)| s.lease.is_none());
+        let claims = open.map(|(shard, state)| OpenClaim {
+            shard: *shard,
+            votes: state.votes.keys().copied().collect(),
+            holder: state.other.filter(|o| o.until > now).map(|o| o.node),
+            requested: state.requested_until > now,
+        });
+        claims.collect()
+    }
+
     /// Returns the number of owned shards; a lease that expired since the last call for its shard
     /// still counts.
     pub fn shard_count(&self) -> usize {
--- a/src/node/limits/mod.rs
+++ b/src/node/limits/mod.rs
@@ -18,8 +18,8 @@
 use crate::ids::{AccountName, NodeId};
 use crate::limit::{
     Accounts, AdmitResult, Allowance, BATCH_PERIOD, Claim, CreditRequest, CreditResponse,
-    HandoverRequest, LEASE, LeaseVote, LocalLimiter, NodeInfo, Owner, Placement, Shard, Ticket,
-    Voter, VoterProgress,
+    HandoverRequest, LEASE, LeaseVote, LocalLimiter, NodeInfo, OpenClaim, Owner, Placement, Shard,
+    Ticket, Voter, VoterProgress,
 };
 use crate::metrics::Metrics;
 use crate::node::components::{ActiveConfig, RateLimiter};
@@ -284,14 +284,35 @@
             (admit, requests, waiter)
         };
         self.send_requests(requests);
-        match (admit, waiter) {
+        let result = match (admit, waiter) {
             (AdmitResult::Refused(refusal), _) => Err(refusal),
             (_, Some(receiver)) => {
                 stripe.wake.notify_one();
                 wait_for(receiver, max_wait).await
             }
             _ => Ok(()),
+        };
+        if let Err(refusal) = &result
+            && refusal.reason == Reason::Starting
+        {
+            self.log_no_owner(account, shard);
         }
+        result
+    }
+
+    /// Logs which node did not respond to the credit requests of an account.
+    fn log_no_owner(&self, account: &Account, shard: Shard) {
+        let placement = self.placement.load();
+        let state = self.stripes[stripe_of(shard)].lock();
+        let owner = state.limiter.owner_of(&placement, shard);
+        let silent_for = state.limiter.no_owner_for(self.clock.now(), &account.name);
+        drop(state);
+        let addr = owner.and_then(|owner| placement.addr(owner));
+        log::info!(
+            event = "limit-no-owner", account:% = account.name, shard:% = shard, owner:? = owner,
+            address:? = addr, ms = silent_for.as_millis() as u64;
+            "no response of the owner of a rate limit"
+        );
     }
 
     /// Runs the rate limits until the future is dropped.
@@ -364,6 +385,7 @@
         let mut claims: BTreeMap<SocketAddr, Claim> = BTreeMap::new();
         let mut handovers: Vec<(NodeId, HandoverRequest)> = Vec::new();
         let mut requests = Vec::new();
+        let mut open_claims = Vec::new();
         let (mut owned, mut accounts, mut buckets) = (0, 0, 0);
         for (index, stripe) in self.stripes.iter().enumerate() {
             let mut state = stripe.lock();
@@ -381,6 +403,7 @@
             requests.extend(state.limiter.tick(now));
             requests.extend(state.flush(now));
             if sweep {
+                open_claims.extend(state.owner.open_claims(now));
                 state.voter.expire(now);
                 state.owner.expire(now);
             }
@@ -398,6 +421,7 @@
         }
         self.send_requests(requests);
         if sweep {
+            log_open_claims(&placement, &open_claims);
             let before = self.owned.swap(owned, Ordering::Relaxed);
             if before != owned {
                 log::info!(
@@ -586,6 +610,18 @@
     }
 }
 
+/// Logs why this node has no lease of the shards for which other nodes request credit.
+fn log_open_claims(placement: &Placement, claims: &[OpenClaim]) {
+    for claim in claims.iter().filter(|claim| claim.requested) {
+        let voters = placement.voters(claim.shard);
+        log::info!(
+            event = "limit-lease-open", shard:% = claim.shard, votes:? = claim.votes,
+            voters:? = voters, holder:? = claim.holder;
+            "no lease of a shard"
+        );
+    }
+}
+
 async fn wait_for(
     receiver: oneshot::Receiver<AdmissionResult>,
     max_wait: Duration,
