Double the timeout of a credit request while no owner responds

Cause: each account in use on a node repeated its credit request every 25 ms while no owner responded, so the nodes of a grown fleet sent one candidate some 1,600 messages a second (a link of 2 Mbit/s carries about as much, with headers); the candidate's own claims and responses then came too late, and it stayed without a lease.

--- a/src/limit/limiter.rs
+++ b/src/limit/limiter.rs
@@ -36,6 +36,12 @@
 /// by then it was sent to as many nodes.
 const REDIRECTS_MAX: u32 = 3;
 
+/// Largest number of times that the timeout of a credit request doubles while no owner responds.
+///
+/// With [`REQUEST_TIMEOUT`] it is at most 800 ms then, well below the time in which a shard changes
+/// its owner.
+const DOUBLINGS_MAX: u32 = 5;
+
 /// Largest random extension of a retry time, as a share of it, so that callers don't all retry at
 /// once.
 const JITTER: f64 = 0.25;
@@ -102,6 +108,8 @@
     /// Send time of the credit request in flight.
     requested_at: Option<Time>,
     redirects: u32,
+    /// Credit requests without a response since the last grant.
+    timeouts: u32,
     /// Send time of the last credit request.
     last_requested_at: Time,
     /// Requests per second.
@@ -173,6 +181,12 @@
         expired
     }
 
+    /// Returns when the credit request in flight is sent again.
+    fn resend_at(&self) -> Option<Time> {
+        let timeout = REQUEST_TIMEOUT * 2u32.pow(self.timeouts.min(DOUBLINGS_MAX));
+        self.requested_at.map(|sent| sent + timeout)
+    }
+
     /// Returns true if the owner requested prompt reports and enough tokens are unreported.
     fn must_report(&self) -> bool {
         let unreported = self.credit.as_ref().map_or(0, Credit::unreported);
@@ -381,6 +395,7 @@
             return;
         };
         state.no_owner_since = None;
+        state.timeouts = 0;
         let Some(credit) = &mut state.credit else {
             return;
         };
@@ -457,12 +472,10 @@
             return;
         };
         admit_waiting(state, now, &mut self.results);
-        if state
-            .requested_at
-            .is_some_and(|sent| now.since(sent) >= REQUEST_TIMEOUT)
-        {
+        if state.resend_at().is_some_and(|at| at <= now) {
             state.requested_at = None;
             state.redirects = 0;
+            state.timeouts = state.timeouts.saturating_add(1);
             let route = self.routes.entry(Shard::of(name)).or_default();
             route.candidate = match route.hint.take() {
                 Some(_) => 0,
@@ -577,7 +590,7 @@
 }
 
 fn next_event(state: &AccountState, now: Time) -> Option<Time> {
-    let timeout = state.requested_at.map(|sent| sent + REQUEST_TIMEOUT);
+    let timeout = state.resend_at();
     let wait = state.waiting.iter().map(|w| w.until).min();
     let ready = match state.waiting.is_empty() {
         true => None,
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -73,7 +73,8 @@
 /// Longest time that a request waits for a token before it is refused.
 pub const TOKEN_WAIT_MAX: Duration = Duration::from_millis(100);
 
-/// Time after which a credit request without a response is sent again.
+/// Time after which a credit request without a response is sent again; it doubles with each further
+/// one.
 pub const REQUEST_TIMEOUT: Duration = Duration::from_millis(25);
 
 /// Correction of a duration that another process measures, in thousandths.
