Let a candidate give up a shard that it can't win

Cause: a voter votes for a candidate whose claim it receives. A candidate that doesn't receive the responses (its link was full), or that reaches one of three voters, kept these votes for as long as it claimed, and no other candidate could win. A candidate without a lease gives up after two leases, releases what it holds and pauses for as long.

--- a/src/limit/owner.rs
+++ b/src/limit/owner.rs
@@ -19,6 +19,13 @@
 /// Time for which a credit request makes a node a candidate for the shard.
 const CANDIDATE_TIME: Duration = Duration::from_secs(1);
 
+/// Time in leases after which a candidate without a lease gives up, and time for which it then makes
+/// no claims.
+///
+/// Voters may receive the claims of a node that does not receive their responses, or a node may reach
+/// too few of them. Their votes would keep every other node from the lease.
+const GIVE_UP_LEASES: u32 = 2;
+
 /// Rate and burst of a client account.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Allowance {
@@ -65,6 +72,10 @@
 struct ShardState {
     votes: BTreeMap<SocketAddr, Time>,
     next_claim: Time,
+    /// Since when this node has claimed the shard without a lease.
+    claimed_since: Option<Time>,
+    /// Until when this node makes no claims, as the last ones did not win a lease.
+    paused_until: Time,
     /// Until when credit requests from other nodes make this node a candidate.
     requested_until: Time,
     /// Send time of the last release; votes on earlier claims are ignored.
@@ -128,6 +139,14 @@
         }
     }
 
+    /// Pauses the claims for `time` if they have not won a lease for as long.
+    fn pause_after(&mut self, now: Time, time: Duration) {
+        if self.claimed_since.is_some_and(|t| now.since(t) >= time) {
+            self.claimed_since = None;
+            self.paused_until = now + time;
+        }
+    }
+
     /// Returns the time until which this node holds the votes of a majority of each set of voters.
     fn lease_until(&self, placement: &Placement, shard: Shard) -> Time {
         placement
@@ -220,7 +239,9 @@
         let candidate = first || state.requested_until > now;
         state.received.take_if(|r| !r.is_valid(now));
         let from = state.received.as_ref().map(|r| r.from);
-        let is_claiming = state.lease.is_some() || from.is_some() || (candidate && !held_by_other);
+        state.pause_after(now, placement.lease() * GIVE_UP_LEASES);
+        let may_claim = candidate && !held_by_other && state.paused_until <= now;
+        let is_claiming = state.lease.is_some() || from.is_some() || may_claim;
         if is_claiming && now < state.next_claim {
             return;
         }
@@ -235,6 +256,9 @@
             succeeds: Vec::new(),
         };
         if is_claiming {
+            if state.lease.is_none() {
+                state.claimed_since.get_or_insert(now);
+            }
             state.next_claim = match from {
                 Some(_) => now,
                 None => now + placement.lease() * 3 / 10,
@@ -247,6 +271,7 @@
             }
             return;
         }
+        state.claimed_since = None;
         // No other node may win before the grants of this one have expired, or those of a leaving
         // owner whose votes were transferred to this one.
         if now < state.grants_until.max(state.old_owner_until) {
@@ -277,6 +302,11 @@
         vote: &LeaseVote,
     ) {
         let vote_until = vote.sent + vote.length;
+        if vote.abstains.is_some() {
+            self.shards
+                .values_mut()
+                .for_each(|state| state.claimed_since = None);
+        }
         for &shard in &vote.granted {
             self.record_shard_vote(now, placement, shard, voter, vote.sent, vote_until);
         }
@@ -326,6 +356,7 @@
         let no_old_grants = state.grants_until <= now;
         if state.lease.is_none() && no_old_grants && state.lease_until(placement, shard) > now {
             self.lease_count += 1;
+            state.claimed_since = None;
             state.other = None;
             state.ticket = None;
             let number = lease_number(self.node, self.lease_count);
