Relay credit requests that the owner does not answer

Cause: where paths between some VMs are cut, a node asked the owner in vain, then the next candidate, which named the same owner; every request of the account was refused there as 'starting' while the cut lasted. A request that follows a timeout asks the other candidate to relay it. The owner grants to the node that asked, so the bound of outstanding tokens is unchanged. cut_path_is_relayed failed before (no token in 30 s).

--- a/src/limit/credit.rs
+++ b/src/limit/credit.rs
@@ -125,6 +125,7 @@
             waiting: 0,
             demand: 0,
             close: false,
+            relay: false,
         }
     }
 
--- a/src/limit/limiter.rs
+++ b/src/limit/limiter.rs
@@ -324,6 +324,7 @@
         }
         let mut request = credit.request(now, name);
         request.waiting = missing as u32;
+        request.relay = state.timeouts > 0;
         request.demand = (demand * 1_000.0) as u64;
         Some(request)
     }
--- a/src/limit/message.rs
+++ b/src/limit/message.rs
@@ -91,6 +91,9 @@
     pub demand: u64,
     /// True if the local limiter drops the credit.
     pub close: bool,
+    /// True if a node that knows the owner should relay the request to it, as the sender has had no
+    /// response from the owner.
+    pub relay: bool,
 }
 
 /// An owner's response to a [`CreditRequest`].
--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -61,7 +61,7 @@
     async fn handle(&self, peer: Hello, channel: Channel, payload: Bytes) -> Result<Bytes> {
         match channel {
             Channel::Gossip => serve_gossip(&self.view, payload),
-            Channel::Limit => self.limits.serve(peer, payload),
+            Channel::Limit => self.limits.serve(peer, payload).await,
             Channel::Idempotency => self.idempotency.serve(peer, payload),
             _ => Err(Error::unavailable(format!("{channel:?} is not served"))),
         }
--- a/src/node/limits/serve.rs
+++ b/src/node/limits/serve.rs
@@ -1,5 +1,6 @@
 //! Serving of other nodes' requests: lease votes, credit and shard handovers.
 
+use std::collections::BTreeMap;
 use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
@@ -8,11 +9,11 @@
 use crate::error::{Error, Result};
 use crate::ids::NodeId;
 use crate::limit::{
-    Claim, CreditRequest, CreditResponse, HandoverRequest, HandoverTicket, LeaseVote, Shard,
-    ShardHandover,
+    Claim, CreditRequest, CreditResponse, CreditResult, HandoverRequest, HandoverTicket, LeaseVote,
+    Shard, ShardHandover,
 };
 use crate::time::Clock;
-use crate::wire::{Hello, LimitRequest, LimitResponse, Role};
+use crate::wire::{Hello, LimitRequest, LimitResponse, RelayRequest, Role};
 
 impl RateLimits {
     /// Serves a request of another node on [`Channel::Limit`](crate::wire::Channel::Limit).
@@ -21,7 +22,7 @@
     ///
     /// Fails if the payload is malformed, its sender is not a node, or this node may not vote on
     /// the claim.
-    pub fn serve(&self, peer: Hello, payload: Bytes) -> Result<Bytes> {
+    pub async fn serve(&self, peer: Hello, payload: Bytes) -> Result<Bytes> {
         if peer.role != Role::Node {
             return Err(Error::invalid("limit messages come from nodes only"));
         }
@@ -36,7 +37,11 @@
                 LimitResponse::Vote(vote.ok_or_else(|| Error::invalid("claim overtaken"))?)
             }
             LimitRequest::Credit(requests) => {
-                LimitResponse::Credit(self.serve_credit(from, &requests))
+                let responses = self.serve_credit(from, &requests);
+                LimitResponse::Credit(self.relay(from, &requests, responses).await)
+            }
+            LimitRequest::Relay(relay) => {
+                LimitResponse::Credit(self.serve_credit(relay.node, &relay.requests))
             }
             LimitRequest::Handover(request) => {
                 LimitResponse::Handover(self.hand_over(from, &request))
@@ -90,6 +95,60 @@
         })
     }
 
+    /// Relays the requests of which this node is not the owner to the owners that it knows, and
+    /// returns the responses with theirs in place of its own.
+    async fn relay(
+        &self,
+        from: NodeId,
+        requests: &[CreditRequest],
+        mut responses: Vec<CreditResponse>,
+    ) -> Vec<CreditResponse> {
+        let placement = self.placement.load_full();
+        for (owner, requests) in self.relays(from, requests, &responses) {
+            let Some(addr) = placement.addr(owner) else {
+                continue;
+            };
+            self.metrics.count("limit.relays");
+            let relay = LimitRequest::Relay(RelayRequest {
+                node: from,
+                requests,
+            });
+            let Ok(LimitResponse::Credit(relayed)) = self.call(addr, &relay).await else {
+                continue;
+            };
+            for response in relayed {
+                let same = |r: &&mut CreditResponse| r.account == response.account;
+                if let Some(own) = responses.iter_mut().find(same) {
+                    *own = response;
+                }
+            }
+        }
+        responses
+    }
+
+    /// Returns the requests to relay, by owner.
+    fn relays(
+        &self,
+        from: NodeId,
+        requests: &[CreditRequest],
+        responses: &[CreditResponse],
+    ) -> BTreeMap<NodeId, Vec<CreditRequest>> {
+        let placement = self.placement.load();
+        let mut relays: BTreeMap<NodeId, Vec<CreditRequest>> = BTreeMap::new();
+        for (request, response) in requests.iter().zip(responses) {
+            let CreditResult::NotOwner(hint) = response.result else {
+                continue;
+            };
+            let shard = Shard::of(&request.account);
+            let owner = hint.or_else(|| placement.candidate(shard));
+            let owner = owner.filter(|owner| *owner != self.me && *owner != from);
+            if let Some(owner) = owner.filter(|_| request.relay) {
+                relays.entry(owner).or_default().push(request.clone());
+            }
+        }
+        relays
+    }
+
     /// Hands shards over to a successor, if this node is leaving.
     fn hand_over(&self, successor: NodeId, request: &HandoverRequest) -> Vec<ShardHandover> {
         let placement = self.placement.load();
--- a/src/wire/limit.rs
+++ b/src/wire/limit.rs
@@ -22,10 +22,21 @@
     Claim(Claim),
     /// Credit requests of a node's local limiter, to the owner of the shards.
     Credit(Vec<CreditRequest>),
+    /// Credit requests of a node that can't reach the owner, from a node that can.
+    Relay(RelayRequest),
     /// A handover request of a successor, to the owner that is leaving.
     Handover(HandoverRequest),
 }
 
+/// Credit requests that another node relays.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RelayRequest {
+    /// The node whose local limiter sent them.
+    pub node: NodeId,
+    /// The requests.
+    pub requests: Vec<CreditRequest>,
+}
+
 /// The response to a [`LimitRequest`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LimitResponse {
@@ -39,7 +50,7 @@
 
 #[derive(Clone, PartialEq, Message)]
 struct RequestRecord {
-    #[prost(oneof = "RequestBody", tags = "1, 2, 3")]
+    #[prost(oneof = "RequestBody", tags = "1, 2, 3, 4")]
     body: Option<RequestBody>,
 }
 
@@ -51,6 +62,8 @@
     Asks(CreditRequestsRecord),
     #[prost(message, tag = "3")]
     Take(HandoverRequestRecord),
+    #[prost(message, tag = "4")]
+    Relay(RelayRecord),
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -131,6 +144,14 @@
     asks: Vec<CreditRequestRecord>,
 }
 
+#[derive(Clone, PartialEq, Message)]
+struct RelayRecord {
+    #[prost(fixed64, tag = "1")]
+    node: u64,
+    #[prost(message, repeated, tag = "2")]
+    asks: Vec<CreditRequestRecord>,
+}
+
 #[derive(Clone, PartialEq, Message)]
 struct CreditRequestRecord {
     #[prost(string, tag = "1")]
@@ -151,6 +172,8 @@
     demand: u64,
     #[prost(bool, tag = "9")]
     close: bool,
+    #[prost(bool, tag = "10")]
+    relay: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -316,6 +339,7 @@
             waiting: request.waiting,
             demand: request.demand,
             close: request.close,
+            relay: request.relay,
         }
     }
 }
@@ -334,6 +358,7 @@
             waiting: record.waiting,
             demand: record.demand,
             close: record.close,
+            relay: record.relay,
         })
     }
 }
@@ -403,13 +428,26 @@
     }
 }
 
+fn encode_requests(requests: &[CreditRequest]) -> Vec<CreditRequestRecord> {
+    requests.iter().map(CreditRequestRecord::from).collect()
+}
+
+fn decode_requests(records: Vec<CreditRequestRecord>) -> Result<Vec<CreditRequest>> {
+    let requests = records.into_iter().map(CreditRequest::try_from);
+    requests.collect()
+}
+
 impl LimitRequest {
     /// Encodes the request as a frame payload.
     pub fn encode(&self) -> Bytes {
         let body = match self {
             LimitRequest::Claim(claim) => RequestBody::Claim(claim.into()),
             LimitRequest::Credit(requests) => RequestBody::Asks(CreditRequestsRecord {
-                asks: requests.iter().map(CreditRequestRecord::from).collect(),
+                asks: encode_requests(requests),
+            }),
+            LimitRequest::Relay(relay) => RequestBody::Relay(RelayRecord {
+                node: relay.node.0,
+                asks: encode_requests(&relay.requests),
             }),
             LimitRequest::Handover(request) => RequestBody::Take(request.into()),
         };
@@ -427,9 +465,12 @@
         match record.body {
             Some(RequestBody::Claim(claim)) => Ok(LimitRequest::Claim(claim.try_into()?)),
             Some(RequestBody::Asks(record)) => {
-                let requests = record.asks.into_iter().map(CreditRequest::try_from);
-                Ok(LimitRequest::Credit(requests.collect::<Result<_>>()?))
+                Ok(LimitRequest::Credit(decode_requests(record.asks)?))
             }
+            Some(RequestBody::Relay(record)) => Ok(LimitRequest::Relay(RelayRequest {
+                node: NodeId(record.node),
+                requests: decode_requests(record.asks)?,
+            })),
             Some(RequestBody::Take(record)) => Ok(LimitRequest::Handover(record.try_into()?)),
             None => Err(Error::invalid("limit request without a body")),
         }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -18,6 +18,6 @@
 
 pub use frame::{Channel, Frame, FrameCodec};
 pub use idempotency::{IdempotencyRequest, IdempotencyResponse};
-pub use limit::{LimitRequest, LimitResponse};
+pub use limit::{LimitRequest, LimitResponse, RelayRequest};
 pub use link::{Hello, Link, Protocol, Role, Secret, accept, connect};
 pub use rpc::{Handler, Peer, serve_frames};
--- a/tests/limit_figures.rs
+++ b/tests/limit_figures.rs
@@ -195,6 +195,7 @@
             waiting,
             demand: 0,
             close: false,
+            relay: false,
         };
         let CreditResponse { result, .. } = self.owner.serve(
             now,
--- a/tests/limit_links.rs
+++ b/tests/limit_links.rs
@@ -1,11 +1,12 @@
 //! The rate limits of nodes that exchange messages over loopback links.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use laburnumtide::config::{Account, Config, Note};
 use laburnumtide::fleet::{Member, Registry, RegistryChange};
+use laburnumtide::limit::{NodeInfo, Placement, Shard};
 use laburnumtide::metrics::Metrics;
 use laburnumtide::node::ActiveConfig;
 use laburnumtide::node::limits::RateLimits;
@@ -20,11 +21,19 @@
 /// Generous timeout until the shards of a fleet have owners on a busy machine.
 const START_LIMIT: Duration = Duration::from_secs(30);
 
-struct Serve(Arc<RateLimits>);
+struct Serve {
+    node: NodeId,
+    limits: Arc<RateLimits>,
+    cut_paths: CutPaths,
+}
 
 impl Handler for Serve {
     async fn handle(&self, peer: Hello, _: Channel, payload: Bytes) -> Result<Bytes> {
-        self.0.serve(peer, payload)
+        let path = (NodeId(peer.id), self.node);
+        if self.cut_paths.lock().unwrap().contains(&path) {
+            std::future::pending::<()>().await;
+        }
+        self.limits.serve(peer, payload).await
     }
 }
 
@@ -41,8 +50,23 @@
     config.account(&"bakery".parse().unwrap()).unwrap().clone()
 }
 
-/// Starts nodes that are members of one registry, each in its own zone.
+/// A node of a fleet.
+struct Node {
+    info: NodeInfo,
+    limits: Arc<RateLimits>,
+    metrics: Metrics,
+}
+
+/// Pairs of nodes of which the second does not respond to the first.
+type CutPaths = Arc<Mutex<Vec<(NodeId, NodeId)>>>;
+
 async fn spawn_fleet(count: usize) -> Vec<Arc<RateLimits>> {
+    let nodes = spawn_nodes(count, CutPaths::default()).await;
+    nodes.into_iter().map(|node| node.limits).collect()
+}
+
+/// Starts nodes that are members of one registry, each in its own zone.
+async fn spawn_nodes(count: usize, cut_paths: CutPaths) -> Vec<Node> {
     let secret = Secret::new(b"0123456789abcdef").unwrap();
     let (mut nodes, mut members) = (Vec::new(), Vec::new());
     for i in 0..count {
@@ -58,7 +82,7 @@
             active_config,
             secret.clone(),
             hello,
-            metrics,
+            metrics.clone(),
         ));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         members.push(Member {
@@ -67,16 +91,33 @@
             zone: format!("zone-{i}").parse().unwrap(),
         });
         let (served, secret) = (limits.clone(), secret.clone());
+        let cut_paths = cut_paths.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let (served, secret) = (served.clone(), secret.clone());
+                let cut_paths = cut_paths.clone();
                 tokio::spawn(async move {
                     let link = accept(stream, &secret, hello).await?;
-                    serve_frames(link, Arc::new(Serve(served))).await
+                    let handler = Serve {
+                        node: NodeId(hello.id),
+                        limits: served,
+                        cut_paths,
+                    };
+                    serve_frames(link, Arc::new(handler)).await
                 });
             }
         });
-        nodes.push(limits);
+        let member = members.last().unwrap();
+        let info = NodeInfo {
+            id: member.id,
+            addr: member.addr,
+            zone: member.zone.clone(),
+        };
+        nodes.push(Node {
+            info,
+            limits,
+            metrics,
+        });
     }
     members.sort_by_key(|m| m.id);
     let change = RegistryChange {
@@ -85,10 +126,10 @@
     };
     let registry = Registry::new().with_change(&change).unwrap();
     for node in &nodes {
-        node.set_registry(Position(1), true, &registry);
-        node.set_live(|_| true);
-        node.set_fresh(true);
-        tokio::spawn(node.clone().run());
+        node.limits.set_registry(Position(1), true, &registry);
+        node.limits.set_live(|_| true);
+        node.limits.set_fresh(true);
+        tokio::spawn(node.limits.clone().run());
     }
     nodes
 }
@@ -159,3 +200,44 @@
 async fn one_node_keeps_a_rate() {
     check_fleet(1).await;
 }
+
+/// Waits until one node owns a shard and returns it.
+async fn wait_owner(nodes: &[Node]) -> NodeId {
+    let start = Instant::now();
+    let owns = |node: &&Node| node.metrics.render().contains("limit.shards 1\n");
+    loop {
+        if let Some(node) = nodes.iter().find(owns) {
+            return node.info.id;
+        }
+        assert!(start.elapsed() < START_LIMIT, "no node owns a shard");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Guards against an account without service on a node that can't reach the account's owner.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn cut_path_is_relayed() {
+    let cut_paths = CutPaths::default();
+    let nodes = spawn_nodes(4, cut_paths.clone()).await;
+    let account = account(&config());
+    let infos: Vec<NodeInfo> = nodes.iter().map(|node| node.info.clone()).collect();
+    let mut placement = Placement::new(NodeId(0));
+    placement.set_members(&infos, |_| true);
+    let owners = placement.candidates(Shard::of(&account.name));
+    let is_other = |node: &&Node| !owners.contains(&Some(node.info.id));
+    let cut = nodes.iter().find(is_other).unwrap();
+    let limits = |node: &Node| node.limits.clone();
+    let others: Vec<_> = nodes
+        .iter()
+        .filter(|node| node.info.id != cut.info.id)
+        .map(limits)
+        .collect();
+    wait_admitted(&others, &account).await;
+    let owner = wait_owner(&nodes).await;
+    cut_paths.lock().unwrap().push((cut.info.id, owner));
+    let start = Instant::now();
+    while let Err(refusal) = cut.limits.admit(&account, DEADLINE).await {
+        assert!(start.elapsed() < START_LIMIT, "last refusal {refusal:?}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
