Find a new owner soon, and back off only after a second without one

A replacement takes about one lease, so the timeout stays at 50 ms for some 20 requests and doubles to 800 ms only after them. It belongs to the shard's route now, not to the account in use, since an account with few requests on a node starts anew with each.

--- a/src/limit/limiter.rs
+++ b/src/limit/limiter.rs
@@ -36,10 +36,14 @@
 /// by then it was sent to as many nodes.
 const REDIRECTS_MAX: u32 = 3;
 
-/// Largest number of times that the timeout of a credit request doubles while no owner responds.
-///
-/// With [`REQUEST_TIMEOUT`] it is at most 800 ms then, well below the time in which a shard changes
-/// its owner.
+/// Number of times that the timeout of a credit request doubles while a lost owner is replaced, so
+/// that it is at most 50 ms with [`REQUEST_TIMEOUT`].
+const DOUBLINGS: u32 = 1;
+
+/// Number of timeouts in a row, some 1 s, after which the timeout doubles further.
+const TIMEOUTS_MANY: u32 = 20;
+
+/// The same for a longer absence of an owner; the timeout is at most 800 ms then.
 const DOUBLINGS_MAX: u32 = 5;
 
 /// Largest random extension of a retry time, as a share of it, so that callers don't all retry at
@@ -96,6 +100,39 @@
     hint: Option<NodeId>,
     /// Index of the candidate to try; the other one is tried after a timeout.
     candidate: usize,
+    /// Credit requests without a response since the last grant.
+    timeouts: u32,
+    last_timeout: Time,
+}
+
+impl Route {
+    /// Returns the number of timeouts in a row, or zero if the last one is long past.
+    fn timeouts(&self, now: Time) -> u32 {
+        match now.since(self.last_timeout) < LEASE {
+            true => self.timeouts,
+            false => 0,
+        }
+    }
+
+    /// Returns the time after which a credit request is sent again.
+    fn request_timeout(&self, now: Time) -> Duration {
+        let timeouts = self.timeouts(now);
+        let doublings = match timeouts < TIMEOUTS_MANY {
+            true => timeouts.min(DOUBLINGS),
+            false => (DOUBLINGS + 1 + timeouts - TIMEOUTS_MANY).min(DOUBLINGS_MAX),
+        };
+        REQUEST_TIMEOUT * 2u32.pow(doublings)
+    }
+
+    /// Records a credit request without a response and selects the other candidate.
+    fn record_timeout(&mut self, now: Time) {
+        self.timeouts = self.timeouts(now).saturating_add(1);
+        self.last_timeout = now;
+        self.candidate = match self.hint.take() {
+            Some(_) => 0,
+            None => 1 - self.candidate,
+        };
+    }
 }
 
 /// State of an account in use.
@@ -108,8 +145,8 @@
     /// Send time of the credit request in flight.
     requested_at: Option<Time>,
     redirects: u32,
-    /// Credit requests without a response since the last grant.
-    timeouts: u32,
+    /// When the credit request in flight is sent again.
+    resend_at: Option<Time>,
     /// Send time of the last credit request.
     last_requested_at: Time,
     /// Requests per second.
@@ -181,12 +218,6 @@
         expired
     }
 
-    /// Returns when the credit request in flight is sent again.
-    fn resend_at(&self) -> Option<Time> {
-        let timeout = REQUEST_TIMEOUT * 2u32.pow(self.timeouts.min(DOUBLINGS_MAX));
-        self.requested_at.map(|sent| sent + timeout)
-    }
-
     /// Returns true if the owner requested prompt reports and enough tokens are unreported.
     fn must_report(&self) -> bool {
         let unreported = self.credit.as_ref().map_or(0, Credit::unreported);
@@ -308,7 +339,10 @@
         if state.requested_at.is_some() {
             return None;
         }
+        let route = self.routes.get(&Shard::of(name)).copied();
+        let route = route.unwrap_or_default();
         state.requested_at = Some(now);
+        state.resend_at = Some(now + route.request_timeout(now));
         state.last_requested_at = now;
         self.pending.insert(name.clone());
         let missing = (state.waiting.len() as u64).saturating_sub(state.held(now));
@@ -324,7 +358,7 @@
         }
         let mut request = credit.request(now, name);
         request.waiting = missing as u32;
-        request.relay = state.timeouts > 0;
+        request.relay = route.timeouts(now) > 0;
         request.demand = (demand * 1_000.0) as u64;
         Some(request)
     }
@@ -396,7 +430,9 @@
             return;
         };
         state.no_owner_since = None;
-        state.timeouts = 0;
+        if let Some(route) = self.routes.get_mut(&Shard::of(name)) {
+            route.timeouts = 0;
+        }
         let Some(credit) = &mut state.credit else {
             return;
         };
@@ -473,15 +509,14 @@
             return;
         };
         admit_waiting(state, now, &mut self.results);
-        if state.resend_at().is_some_and(|at| at <= now) {
+        let is_late = state.resend_at.is_some_and(|at| at <= now);
+        if state.requested_at.is_some() && is_late {
             state.requested_at = None;
             state.redirects = 0;
-            state.timeouts = state.timeouts.saturating_add(1);
-            let route = self.routes.entry(Shard::of(name)).or_default();
-            route.candidate = match route.hint.take() {
-                Some(_) => 0,
-                None => 1 - route.candidate,
-            };
+            self.routes
+                .entry(Shard::of(name))
+                .or_default()
+                .record_timeout(now);
             self.due.insert(name.clone());
         }
         let has_tokens = state.held(now) > 0;
@@ -591,7 +626,7 @@
 }
 
 fn next_event(state: &AccountState, now: Time) -> Option<Time> {
-    let timeout = state.resend_at();
+    let timeout = state.resend_at.filter(|_| state.requested_at.is_some());
     let wait = state.waiting.iter().map(|w| w.until).min();
     let ready = match state.waiting.is_empty() {
         true => None,
