Release the listeners before a control process counts as stopped

Known red lost_data_dirs: a control process that is started again right after Handle::stop couldn't bind its address.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -131,7 +131,7 @@
     view: Arc<View>,
     operator_api: Arc<OperatorApi>,
     ended: Ended,
-    _tasks: JoinSet<()>,
+    tasks: JoinSet<()>,
 }
 
 impl Handle {
@@ -174,14 +174,17 @@
         }
     }
 
-    /// Stops the replica thread and waits for it, so that the journal's lock is released.
+    /// Stops the replica thread and the listeners and waits for them, so that the journal's lock and
+    /// the addresses are released.
     ///
     /// # Errors
     ///
     /// As [`Handle::ended`].
     pub async fn stop(mut self) -> Result<()> {
         let _ = self.commands.send(Command::Stop);
-        self.ended().await
+        let ended = self.ended().await;
+        self.tasks.shutdown().await;
+        ended
     }
 }
 
@@ -236,7 +239,7 @@
         view: process.view,
         operator_api,
         ended,
-        _tasks: tasks,
+        tasks,
     })
 }
 
--- a/tests/control_group.rs
+++ b/tests/control_group.rs
@@ -488,3 +488,18 @@
     bytes[at] ^= 1;
     std::fs::write(path, bytes).unwrap();
 }
+
+/// Guards against a process that can't bind its address when it starts again right after its stop.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn stop_releases_addresses() {
+    let mut group = Group::start(1).await;
+    let settings = group.settings(0);
+    for round in 0..200 {
+        group.stop(0).await;
+        for addr in [settings.link, settings.operator] {
+            let bound = std::net::TcpListener::bind(addr);
+            assert!(bound.is_ok(), "round {round}: {bound:?}");
+        }
+        group.spawn(0).await;
+    }
+}
