Pass changes of health to the request path again

Cause: since health has a version of its own ('Exchange health of targets within zones'), propagate_records compared only the other version and passed no change of health on, so ingresses ejected nobody by published health. The balancer ignored the order of health versions too.

--- a/src/fleet/record.rs
+++ b/src/fleet/record.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::table::RecordVersion;
 use crate::ids::{NodeId, ServiceName, TargetName, ZoneName};
 use crate::units::Slots;
 
@@ -114,6 +115,15 @@
 }
 
 impl NodeRecord {
+    /// Returns the versions of the record.
+    pub fn full_version(&self) -> RecordVersion {
+        RecordVersion {
+            node: self.node,
+            version: self.version,
+            health_version: self.health_version,
+        }
+    }
+
     /// Returns true if `targets` differ from those of the record in more than health.
     pub fn differs_beyond_health(&self, targets: &[TargetRecord]) -> bool {
         let pairs = self.targets.iter().zip(targets);
--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::error::{Error, Result};
-use crate::fleet::{Member, NodeRecord};
+use crate::fleet::{Member, NodeRecord, RecordVersion};
 use crate::freshness::PROOF_LIFETIME_MAX;
 use crate::idempotency::RetentionPolicy;
 use crate::ids::NodeId;
@@ -257,19 +257,20 @@
 /// Passes changed records of other nodes to the request path.
 async fn propagate_records(view: Arc<FleetView>, targets: Arc<Targets>, links: Arc<Links>) {
     let mut changes = view.changes();
-    let mut known: Vec<(NodeId, u64)> = Vec::new();
+    let mut known: Vec<RecordVersion> = Vec::new();
     loop {
         let records = view.records();
         let mut present = Vec::with_capacity(records.len());
         for advertisement in records {
-            let entry = (advertisement.record.node, advertisement.record.version);
-            if known.binary_search(&entry).is_err() {
+            let version = advertisement.record.full_version();
+            let at = known.binary_search_by_key(&version.node, |k| k.node);
+            if at.is_err() || at.is_ok_and(|at| known[at] != version) {
                 targets.update_node(advertisement.addr, &advertisement.record);
             }
-            present.push(entry);
+            present.push(version);
         }
-        for (node, _) in known {
-            if present.binary_search_by_key(&node, |p| p.0).is_err() {
+        for RecordVersion { node, .. } in known {
+            if present.binary_search_by_key(&node, |p| p.node).is_err() {
                 targets.remove_node(node);
                 links.remove_node(node);
             }
--- a/src/route/balancer.rs
+++ b/src/route/balancer.rs
@@ -81,7 +81,8 @@
 #[derive(Clone, Debug)]
 pub struct Balancer {
     zone: ZoneName,
-    versions: BTreeMap<NodeId, u64>,
+    /// Version and health version of each node's record.
+    versions: BTreeMap<NodeId, (u64, u64)>,
     services: BTreeMap<ServiceName, Service>,
     /// The targets of each node with their services.
     index: BTreeMap<NodeId, Vec<Entry>>,
@@ -108,10 +109,11 @@
     /// Applies a node record; a version older than the known one is ignored.
     pub fn update(&mut self, now: Time, record: &NodeRecord) {
         let known = self.versions.entry(record.node).or_default();
-        if record.version < *known {
+        let version = (record.version, record.health_version);
+        if version < *known {
             return;
         }
-        *known = record.version;
+        *known = version;
         let old = self.index.remove(&record.node).unwrap_or_default();
         let new = entries_of(record);
         for (id, name) in old.iter().filter(|e| !new.contains(e)) {
