--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -254,8 +254,8 @@
     }
 }
 
-/// Passes changed records of other nodes to the request path.
-async fn propagate_records(view: Arc<FleetView>, targets: Arc<Targets>, links: Arc<Links>) {
+/// Passes changed records of other nodes, their health included, to the request path.
+pub async fn propagate_records(view: Arc<FleetView>, targets: Arc<Targets>, links: Arc<Links>) {
     let mut changes = view.changes();
     let mut known: Vec<RecordVersion> = Vec::new();
     loop {
