Let a request wait for a token for half of its latency objective

Cause: a request waited for 100 ms whatever its objective, and one whose owner stated a retry time was refused although that time was shorter than its wait. Class: a fixed timeout in place of the caller's own. Now it waits for half of what is left of its objective. If the owner has stated when its next token comes, a request that would get it too late, behind those that wait already, is refused at once with that time. A node asks an exhausted owner again only when that time has come. An expired wait counts as 'starting' only if no owner has responded since it began.

--- a/examples/added_latency.rs
+++ b/examples/added_latency.rs
@@ -79,7 +79,12 @@
 }
 
 impl RateLimiter for AdmitAll {
-    async fn admit(&self, _: &Account, _: Duration) -> std::result::Result<(), Refusal> {
+    async fn admit(
+        &self,
+        _: &Account,
+        _: Duration,
+        _: Duration,
+    ) -> std::result::Result<(), Refusal> {
         Ok(())
     }
 }
--- a/examples/capacity/limits.rs
+++ b/examples/capacity/limits.rs
@@ -8,7 +8,7 @@
 use laburnumtide::ids::{AccountName, NodeId};
 use laburnumtide::limit::{
     Accounts, AdmitResult, Allowance, BATCH_PERIOD, Claim, CreditRequest, LocalLimiter, NodeInfo,
-    Owner, Placement, SHARD_COUNT, Shard, Voter,
+    Owner, Placement, SHARD_COUNT, Shard, TOKEN_WAIT_MAX, Voter,
 };
 use laburnumtide::time::Time;
 use laburnumtide::units::{Burst, Rate};
@@ -211,7 +211,7 @@
         let limiter = &mut self.nodes[i].limiter;
         let name = &self.accounts.names[account];
         let (result, requests) = timed(&mut self.costs.limiter.cpu, || {
-            let result = limiter.admit(now, name);
+            let result = limiter.admit(now, name, TOKEN_WAIT_MAX);
             let requests = match limiter.has_due() {
                 true => limiter.take_due(now),
                 false => Vec::new(),
--- a/src/limit/limiter.rs
+++ b/src/limit/limiter.rs
@@ -62,7 +62,8 @@
 pub enum AdmitResult {
     /// A token was spent.
     Granted,
-    /// The request waits; a [`WaitResult`] with this ticket follows within [`TOKEN_WAIT_MAX`].
+    /// The request waits; a [`WaitResult`] with this ticket follows, usually within the wait that the
+    /// request allows and at most [`TOKEN_WAIT_MAX`] later.
     Waiting(Ticket),
     /// The request is refused.
     Refused(Refusal),
@@ -158,11 +159,14 @@
     exhausted: Option<Exhausted>,
     /// When a request first timed out because no owner responded.
     no_owner_since: Option<Time>,
+    /// The last response of an owner.
+    granted_at: Time,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Waiter {
     ticket: Ticket,
+    since: Time,
     until: Time,
     /// The latest time until which the request waits for a token that is granted already.
     latest: Time,
@@ -193,6 +197,71 @@
         credits.map(|c| c.held(now)).sum()
     }
 
+    /// Returns the number of waiting requests for which no token is held.
+    fn uncovered(&self, now: Time) -> u64 {
+        (self.waiting.len() as u64).saturating_sub(self.held(now))
+    }
+
+    /// Returns true until the owner has a token for this node again, by its last response.
+    fn is_exhausted(&self, now: Time) -> bool {
+        self.exhausted.is_some_and(|e| e.until > now)
+    }
+
+    /// Returns a refusal if no token can come in time for a request that waits for `wait` behind
+    /// `queued` others.
+    fn refusal(
+        &mut self,
+        now: Time,
+        queued: u32,
+        wait: Duration,
+        rng: &mut StdRng,
+    ) -> Option<Refusal> {
+        if let Some(exhausted) = self.exhausted.as_mut().filter(|e| e.until > now) {
+            let token = exhausted.until.since(now) + exhausted.pace * queued;
+            if token <= wait {
+                return None;
+            }
+            let retry = token + exhausted.pace * exhausted.refused;
+            exhausted.refused = exhausted.refused.saturating_add(1);
+            let delay = jitter(retry, exhausted.pace, rng);
+            return Some(Refusal::after(Reason::Rate, delay));
+        }
+        let no_owner_since = self.no_owner_since?;
+        let retry = (LEASE.saturating_sub(now.since(no_owner_since))).max(RETRY_MIN);
+        Some(Refusal::after(Reason::Starting, jitter(retry, retry, rng)))
+    }
+
+    /// Removes the waiting requests for which no token is held and none comes in time, and returns
+    /// them with their refusals.
+    fn take_hopeless(&mut self, now: Time, rng: &mut StdRng) -> Vec<(Waiter, Refusal)> {
+        let covered = (self.held(now) as usize).min(self.waiting.len());
+        let mut hopeless = Vec::new();
+        let mut queued = 0;
+        for waiter in self.waiting.split_off(covered) {
+            match self.refusal(now, queued, waiter.until.since(now), rng) {
+                Some(refusal) => hopeless.push((waiter, refusal)),
+                None => {
+                    queued += 1;
+                    self.waiting.push_back(waiter);
+                }
+            }
+        }
+        hopeless
+    }
+
+    /// Returns the refusal of a request whose wait has ended without a token.
+    fn refuse_expired(&mut self, now: Time, waiter: Waiter, rng: &mut StdRng) -> Refusal {
+        let is_answered = self.held(now) > 0 || self.granted_at >= waiter.since;
+        if !is_answered {
+            self.no_owner_since.get_or_insert(now);
+        }
+        let other = match is_answered {
+            true => Refusal::after(Reason::Rate, BATCH_PERIOD),
+            false => Refusal::after(Reason::Starting, RETRY_MIN),
+        };
+        self.refusal(now, 0, Duration::ZERO, rng).unwrap_or(other)
+    }
+
     /// Removes and returns the waiting requests whose time has passed.
     ///
     /// An owner grants a token before it is minted, so a request for which one is held waits until
@@ -286,10 +355,11 @@
         }
     }
 
-    /// Admits, delays or refuses a request of `account`.
+    /// Admits, delays or refuses a request of `account` that may wait for a token for `wait`.
     ///
-    /// `now` must be read after the limiter's lock is taken.
-    pub fn admit(&mut self, now: Time, account: &AccountName) -> AdmitResult {
+    /// A request is refused at once if its token is known to come later. `now` must be read after the
+    /// limiter's lock is taken.
+    pub fn admit(&mut self, now: Time, account: &AccountName, wait: Duration) -> AdmitResult {
         let state = match self.accounts.get_mut(account) {
             Some(state) => state,
             None => self.accounts.entry(account.clone()).or_default(),
@@ -302,19 +372,21 @@
             }
             return AdmitResult::Granted;
         }
-        if let Some(refusal) = refuse_now(state, now, &mut self.rng) {
+        let queued = state.uncovered(now) as u32;
+        if let Some(refusal) = state.refusal(now, queued, wait, &mut self.rng) {
             return AdmitResult::Refused(refusal);
         }
         self.last_ticket += 1;
         let ticket = Ticket(self.last_ticket);
-        let until = now + TOKEN_WAIT_MAX;
+        let until = now + wait;
         state.waiting.push_back(Waiter {
             ticket,
+            since: now,
             until,
             latest: until + TOKEN_WAIT_MAX,
         });
         self.pending.insert(account.clone());
-        if state.requested_at.is_none() {
+        if state.requested_at.is_none() && !state.is_exhausted(now) {
             self.due.insert(account.clone());
         }
         AdmitResult::Waiting(ticket)
@@ -345,7 +417,7 @@
         state.resend_at = Some(now + route.request_timeout(now));
         state.last_requested_at = now;
         self.pending.insert(name.clone());
-        let missing = (state.waiting.len() as u64).saturating_sub(state.held(now));
+        let missing = state.uncovered(now);
         let demand = state.demand;
         let target_reserve = state.target_reserve;
         let last_credit = &mut self.last_credit;
@@ -430,6 +502,7 @@
             return;
         };
         state.no_owner_since = None;
+        state.granted_at = now;
         if let Some(route) = self.routes.get_mut(&Shard::of(name)) {
             route.timeouts = 0;
         }
@@ -453,30 +526,24 @@
                     pace: grant.pace,
                     refused: 0,
                 });
-                self.refuse_uncovered(now, name);
+                self.refuse_hopeless(now, name);
             }
             _ => state.exhausted = None,
         }
         self.follow_up(now, name);
     }
 
-    /// Refuses the waiting requests for which no token has been granted.
-    fn refuse_uncovered(&mut self, now: Time, name: &AccountName) {
+    /// Refuses the waiting requests for which no token can come in time.
+    fn refuse_hopeless(&mut self, now: Time, name: &AccountName) {
         let Some(state) = self.accounts.get_mut(name) else {
             return;
         };
-        let covered = state.held(now) as usize;
-        while state.waiting.len() > covered {
-            let Some(waiter) = state.waiting.pop_back() else {
-                break;
-            };
-            let refusal = refuse_now(state, now, &mut self.rng)
-                .unwrap_or_else(|| Refusal::after(Reason::Rate, BATCH_PERIOD));
-            self.results.push(WaitResult {
+        let hopeless = state.take_hopeless(now, &mut self.rng);
+        self.results
+            .extend(hopeless.into_iter().map(|(waiter, refusal)| WaitResult {
                 ticket: waiter.ticket,
                 result: Err(refusal),
-            });
-        }
+            }));
     }
 
     /// Schedules another credit request if requests wait without a token, and removes the account
@@ -485,8 +552,8 @@
         let Some(state) = self.accounts.get(name) else {
             return;
         };
-        let uncovered = state.waiting.len() as u64 > state.held(now);
-        if state.requested_at.is_none() && (uncovered || state.must_report()) {
+        let needs_token = state.uncovered(now) > 0 && !state.is_exhausted(now);
+        if state.requested_at.is_none() && (needs_token || state.must_report()) {
             self.due.insert(name.clone());
         }
         if state.requested_at.is_none() && state.waiting.is_empty() {
@@ -519,16 +586,8 @@
                 .record_timeout(now);
             self.due.insert(name.clone());
         }
-        let has_tokens = state.held(now) > 0;
         for waiter in state.take_expired(now) {
-            let refusal = match has_tokens {
-                true => Refusal::after(Reason::Rate, BATCH_PERIOD),
-                false => {
-                    state.no_owner_since.get_or_insert(now);
-                    refuse_now(state, now, &mut self.rng)
-                        .unwrap_or_else(|| Refusal::after(Reason::Starting, RETRY_MIN))
-                }
-            };
+            let refusal = state.refuse_expired(now, waiter, &mut self.rng);
             self.results.push(WaitResult {
                 ticket: waiter.ticket,
                 result: Err(refusal),
@@ -606,21 +665,6 @@
     }
 }
 
-/// Returns a refusal if no token can be available for a request now.
-fn refuse_now(state: &mut AccountState, now: Time, rng: &mut StdRng) -> Option<Refusal> {
-    if let Some(exhausted) = state.exhausted.as_mut().filter(|s| s.until > now) {
-        let wait = exhausted.until.since(now) + exhausted.pace * exhausted.refused;
-        exhausted.refused = exhausted.refused.saturating_add(1);
-        return Some(Refusal::after(
-            Reason::Rate,
-            jitter(wait, exhausted.pace, rng),
-        ));
-    }
-    let no_owner_since = state.no_owner_since?;
-    let wait = (LEASE.saturating_sub(now.since(no_owner_since))).max(RETRY_MIN);
-    Some(Refusal::after(Reason::Starting, jitter(wait, wait, rng)))
-}
-
 fn jitter(wait: Duration, pace: Duration, rng: &mut StdRng) -> Duration {
     wait + wait.max(pace).mul_f64(rng.random_range(0.0..JITTER))
 }
@@ -632,5 +676,7 @@
         true => None,
         false => state.credit.as_ref().and_then(|c| c.ready_at(now)),
     };
-    [timeout, wait, ready].into_iter().flatten().min()
+    let exhausted = state.exhausted.map(|e| e.until).filter(|at| *at > now);
+    let refill = exhausted.filter(|_| state.uncovered(now) > 0);
+    [timeout, wait, ready, refill].into_iter().flatten().min()
 }
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -70,7 +70,7 @@
 /// Period of the batched credit requests from local limiters to owners.
 pub const BATCH_PERIOD: Duration = Duration::from_millis(100);
 
-/// Longest time that a request waits for a token before it is refused.
+/// Longest time that a request without a latency objective waits for a token before it is refused.
 pub const TOKEN_WAIT_MAX: Duration = Duration::from_millis(100);
 
 /// Time after which a credit request without a response is sent again; it doubles with each further
--- a/src/node/components.rs
+++ b/src/node/components.rs
@@ -20,10 +20,12 @@
 
 /// The rate limit of client accounts.
 pub trait RateLimiter: Send + Sync + 'static {
-    /// Admits one request of `account` or refuses it, after at most `max_wait`.
+    /// Admits one request of `account` or refuses it; it waits for a token for about `token_wait`, and
+    /// never longer than `max_wait`.
     fn admit(
         &self,
         account: &Account,
+        token_wait: Duration,
         max_wait: Duration,
     ) -> impl Future<Output = Result<(), Refusal>> + Send;
 }
--- a/src/node/context.rs
+++ b/src/node/context.rs
@@ -10,11 +10,15 @@
 use crate::http::UploadBuffer;
 use crate::idempotency::IdempotencyKey;
 use crate::ids::{KeyDigest, RequestId, ServiceName};
+use crate::limit::TOKEN_WAIT_MAX;
 use crate::node::dialect::RequestInfo;
 use crate::outcome::{Outcome, Refusal};
 use crate::route::Delivery;
 use crate::units::Rate;
 
+/// Divisor of a latency objective, for the part that a request may wait for a token.
+const TOKEN_WAIT_DIVISOR: u32 = 2;
+
 /// The key of a request and the account that it authenticates.
 #[derive(Clone, Debug)]
 pub struct Identity {
@@ -117,6 +121,17 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns for how long the request may wait for a token of its account.
+    ///
+    /// With a latency objective it is a part of what is left of it, so that the request can still run
+    /// in time.
+    pub fn token_wait(&self) -> Duration {
+        let wait = self.objective.map_or(TOKEN_WAIT_MAX, |objective| {
+            objective.saturating_duration_since(Instant::now()) / TOKEN_WAIT_DIVISOR
+        });
+        wait.min(self.time_left())
+    }
+
     /// Returns true if the request may run more than once.
     ///
     /// A request with an idempotency key runs at most once, whatever its route permits.
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -318,7 +318,7 @@
         }
         self.components
             .rate_limiter
-            .admit(account, ctx.time_left())
+            .admit(account, ctx.token_wait(), ctx.time_left())
             .await
     }
 
--- a/src/node/limits/mod.rs
+++ b/src/node/limits/mod.rs
@@ -254,12 +254,18 @@
         self.progress.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Admits a request of `account` or refuses it, after at most `max_wait`.
+    /// Admits a request of `account` or refuses it; it waits for a token for about `token_wait`, and
+    /// never longer than `max_wait`.
     ///
     /// # Errors
     ///
     /// Returns the refusal with the time until a token is available.
-    pub async fn admit(self: &Arc<Self>, account: &Account, max_wait: Duration) -> AdmissionResult {
+    pub async fn admit(
+        self: &Arc<Self>,
+        account: &Account,
+        token_wait: Duration,
+        max_wait: Duration,
+    ) -> AdmissionResult {
         let shard = Shard::of(&account.name);
         if self.placement.load().candidate(shard).is_none() {
             return Err(Refusal::after(Reason::Starting, LEASE));
@@ -268,7 +274,7 @@
         let (admit, requests, waiter) = {
             let mut state = stripe.lock();
             let now = self.clock.now();
-            let admit = state.limiter.admit(now, &account.name);
+            let admit = state.limiter.admit(now, &account.name, token_wait);
             let waiter = match admit {
                 AdmitResult::Waiting(ticket) => {
                     let (sender, receiver) = oneshot::channel();
@@ -605,8 +611,13 @@
 }
 
 impl RateLimiter for Arc<RateLimits> {
-    async fn admit(&self, account: &Account, max_wait: Duration) -> AdmissionResult {
-        RateLimits::admit(self, account, max_wait).await
+    async fn admit(
+        &self,
+        account: &Account,
+        token_wait: Duration,
+        max_wait: Duration,
+    ) -> AdmissionResult {
+        RateLimits::admit(self, account, token_wait, max_wait).await
     }
 }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -106,7 +106,12 @@
 }
 
 impl RateLimiter for Unsynced {
-    async fn admit(&self, _: &Account, _: Duration) -> std::result::Result<(), Refusal> {
+    async fn admit(
+        &self,
+        _: &Account,
+        _: Duration,
+        _: Duration,
+    ) -> std::result::Result<(), Refusal> {
         Err(Refusal::after(Reason::Starting, Duration::from_secs(1)))
     }
 }
--- a/tests/data_path/cluster.rs
+++ b/tests/data_path/cluster.rs
@@ -49,7 +49,12 @@
 pub struct AdmitAll(std::sync::atomic::AtomicU32);
 
 impl RateLimiter for AdmitAll {
-    async fn admit(&self, _: &Account, _: Duration) -> std::result::Result<(), Refusal> {
+    async fn admit(
+        &self,
+        _: &Account,
+        _: Duration,
+        _: Duration,
+    ) -> std::result::Result<(), Refusal> {
         self.0.fetch_add(1, Ordering::SeqCst);
         Ok(())
     }
--- a/tests/limit_links.rs
+++ b/tests/limit_links.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use laburnumtide::config::{Account, Config, Note};
 use laburnumtide::fleet::{Member, Registry, RegistryChange};
-use laburnumtide::limit::{NodeInfo, Placement, Shard};
+use laburnumtide::limit::{NodeInfo, Placement, Shard, TOKEN_WAIT_MAX};
 use laburnumtide::metrics::Metrics;
 use laburnumtide::node::ActiveConfig;
 use laburnumtide::node::limits::RateLimits;
@@ -138,7 +138,7 @@
 async fn wait_admitted(nodes: &[Arc<RateLimits>], account: &Account) {
     let start = Instant::now();
     for node in nodes {
-        while let Err(refusal) = node.admit(account, DEADLINE).await {
+        while let Err(refusal) = node.admit(account, TOKEN_WAIT_MAX, DEADLINE).await {
             assert!(start.elapsed() < START_LIMIT, "last refusal {refusal:?}");
             assert_eq!(refusal.reason, Reason::Starting);
             assert!(refusal.retry_after.is_some());
@@ -160,7 +160,7 @@
         tokio::spawn(async move {
             let mut admitted = 0;
             while start.elapsed() < Duration::from_secs(2) {
-                match node.admit(&account, DEADLINE).await {
+                match node.admit(&account, TOKEN_WAIT_MAX, DEADLINE).await {
                     Ok(()) => admitted += 1,
                     Err(refusal) => {
                         assert_eq!(refusal.reason, Reason::Rate);
@@ -236,7 +236,7 @@
     let owner = wait_owner(&nodes).await;
     cut_paths.lock().unwrap().push((cut.info.id, owner));
     let start = Instant::now();
-    while let Err(refusal) = cut.limits.admit(&account, DEADLINE).await {
+    while let Err(refusal) = cut.limits.admit(&account, TOKEN_WAIT_MAX, DEADLINE).await {
         assert!(start.elapsed() < START_LIMIT, "last refusal {refusal:?}");
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
--- a/tests/limit_sim/mod.rs
+++ b/tests/limit_sim/mod.rs
@@ -11,7 +11,8 @@
 
 use laburnumtide::limit::{
     Accounts, AdmitResult, Allowance, Claim, CreditRequest, CreditResponse, HandoverRequest, LEASE,
-    LeaseVote, LocalLimiter, NodeInfo, Owner, Placement, Shard, ShardHandover, Ticket, Voter,
+    LeaseVote, LocalLimiter, NodeInfo, Owner, Placement, Shard, ShardHandover, TOKEN_WAIT_MAX,
+    Ticket, Voter,
 };
 use laburnumtide::prelude::*;
 use laburnumtide::wire::{LimitRequest, LimitResponse};
@@ -327,7 +328,7 @@
     fn admit(&mut self, i: usize, now: Time, account: AccountName) {
         let node = &mut self.nodes[i];
         let checked = node.time_before_pause.unwrap_or(now);
-        match node.limiter.admit(checked, &account) {
+        match node.limiter.admit(checked, &account, TOKEN_WAIT_MAX) {
             AdmitResult::Granted => self.record_result(account, None, 0),
             AdmitResult::Refused(refusal) => self.record_result(account, refusal.retry_after, 0),
             AdmitResult::Waiting(ticket) => {
--- a/tests/silent_owner.rs
+++ b/tests/silent_owner.rs
@@ -1,6 +1,8 @@
 //! Credit requests for accounts whose owner does not respond.
 
-use laburnumtide::limit::{AdmitResult, CreditResponse, CreditResult, LocalLimiter};
+use laburnumtide::limit::{
+    AdmitResult, CreditResponse, CreditResult, LocalLimiter, TOKEN_WAIT_MAX,
+};
 use laburnumtide::prelude::*;
 
 /// Time between two ticks.
@@ -27,7 +29,7 @@
     for at in (0..13_000).step_by(TICK_MS as usize) {
         let now = Time::from_millis(10_000 + at);
         if at % 100 == 0 {
-            let admitted = limiter.admit(now, &account());
+            let admitted = limiter.admit(now, &account(), TOKEN_WAIT_MAX);
             assert!(!matches!(admitted, AdmitResult::Granted));
             limiter.tick(now);
         }
