Choose among targets whose service time is zero without a panic

Seen: data_path::retry_rules::unsafe_request_runs_at_most_once failed once in a run of nine test files side by side: random_bool was called with NaN, since two targets with a reported service time of zero cost nothing and their weights are infinite. Callers of that request get a closed connection. Now the cost counts at least a microsecond, the resolution of a load. target_choice::zero_service_time panics without it.

--- a/src/route/target.rs
+++ b/src/route/target.rs
@@ -21,6 +21,9 @@
 /// time.
 const FAILURE_COST: f64 = 10.0;
 
+/// Shortest service time in the cost of a target, the resolution of a [`Load`]; costs are never zero.
+const SERVICE_TIME_MIN: Duration = Duration::from_micros(1);
+
 /// Share of its full load with which a cold target starts.
 const INITIAL_SHARE: f64 = 0.1;
 
@@ -127,7 +130,8 @@
     /// Returns the expected cost of a request in seconds: wait and service time, raised by the
     /// failure rate.
     pub fn cost(&self, typical: Duration) -> f64 {
-        let service_time = self.service_time.unwrap_or(typical).as_secs_f64();
+        let service_time = self.service_time.unwrap_or(typical).max(SERVICE_TIME_MIN);
+        let service_time = service_time.as_secs_f64();
         let wait = self.utilization() * service_time;
         let window = &self.record.health.recent;
         let failure_rate = f64::from(window.errors()) / f64::from(window.requests.max(1));
