Count only runs for the service time of a target

Cause: an attempt gets a slot before the breaker is asked, and the release of the slot recorded its time as a service time, microseconds for one that the breaker refused; so did errors, which come after 1 ms. A target that fails and refuses looked some hundred times as fast as it is (service_time::only_runs_count: 0.125 ms in place of 21 ms after 100 refused attempts), so waits, lateness and the cost in the choice of targets were wrong, in favour of that target. Class: a measurement that counts what it doesn't measure. Now a slot's time counts only if the target served the attempt or let it time out.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -243,14 +243,23 @@
         }
     }
 
-    /// Frees the slot of an attempt that ended and returns the decisions on queued attempts.
+    /// Frees the slot of an attempt that ran, records its service time and returns the decisions on
+    /// queued attempts.
     pub fn finish(&mut self, now: Time, attempt: AttemptId) -> Vec<Decision> {
+        if let Some(ended) = self.running.iter().find(|r| r.attempt == attempt) {
+            let (kind, real) = (ended.kind.clone(), now.since(ended.since));
+            self.record_service_time(&kind, real);
+        }
+        self.release(now, attempt)
+    }
+
+    /// Frees the slot of an attempt whose time shows nothing about the service time, and returns the
+    /// decisions on queued attempts.
+    pub fn release(&mut self, now: Time, attempt: AttemptId) -> Vec<Decision> {
         if let Some(at) = self.running.iter().position(|r| r.attempt == attempt) {
             let ended = self.running.swap_remove(at);
-            let real = now.since(ended.since);
-            self.record_service_time(&ended.kind, real);
             if let Some(charge) = &ended.charge {
-                self.fair_queue.settle(charge, real);
+                self.fair_queue.settle(charge, now.since(ended.since));
             }
         }
         let decisions = self.expire(now);
--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -143,7 +143,7 @@
             may_queue: info.may_queue,
             deadline: self.clock.now() + left,
         };
-        let slot = target.queue.enter(slot).await.map_err(not_run)?;
+        let mut slot = target.queue.enter(slot).await.map_err(not_run)?;
         self.check_freshness(info).map_err(not_run)?;
         // The target may have started to drain while the request was queued.
         check_accepting(&target).map_err(not_run)?;
@@ -171,7 +171,15 @@
                 .check_response(&dispatch, correlation.as_ref(), &received.response)?;
             Ok(received)
         });
-        let received = checked.inspect_err(|outcome| measured.set_outcome(outcome))?;
+        let received = checked.inspect_err(|outcome| {
+            measured.set_outcome(outcome);
+            if *outcome == Outcome::Unknown(Reason::Timeout) {
+                slot.mark_ran();
+            }
+        })?;
+        if !received.response.status().is_server_error() {
+            slot.mark_ran();
+        }
         let latency = info.arrived.elapsed().saturating_sub(waited);
         log::info!(
             event = "target-responded", request:% = info.request, attempt:% = info.attempt,
--- a/src/node/slots.rs
+++ b/src/node/slots.rs
@@ -38,6 +38,8 @@
 pub struct SlotGuard {
     queue: Arc<TargetQueue>,
     attempt: AttemptId,
+    /// True if the time for which the slot is held shows the service time of the target.
+    ran: bool,
 }
 
 /// A place in the queue; the attempt leaves the queue when this is dropped without a slot.
@@ -130,6 +132,7 @@
         SlotGuard {
             queue: self.clone(),
             attempt,
+            ran: false,
         }
     }
 
@@ -164,9 +167,13 @@
         admission
     }
 
-    fn finish(&self, attempt: AttemptId) {
+    fn finish(&self, attempt: AttemptId, ran: bool) {
         let mut state = self.lock();
-        let decisions = state.queue.finish(self.clock.now(), attempt);
+        let now = self.clock.now();
+        let decisions = match ran {
+            true => state.queue.finish(now, attempt),
+            false => state.queue.release(now, attempt),
+        };
         state.carry_out(decisions);
     }
 
@@ -176,7 +183,7 @@
         let now = self.clock.now();
         state.waiting.remove(&attempt);
         if state.queue.cancel(now, attempt) == Cancelled::Running {
-            let decisions = state.queue.finish(now, attempt);
+            let decisions = state.queue.release(now, attempt);
             state.carry_out(decisions);
         }
     }
@@ -213,9 +220,19 @@
     }
 }
 
+impl SlotGuard {
+    /// Records that the target served the attempt, or took too long to.
+    ///
+    /// The times of refused attempts and of errors say nothing about the service time; both come
+    /// at once.
+    pub fn mark_ran(&mut self) {
+        self.ran = true;
+    }
+}
+
 impl Drop for SlotGuard {
     fn drop(&mut self) {
-        self.queue.finish(self.attempt);
+        self.queue.finish(self.attempt, self.ran);
     }
 }
 
