Open a circuit breaker by evidence, not at the first failure

Cause: a sound target fails some 5 % of its requests (500s of calls among them); the breaker opened at each for 0.5 s, and for 1.3 s to requests that aren't idempotent. Now each result adds evidence for or against a failing target; two failures in a row open it, and after a good probe one does.

--- a/src/admission/circuit_breaker.rs
+++ b/src/admission/circuit_breaker.rs
@@ -1,10 +1,14 @@
-//! A circuit breaker that rejects requests to a target that has just failed.
+//! A circuit breaker that rejects requests to a target that fails.
 //!
 //! A target with a gray failure returns its errors fast and looks idle, so it attracts requests,
 //! and its failures come in bursts that last seconds. All requests to a target pass through one
 //! egress, which sees each failure and can reject the next request before it is lost. A rejected
 //! request did not run and may go to another target.
 //!
+//! Sound targets fail some requests too. The breaker sums the evidence of each result, the logarithm
+//! of how much more probable it is at a failing target than at a sound one, and opens at
+//! [`OPEN_EVIDENCE`]: after two failures in a row, or after more with successes between them.
+//!
 //! An open breaker becomes half-open after some time and allows one request as a probe. The breaker
 //! closes when the probe succeeds and opens again when it fails.
 
@@ -13,7 +17,7 @@
 use crate::ids::AttemptId;
 use crate::time::Time;
 
-/// Time from the first failure until the breaker is half-open.
+/// Time from the opening until the breaker is half-open.
 const FIRST_OPEN_TIME: Duration = Duration::from_millis(500);
 
 /// Time from a failed probe until the breaker is half-open.
@@ -35,6 +39,18 @@
 /// whose targets all fail that often still serves the other half.
 const FAILURES_MAX: u32 = 5;
 
+/// Evidence of a failure: a failing target fails half of its requests, a sound one 5 %.
+const FAILURE_EVIDENCE: f64 = 2.3;
+
+/// Evidence of a success, with the same shares.
+const SUCCESS_EVIDENCE: f64 = -0.64;
+
+/// Evidence at which the breaker opens, that of two failures in a row.
+const OPEN_EVIDENCE: f64 = 2.0 * FAILURE_EVIDENCE;
+
+/// Evidence when the breaker closes; one probe is weak evidence, so the next failure opens it again.
+const CLOSED_EVIDENCE: f64 = OPEN_EVIDENCE - FAILURE_EVIDENCE;
+
 /// The decision on a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BreakerDecision {
@@ -54,6 +70,8 @@
     probe: Option<(AttemptId, Time)>,
     /// Consecutive failures.
     failures: u32,
+    /// Sum of the evidence while closed, never negative.
+    evidence: f64,
 }
 
 impl CircuitBreaker {
@@ -94,6 +112,7 @@
     /// Records that the target responded to an attempt.
     pub fn record_success(&mut self, attempt: AttemptId) {
         self.failures = 0;
+        self.evidence = (self.evidence + SUCCESS_EVIDENCE).max(0.0);
         if self.probe.is_some_and(|(probe, _)| probe == attempt) {
             self.close();
         }
@@ -109,6 +128,10 @@
         }
         match opened {
             None => {
+                self.evidence += FAILURE_EVIDENCE;
+                if self.evidence < OPEN_EVIDENCE {
+                    return false;
+                }
                 self.opened = Some(now);
                 self.open_time = FIRST_OPEN_TIME;
                 self.probe = None;
@@ -139,6 +162,7 @@
 
     fn close(&mut self) {
         self.failures = 0;
+        self.evidence = CLOSED_EVIDENCE;
         self.opened = None;
         self.probe = None;
     }
