Make a test of refusals certain to see some

data_path::retry_rules::not_run_outcome_is_accurate failed in 4 of 40 runs since breakers open by evidence: with 30 % of the requests shed, sent again to the one target up to three times, all 48 could be answered or have an unknown outcome (seen in the outcomes printed by a failing run), and it asks for one refusal at least. Before, the breaker's refusals made it certain. A fifth batch in which every request is shed makes it certain again, and twelve refusals are asked for in place of one.

--- a/tests/data_path/retry_rules.rs
+++ b/tests/data_path/retry_rules.rs
@@ -110,9 +110,15 @@
         reset: 0.2,
         ..RESET
     };
-    cluster.target.set_behaviour(faulty);
+    let shedding = Behaviour {
+        shed: 1.0,
+        reset: 0.0,
+        ..RESET
+    };
     let mut refused = Vec::new();
-    for _ in 0..4 {
+    // In the last batch every request is shed, so some are surely refused.
+    for behaviour in [faulty, faulty, faulty, faulty, shedding] {
+        cluster.target.set_behaviour(behaviour);
         let batch = (0..12).map(|_| cluster.send(Request::post("/bake")));
         for response in futures::future::join_all(batch).await {
             if outcome(&response).0 == "not-run" {
@@ -121,7 +127,7 @@
             }
         }
     }
-    assert!(!refused.is_empty());
+    assert!(refused.len() >= 12, "{} refused", refused.len());
     let runs = cluster.runs();
     let counts = by_request(&runs);
     assert!(refused.iter().all(|id| !counts.contains_key(id.as_str())));
