Let calls of running targets go first, and don't blame a target for them

Callers saw: failures of requests already at work. Cause: a call waits like a new request, while the slot of the request that made it stays in use. Now a node counts the runs of the targets on its VM; a request without a key from that VM is a call while fewer calls than runs are in flight, so no caller can claim it by a header. Calls go first in the queue of a target, and an error of a target within 50 ms after a failed call is no evidence against the target.

--- a/examples/health_table/model.rs
+++ b/examples/health_table/model.rs
@@ -381,6 +381,7 @@
         let account = attempt.ingress % 8;
         let slot = SlotRequest {
             priority: 0,
+            is_call: false,
             kind: String::new(),
             objective: None,
             may_queue: true,
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -34,6 +34,8 @@
     pub kind: String,
     /// The priority of the request; 0 is the most urgent.
     pub priority: u8,
+    /// True if a target makes the request while it runs another.
+    pub is_call: bool,
     /// The time by which the response must be complete.
     pub deadline: Time,
     /// The time by which the response should be complete, or `None` if only the deadline counts.
@@ -45,6 +47,11 @@
 }
 
 impl SlotRequest {
+    /// Returns true if the request has no flow of its own and makes no part of a run.
+    fn is_anonymous(&self) -> bool {
+        self.account.is_none() && !self.is_call
+    }
+
     fn flow(&self) -> Option<FlowId> {
         let account = self.account.clone()?;
         Some(FlowId {
@@ -145,8 +152,9 @@
 struct Running {
     attempt: AttemptId,
     since: Time,
-    /// The charge to its flow, or `None` for an anonymous request.
+    /// The charge to its flow, or `None` for a call or an anonymous request.
     charge: Option<Charge>,
+    anonymous: bool,
     kind: String,
 }
 
@@ -179,6 +187,7 @@
 ///     weight: Rate::per_sec(10),
 ///     kind: String::new(),
 ///     priority: 0,
+///     is_call: false,
 ///     deadline: Time::from_millis(9_000),
 ///     objective: None,
 ///     may_queue: true,
@@ -191,6 +200,9 @@
     warm_up: WarmUp,
     draining: bool,
     running: Vec<Running>,
+    /// Waiting calls, which go first: a slot elsewhere is in use until its calls end, and the work of
+    /// that request is lost with a refused call.
+    calls: VecDeque<Waiting>,
     /// Waiting requests of accounts, and the shares of the slots that the accounts have used.
     fair_queue: FairQueue,
     anonymous_queue: VecDeque<Waiting>,
@@ -209,6 +221,7 @@
             warm_up: WarmUp::new(now, limits, cold),
             draining: false,
             running: Vec::new(),
+            calls: VecDeque::new(),
             fair_queue: FairQueue::default(),
             anonymous_queue: VecDeque::new(),
             service_time: None,
@@ -226,7 +239,7 @@
         if self.is_late(now, request.deadline, &request.kind) {
             return Admission::Refused(self.late_refusal(now, &request, Duration::ZERO));
         }
-        if self.has_free_slot(now, request.account.is_none()) && self.is_next(&request) {
+        if self.has_free_slot(now, request.is_anonymous()) && self.is_next(&request) {
             self.start_request(now, &request);
             return Admission::Run;
         }
@@ -276,6 +289,7 @@
             return Cancelled::Running;
         }
         let before = self.queued();
+        self.calls.retain(|w| w.attempt != attempt);
         self.anonymous_queue.retain(|w| w.attempt != attempt);
         if self.fair_queue.remove(attempt) || self.queued() < before {
             return Cancelled::Removed;
@@ -295,9 +309,9 @@
 
     /// Returns when [`AdmissionQueue::expire`] is due, if any request waits.
     pub fn next_expiry(&self) -> Option<Time> {
-        let anonymous = self.anonymous_queue.iter().map(|w| w.deadline).min();
-        let first = anonymous
-            .into_iter()
+        let unordered = self.calls.iter().chain(&self.anonymous_queue);
+        let first = unordered
+            .map(|w| w.deadline)
             .chain(self.fair_queue.first_deadline())
             .min()?;
         let growth = self.warm_up.next_step(self.last_call);
@@ -342,7 +356,7 @@
     }
 
     fn queued(&self) -> usize {
-        self.fair_queue.len() + self.anonymous_queue.len()
+        self.calls.len() + self.fair_queue.len() + self.anonymous_queue.len()
     }
 
     fn has_free_slot(&self, now: Time, anonymous: bool) -> bool {
@@ -352,11 +366,14 @@
     }
 
     fn anonymous_running(&self) -> usize {
-        self.running.iter().filter(|r| r.charge.is_none()).count()
+        self.running.iter().filter(|r| r.anonymous).count()
     }
 
     /// Returns true if no waiting request goes before `request`.
     fn is_next(&self, request: &SlotRequest) -> bool {
+        if !self.calls.is_empty() || request.is_call {
+            return self.calls.is_empty();
+        }
         let of_account = request.account.is_some();
         self.fair_queue.len() == 0 && (of_account || self.anonymous_queue.is_empty())
     }
@@ -419,7 +436,7 @@
         match &request.account {
             // An account may fill as much of the queue as it leaves free, so that one above its
             // rate always leaves places for the others.
-            Some(account) if self.fair_queue.account_len(account) >= free => {
+            Some(account) if !request.is_call && self.fair_queue.account_len(account) >= free => {
                 return Some(Refusal::after(Reason::AccountShare, wait));
             }
             None if self.anonymous_queue.len() >= (places / ANONYMOUS_QUEUE_DIVISOR).max(1) => {
@@ -434,10 +451,12 @@
 
     /// Returns the number of waiting requests that go before `request`.
     fn ahead_of(&self, now: Time, request: &SlotRequest) -> usize {
+        let calls = self.calls.len();
         match &request.flow() {
+            _ if request.is_call => calls,
             Some(flow) => {
                 let cost = self.service_time(now);
-                self.fair_queue.ahead_of(flow, request.queue_weight(), cost)
+                calls + self.fair_queue.ahead_of(flow, request.queue_weight(), cost)
             }
             None => self.queued(),
         }
@@ -464,6 +483,7 @@
             kind: request.kind.clone(),
         };
         match &request.flow() {
+            _ if request.is_call => self.calls.push_back(waiting),
             Some(flow) => self.fair_queue.push(flow, request.queue_weight(), waiting),
             None => self.anonymous_queue.push_back(waiting),
         }
@@ -471,20 +491,32 @@
 
     fn start_request(&mut self, now: Time, request: &SlotRequest) {
         let cost = self.service_time(now);
-        let flow = request.flow();
+        let flow = request.flow().filter(|_| !request.is_call);
         let charge = flow.map(|flow| self.fair_queue.charge(&flow, request.queue_weight(), cost));
-        self.start(now, request.attempt, request.kind.clone(), charge);
+        let anonymous = request.is_anonymous();
+        self.start(
+            now,
+            request.attempt,
+            request.kind.clone(),
+            charge,
+            anonymous,
+        );
     }
 
-    /// Starts the next waiting request, those of accounts before anonymous ones.
+    /// Starts the next waiting request: calls first, then those of accounts before anonymous ones.
     fn start_next(&mut self, now: Time) -> Option<AttemptId> {
         if !self.has_free_slot(now, false) {
             return None;
         }
+        if let Some(waiting) = self.calls.pop_front() {
+            let attempt = waiting.attempt;
+            self.start(now, attempt, waiting.kind, None, false);
+            return Some(attempt);
+        }
         let cost = self.service_time(now);
         if let Some((waiting, charge)) = self.fair_queue.pop(cost) {
             let attempt = waiting.attempt;
-            self.start(now, attempt, waiting.kind, Some(charge));
+            self.start(now, attempt, waiting.kind, Some(charge), false);
             return Some(attempt);
         }
         if !self.has_free_slot(now, true) {
@@ -492,15 +524,23 @@
         }
         let waiting = self.anonymous_queue.pop_front()?;
         let attempt = waiting.attempt;
-        self.start(now, attempt, waiting.kind, None);
+        self.start(now, attempt, waiting.kind, None, true);
         Some(attempt)
     }
 
-    fn start(&mut self, now: Time, attempt: AttemptId, kind: String, charge: Option<Charge>) {
+    fn start(
+        &mut self,
+        now: Time,
+        attempt: AttemptId,
+        kind: String,
+        charge: Option<Charge>,
+        anonymous: bool,
+    ) {
         self.running.push(Running {
             attempt,
             since: now,
             charge,
+            anonymous,
             kind,
         });
     }
@@ -522,6 +562,7 @@
             }
             in_time
         };
+        self.calls.retain(&mut keep);
         self.anonymous_queue.retain(&mut keep);
         self.fair_queue.retain(&mut keep);
         self.kinds = kinds;
--- a/src/http/headers.rs
+++ b/src/http/headers.rs
@@ -30,6 +30,8 @@
 /// Present if the request belongs to the flow that requests without a key share in the fair queue,
 /// between nodes only.
 pub const SHARED_FLOW: HeaderName = HeaderName::from_static("laburnum-shared");
+/// Present if a target makes the request while it runs another, between nodes only.
+pub const CALL: HeaderName = HeaderName::from_static("laburnum-call");
 /// Time left until the latency objective of the route, in milliseconds, between nodes only; absent
 /// if only the deadline applies.
 pub const OBJECTIVE_MS: HeaderName = HeaderName::from_static("laburnum-aim-ms");
--- a/src/node/context.rs
+++ b/src/node/context.rs
@@ -55,6 +55,8 @@
     /// All such requests share one flow in the fair queue of a target, like those of one client
     /// account.
     pub shared_flow: bool,
+    /// True if a target on this VM makes the request while it runs another.
+    pub is_call: bool,
     /// Priority; 0 is the highest.
     pub priority: u8,
     /// The authenticated sender; `None` on open routes.
@@ -97,6 +99,7 @@
             service: route.service_for(rand::random()),
             origin: info.origin,
             shared_flow: false,
+            is_call: false,
             priority: priority.unwrap_or(route.priority),
             identity,
             idempotency_key,
--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -18,6 +18,7 @@
 use crate::http::headers;
 use crate::http::refusal::{NOT_RUN, RESPONSE, UNKNOWN};
 use crate::ids::{AccountName, AttemptId, RequestId, ServiceName, TargetName};
+use crate::node::calls::Calls;
 use crate::node::components::Freshness;
 use crate::node::dialect::{Dialect, Dispatch};
 use crate::node::in_flight::{DrainStage, InFlight, InFlightGuard};
@@ -46,6 +47,7 @@
 pub struct Egress<F, D> {
     dialect: D,
     local: Arc<LocalTargets>,
+    calls: Arc<Calls>,
     freshness: Arc<F>,
     clock: Monotonic,
     in_flight: InFlight,
@@ -64,6 +66,7 @@
     kind: String,
     priority: u8,
     shared_flow: bool,
+    is_call: bool,
     /// Latency objective for the response, counted from the arrival.
     objective: Option<Duration>,
     may_queue: bool,
@@ -80,6 +83,7 @@
     pub fn new(
         dialect: D,
         local: Arc<LocalTargets>,
+        calls: Arc<Calls>,
         freshness: Arc<F>,
         clock: Monotonic,
         in_flight: InFlight,
@@ -88,6 +92,7 @@
         Egress {
             dialect,
             local,
+            calls,
             freshness,
             clock,
             in_flight,
@@ -139,6 +144,7 @@
             weight: info.weight,
             kind: info.kind.clone(),
             priority: info.priority,
+            is_call: info.is_call,
             objective: info.objective.map(|objective| self.clock.now() + objective),
             may_queue: info.may_queue,
             deadline: self.clock.now() + left,
@@ -162,6 +168,7 @@
             target:% = info.target, waited_ms = waited.as_millis() as u64,
             left_ms = dispatch.time_left.as_millis() as u64; "request dispatched to its target"
         );
+        let run = self.calls.begin_run();
         let mut measured = target.meter.start(queue, info.attempt, &info.kind);
         let sent = timeout_at(info.deadline, target.pool.send(request)).await;
         let received = sent.unwrap_or(Err(Outcome::Unknown(Reason::Timeout)));
@@ -191,6 +198,7 @@
             sender: received.sender,
             measured,
             slot,
+            run,
         };
         self.build_response(info, received.response, resources, in_flight)
     }
@@ -264,6 +272,8 @@
         let load = resources.target.queue.load();
         insert_attempt(&mut head.headers, info.attempt, Some(load));
         let result = match head.status.is_server_error() {
+            // The error says nothing about this target.
+            true if self.calls.take_failure() => AttemptResult::Cancelled,
             true => AttemptResult::Failed,
             false => AttemptResult::Success,
         };
@@ -316,6 +326,7 @@
             kind: parse_header(from, &headers::KIND)?,
             priority: parse_header(from, &headers::PRIORITY).unwrap_or_default(),
             shared_flow: from.contains_key(headers::SHARED_FLOW),
+            is_call: from.contains_key(headers::CALL),
             objective: match from.contains_key(headers::OBJECTIVE_MS) {
                 true => Some(Duration::from_millis(parse_header(
                     from,
--- a/src/node/forward.rs
+++ b/src/node/forward.rs
@@ -374,6 +374,9 @@
     if ctx.shared_flow {
         fields.insert(headers::SHARED_FLOW, HeaderValue::from_static("1"));
     }
+    if ctx.is_call {
+        fields.insert(headers::CALL, HeaderValue::from_static("1"));
+    }
     if let Some(origin) = &ctx.origin {
         fields.insert(headers::ORIGIN, name_value(origin.as_str()));
     }
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -20,6 +20,7 @@
 use crate::ids::{AccountName, KeyDigest, RequestId, RouteName};
 use crate::metrics::Metrics;
 use crate::node::active_requests::{ActiveRequest, ActiveRequests};
+use crate::node::calls::Calls;
 use crate::node::components::{Components, Freshness, Idempotency, RateLimiter};
 use crate::node::context::{Identity, RequestContext};
 use crate::node::dialect::{Dialect, RequestInfo};
@@ -59,6 +60,7 @@
     components: Components<F, L, I>,
     dialect: D,
     forwarder: Arc<Forwarder>,
+    calls: Arc<Calls>,
     active_requests: Arc<ActiveRequests>,
     open: OpenLimit,
     clock: Monotonic,
@@ -82,6 +84,7 @@
             components,
             dialect,
             forwarder,
+            calls: Arc::default(),
             active_requests: ActiveRequests::new(),
             open: OpenLimit::default(),
             clock,
@@ -91,6 +94,11 @@
         }
     }
 
+    /// Returns the calls of the targets on this VM.
+    pub fn calls(&self) -> &Arc<Calls> {
+        &self.calls
+    }
+
     /// Marks the active requests whose key has been withdrawn.
     pub fn mark_withdrawn(&self) {
         let Some(config) = self.components.config.load() else {
@@ -196,9 +204,15 @@
             // calling target serves.
             ctx.objective = None;
         }
+        let call = shared_flow.then(|| self.calls.begin_call()).flatten();
+        ctx.is_call = call.is_some();
         self.log_admitted(&ctx, &config);
-        let response = self.run(&ctx, &config, active.as_ref()).await?;
-        Ok(self.build_response(&ctx, response, active, in_flight))
+        let result = self.run(&ctx, &config, active.as_ref()).await;
+        let is_served = result.as_ref().is_ok_and(|r| !r.status().is_server_error());
+        if let Some(call) = call.filter(|_| !is_served) {
+            call.fail();
+        }
+        Ok(self.build_response(&ctx, result?, active, in_flight))
     }
 
     /// Returns the account of the key that came with a request.
@@ -219,7 +233,7 @@
         log::info!(
             event = "admitted", request:% = ctx.id, route:% = ctx.route.name,
             service:% = ctx.service, account:% = ctx.account_label(),
-            priority = ctx.priority, left_ms = ctx.time_left().as_millis() as u64,
+            priority = ctx.priority, call = ctx.is_call, left_ms = ctx.time_left().as_millis() as u64,
             config:% = config.number(), fresh = self.components.freshness.is_fresh();
             "request admitted"
         );
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -12,6 +12,7 @@
 
 pub mod active_requests;
 pub mod admin;
+pub mod calls;
 pub mod components;
 pub mod context;
 pub mod dialect;
@@ -229,6 +230,7 @@
     let egress = Arc::new(Egress::new(
         dialect,
         local.clone(),
+        ingress.calls().clone(),
         freshness.clone(),
         clock,
         in_flight.clone(),
--- a/src/node/target_body.rs
+++ b/src/node/target_body.rs
@@ -9,6 +9,7 @@
 
 use crate::http::body::{BodyError, TimeoutBody};
 use crate::ids::RequestId;
+use crate::node::calls::RunGuard;
 use crate::node::in_flight::InFlightGuard;
 use crate::node::local::LocalTarget;
 use crate::node::meter::MeasuredAttempt;
@@ -27,6 +28,8 @@
     pub measured: MeasuredAttempt,
     /// The slot in use.
     pub slot: SlotGuard,
+    /// The run, which may make calls.
+    pub run: RunGuard,
 }
 
 /// How the attempt ends whose response is read.
--- a/tests/admission_bounds.rs
+++ b/tests/admission_bounds.rs
@@ -24,6 +24,7 @@
 fn request(attempt: u64, account: Option<u8>, weight: u64, deadline: Time) -> SlotRequest {
     SlotRequest {
         priority: 0,
+        is_call: false,
         kind: String::new(),
         objective: None,
         may_queue: true,
--- a/tests/queue_objective.rs
+++ b/tests/queue_objective.rs
@@ -20,6 +20,7 @@
         weight: Rate::per_sec(10),
         kind: "typical".to_owned(),
         priority: 1,
+        is_call: false,
         deadline: at(now + deadline_ms),
         objective: Some(at(now + objective_ms)),
         may_queue: true,
@@ -132,6 +133,7 @@
         }
         let request = SlotRequest {
             priority: (n % 2) as u8,
+            is_call: false,
             ..request(n, now, 1_000, 2_000)
         };
         if queue.admit(at(now), request) == Admission::Run {
--- a/tests/retry_safety.rs
+++ b/tests/retry_safety.rs
@@ -237,6 +237,7 @@
         }
         let request = SlotRequest {
             priority: 0,
+            is_call: false,
             kind: String::new(),
             objective: None,
             may_queue: true,
--- a/tests/service_time.rs
+++ b/tests/service_time.rs
@@ -17,6 +17,7 @@
         weight: Rate::per_sec(10),
         kind: "read".to_owned(),
         priority: 0,
+        is_call: false,
         deadline: clock.now() + Duration::from_secs(5),
         objective: None,
         may_queue: false,
