Wait for a slot that is free soon rather than go elsewhere

Cause: an attempt was refused as busy unless a slot was free, so at 75 % load nearly half of the attempts were refused and sent again, often to another zone; each refusal costs a transfer and a part of the objective. The rule knew no price of the transfer. Now a request queues where the expected wait is at most an eighth of what is left of its objective, and goes elsewhere otherwise; after three busy targets it queues at the best one, as before.

--- a/examples/health_table/model.rs
+++ b/examples/health_table/model.rs
@@ -384,7 +384,7 @@
             is_call: false,
             kind: String::new(),
             objective: None,
-            may_queue: true,
+            wait_max: Duration::MAX,
             attempt: AttemptId(id),
             account: Some(
                 format!("account-{account}")
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -42,8 +42,8 @@
     ///
     /// A request waits for a slot only if it can still meet its objective.
     pub objective: Option<Time>,
-    /// True if the request may wait for a slot; otherwise it is refused as busy unless one is free.
-    pub may_queue: bool,
+    /// Longest expected wait for a slot; the request is refused as busy if it is longer.
+    pub wait_max: Duration,
 }
 
 impl SlotRequest {
@@ -175,6 +175,8 @@
 /// # Examples
 ///
 /// ```
+/// use std::time::Duration;
+///
 /// use laburnumtide::admission::{AdmissionQueue, Limits, SlotRequest, Admission};
 /// use laburnumtide::prelude::*;
 ///
@@ -190,7 +192,7 @@
 ///     is_call: false,
 ///     deadline: Time::from_millis(9_000),
 ///     objective: None,
-///     may_queue: true,
+///     wait_max: Duration::MAX,
 /// };
 /// assert_eq!(queue.admit(now, request(1)), Admission::Run);
 /// assert_eq!(queue.admit(now, request(2)), Admission::Queued);
@@ -245,11 +247,11 @@
         }
         match self.refusal(now, &request) {
             Some(refusal) => Admission::Refused(refusal),
-            None if !request.may_queue => {
-                let wait = self.wait_behind(now, self.ahead_of(now, &request));
-                Admission::Refused(Refusal::after(Reason::Busy, wait.max(MIN_RETRY)))
-            }
             None => {
+                let wait = self.wait_behind(now, self.ahead_of(now, &request));
+                if wait > request.wait_max {
+                    return Admission::Refused(Refusal::after(Reason::Busy, wait.max(MIN_RETRY)));
+                }
                 self.enqueue(&request);
                 Admission::Queued
             }
--- a/src/http/headers.rs
+++ b/src/http/headers.rs
@@ -35,7 +35,10 @@
 /// Time left until the latency objective of the route, in milliseconds, between nodes only; absent
 /// if only the deadline applies.
 pub const OBJECTIVE_MS: HeaderName = HeaderName::from_static("laburnum-aim-ms");
-/// Present if the request may be queued for a slot, between nodes only.
+/// Longest expected wait for a slot with which the request may be queued, in milliseconds, between
+/// nodes only.
+pub const WAIT_MS: HeaderName = HeaderName::from_static("laburnum-wait-ms");
+/// Present if the request may be queued for a slot however long it takes, between nodes only.
 pub const MAY_QUEUE: HeaderName = HeaderName::from_static("laburnum-patient");
 /// Present if the request may run more than once, between nodes only.
 pub const IDEMPOTENT: HeaderName = HeaderName::from_static("laburnum-repeatable");
--- a/src/node/context.rs
+++ b/src/node/context.rs
@@ -19,6 +19,10 @@
 /// Divisor of a latency objective, for the part that a request may wait for a token.
 const TOKEN_WAIT_DIVISOR: u32 = 2;
 
+/// Divisor of a latency objective, for the wait for a slot that costs less than another transfer of
+/// the request, often to another zone.
+const SLOT_WAIT_DIVISOR: u32 = 8;
+
 /// The key of a request and the account that it authenticates.
 #[derive(Clone, Debug)]
 pub struct Identity {
@@ -135,6 +139,15 @@
         wait.min(self.time_left())
     }
 
+    /// Returns the longest expected wait for a slot at which the request rather waits than goes to
+    /// another target.
+    pub fn slot_wait(&self) -> Duration {
+        let left = self.objective.map_or(self.time_left(), |objective| {
+            objective.saturating_duration_since(Instant::now())
+        });
+        left / SLOT_WAIT_DIVISOR
+    }
+
     /// Returns true if the request may run more than once.
     ///
     /// A request with an idempotency key runs at most once, whatever its route permits.
--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -69,7 +69,7 @@
     is_call: bool,
     /// Latency objective for the response, counted from the arrival.
     objective: Option<Duration>,
-    may_queue: bool,
+    wait_max: Duration,
     idempotent: bool,
     forced: bool,
     origin: Option<ServiceName>,
@@ -146,7 +146,7 @@
             priority: info.priority,
             is_call: info.is_call,
             objective: info.objective.map(|objective| self.clock.now() + objective),
-            may_queue: info.may_queue,
+            wait_max: info.wait_max,
             deadline: self.clock.now() + left,
         };
         let mut slot = target.queue.enter(slot).await.map_err(not_run)?;
@@ -334,7 +334,12 @@
                 )?)),
                 false => None,
             },
-            may_queue: from.contains_key(headers::MAY_QUEUE),
+            wait_max: match from.contains_key(headers::MAY_QUEUE) {
+                true => Duration::MAX,
+                false => parse_header(from, &headers::WAIT_MS)
+                    .map(Duration::from_millis)
+                    .unwrap_or_default(),
+            },
             idempotent: from.contains_key(headers::IDEMPOTENT),
             forced: from.contains_key(headers::FORCED),
             origin: match from.contains_key(headers::ORIGIN) {
--- a/src/node/forward.rs
+++ b/src/node/forward.rs
@@ -219,6 +219,8 @@
         if retry_state.is_forced() {
             fields.insert(headers::FORCED, HeaderValue::from_static("1"));
         }
+        let wait = ctx.slot_wait().as_millis() as u64;
+        fields.insert(headers::WAIT_MS, HeaderValue::from(wait));
         if retry_state.may_queue() {
             fields.insert(headers::MAY_QUEUE, HeaderValue::from_static("1"));
         }
--- a/tests/admission_bounds.rs
+++ b/tests/admission_bounds.rs
@@ -27,7 +27,7 @@
         is_call: false,
         kind: String::new(),
         objective: None,
-        may_queue: true,
+        wait_max: Duration::MAX,
         attempt: AttemptId(attempt),
         account: account.map(|a| format!("account-{a}").parse().unwrap()),
         weight: Rate::per_sec(weight),
--- a/tests/queue_objective.rs
+++ b/tests/queue_objective.rs
@@ -23,7 +23,7 @@
         is_call: false,
         deadline: at(now + deadline_ms),
         objective: Some(at(now + objective_ms)),
-        may_queue: true,
+        wait_max: Duration::MAX,
     }
 }
 
@@ -84,7 +84,7 @@
         queue.admit(at(START), request(n, START, 2_000, 8_000));
     }
     let unqueued = SlotRequest {
-        may_queue: false,
+        wait_max: Duration::ZERO,
         ..request(5, START, 2_000, 8_000)
     };
     let Admission::Refused(Refusal {
@@ -154,3 +154,42 @@
         "the less urgent ones starve: {served:?}"
     );
 }
+
+/// Guards against a transfer to another target, often in another zone, where a slot is free soon, and
+/// against a wait that is longer than a transfer is worth.
+#[test]
+fn short_wait_queues() {
+    let mut queue = measured();
+    for n in 0..2 {
+        let admission = queue.admit(at(START), request(n, START, 1_000, 8_000));
+        assert_eq!(admission, Admission::Run);
+    }
+    // A slot is expected to be free every 200 ms.
+    let waiting = |n, wait_max| SlotRequest {
+        wait_max: Duration::from_millis(wait_max),
+        ..request(n, START, 1_000, 8_000)
+    };
+    let refused = queue.admit(at(START), waiting(10, 150));
+    assert!(
+        matches!(
+            refused,
+            Admission::Refused(Refusal {
+                reason: Reason::Busy,
+                ..
+            })
+        ),
+        "{refused:?}"
+    );
+    assert_eq!(queue.admit(at(START), waiting(11, 250)), Admission::Queued);
+    let refused = queue.admit(at(START), waiting(12, 250));
+    assert!(
+        matches!(
+            refused,
+            Admission::Refused(Refusal {
+                reason: Reason::Busy,
+                ..
+            })
+        ),
+        "{refused:?}"
+    );
+}
--- a/tests/retry_safety.rs
+++ b/tests/retry_safety.rs
@@ -240,7 +240,7 @@
             is_call: false,
             kind: String::new(),
             objective: None,
-            may_queue: true,
+            wait_max: Duration::MAX,
             attempt: AttemptId(attempt),
             account: Some("bank".parse().unwrap()),
             weight: Rate::per_sec(10),
--- a/tests/service_time.rs
+++ b/tests/service_time.rs
@@ -20,7 +20,7 @@
         is_call: false,
         deadline: clock.now() + Duration::from_secs(5),
         objective: None,
-        may_queue: false,
+        wait_max: Duration::ZERO,
     }
 }
 
--- a/tests/target_calls.rs
+++ b/tests/target_calls.rs
@@ -21,7 +21,7 @@
         is_call,
         deadline: at(2_100),
         objective: None,
-        may_queue: true,
+        wait_max: Duration::MAX,
     }
 }
 
