Check the key of a request that waited long at the egress, too

Cause: the ingress's check of a key holds for 1.8 s, and after that the egress refused whatever the key was. Class: a belief that a process had checked for another, without the means to check it itself. The attempt now names the digest of its key, and after 1.8 s the egress looks for it in its own configuration, which it can prove current; a withdrawn key or an expired proof is refused as before. Tests: data_path::key_withdrawal::queued_request_runs failed before (stale-config, 1 run); withdrawn_while_queued and stale_while_queued hold before and after. An attempt of an older ingress has no digest and the old limit.

--- a/src/http/headers.rs
+++ b/src/http/headers.rs
@@ -19,6 +19,8 @@
 pub const REASON: HeaderName = HeaderName::from_static("laburnum-reason");
 /// Client account, between nodes only; absent on open routes.
 pub const ACCOUNT: HeaderName = HeaderName::from_static("laburnum-account");
+/// Digest of the key, between nodes only; absent on open routes.
+pub const KEY: HeaderName = HeaderName::from_static("laburnum-key");
 /// Weight of the account in the fair queue of a target, between nodes only.
 pub const WEIGHT: HeaderName = HeaderName::from_static("laburnum-weight");
 /// How long the caller waits for the complete response.
--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -17,11 +17,12 @@
 use crate::http::body::TimeoutBody;
 use crate::http::headers;
 use crate::http::refusal::{NOT_RUN, RESPONSE, UNKNOWN};
-use crate::ids::{AccountName, AttemptId, RequestId, ServiceName, TargetName};
+use crate::ids::{AccountName, AttemptId, KeyDigest, RequestId, ServiceName, TargetName};
 use crate::node::calls::Calls;
 use crate::node::components::Freshness;
 use crate::node::dialect::{Dialect, Dispatch};
 use crate::node::in_flight::{DrainStage, InFlight, InFlightGuard};
+use crate::node::key_check::KeyCheck;
 use crate::node::local::{LocalTarget, LocalTargets};
 use crate::node::settings::Limits;
 use crate::node::target_body::{AttemptEnd, AttemptResources, TargetBody};
@@ -30,12 +31,9 @@
 use crate::time::{Clock, Monotonic};
 use crate::units::Rate;
 
-/// Retry delay of refusals for a draining or missing target and for a stale configuration.
+/// Retry delay of refusals for a draining or missing target.
 const RETRY_LATER: Duration = Duration::from_secs(1);
 
-/// Longest time from the arrival of a keyed request to its dispatch.
-const DISPATCH_MAX: Duration = Duration::from_millis(1_800);
-
 /// Flow in the fair queue for requests without a key whose service has no open limit.
 const OPEN_FLOW: &str = "open";
 
@@ -48,7 +46,7 @@
     dialect: D,
     local: Arc<LocalTargets>,
     calls: Arc<Calls>,
-    freshness: Arc<F>,
+    keys: KeyCheck<F>,
     clock: Monotonic,
     in_flight: InFlight,
     body_time: Duration,
@@ -62,6 +60,8 @@
     attempt: AttemptId,
     request: RequestId,
     account: Option<AccountName>,
+    /// Digest of the key, unless the ingress has an older version.
+    key: Option<KeyDigest>,
     weight: Rate,
     kind: String,
     priority: u8,
@@ -84,7 +84,7 @@
         dialect: D,
         local: Arc<LocalTargets>,
         calls: Arc<Calls>,
-        freshness: Arc<F>,
+        keys: KeyCheck<F>,
         clock: Monotonic,
         in_flight: InFlight,
         limits: &Limits,
@@ -93,7 +93,7 @@
             dialect,
             local,
             calls,
-            freshness,
+            keys,
             clock,
             in_flight,
             body_time: limits.body_time,
@@ -150,7 +150,7 @@
             deadline: self.clock.now() + left,
         };
         let mut slot = target.queue.enter(slot).await.map_err(not_run)?;
-        self.check_freshness(info).map_err(not_run)?;
+        self.check_key(info).map_err(not_run)?;
         // The target may have started to drain while the request was queued.
         check_accepting(&target).map_err(not_run)?;
         // The last check before the dispatch, since the breaker may choose the request as its
@@ -203,18 +203,13 @@
         self.build_response(info, received.response, resources, in_flight)
     }
 
-    /// Checks that the key can't have been withdrawn long before the dispatch.
-    ///
-    /// The ingress checks the key and ends its requests when the key is withdrawn, but the ingress
-    /// may be paused or partitioned. The age of its freshness proof at sending and the wait here
-    /// together stay below the 5 s within which a withdrawn key stops working. After a pause of
-    /// this process its own proof has expired.
-    fn check_freshness(&self, info: &AttemptInfo) -> std::result::Result<(), Refusal> {
-        let is_late = info.arrived.elapsed() > DISPATCH_MAX;
-        if info.account.is_some() && (is_late || !self.freshness.is_fresh()) {
-            return Err(Refusal::after(Reason::StaleConfig, RETRY_LATER));
+    fn check_key(&self, info: &AttemptInfo) -> std::result::Result<(), Refusal> {
+        match &info.account {
+            Some(account) => self
+                .keys
+                .check(account, info.key.as_ref(), info.arrived.elapsed()),
+            None => Ok(()),
         }
-        Ok(())
     }
 
     fn refuse(
@@ -322,6 +317,7 @@
                 true => Some(parse_header(from, &headers::ACCOUNT)?),
                 false => None,
             },
+            key: parse_header(from, &headers::KEY).ok(),
             weight: Rate::from_millis(parse_header(from, &headers::WEIGHT)?),
             kind: parse_header(from, &headers::KIND)?,
             priority: parse_header(from, &headers::PRIORITY).unwrap_or_default(),
--- a/src/node/forward.rs
+++ b/src/node/forward.rs
@@ -364,6 +364,7 @@
     if let Some(identity) = &ctx.identity {
         let account = name_value(identity.account.name.as_str());
         fields.insert(headers::ACCOUNT, account);
+        fields.insert(headers::KEY, name_value(&identity.digest.to_string()));
     }
     if let Some(objective) = ctx.objective {
         let left = objective.saturating_duration_since(Instant::now());
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -22,6 +22,7 @@
 pub mod in_flight;
 pub mod ingress;
 pub mod join;
+pub mod key_check;
 pub mod limits;
 pub mod links;
 pub mod listen;
@@ -68,6 +69,7 @@
 use forward::Forwarder;
 use in_flight::{DrainStage, InFlight};
 use ingress::Ingress;
+use key_check::KeyCheck;
 use links::Links;
 use listen::{LinkService, Shutdown};
 use local::LocalTargets;
@@ -231,7 +233,7 @@
         dialect,
         local.clone(),
         ingress.calls().clone(),
-        freshness.clone(),
+        KeyCheck::new(config.clone(), freshness.clone()),
         clock,
         in_flight.clone(),
         &limits,
--- a/tests/data_path/key_withdrawal.rs
+++ b/tests/data_path/key_withdrawal.rs
@@ -5,7 +5,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::cluster::{Cluster, KEY, TEST_TIMEOUT, config, config_without_key, eventually};
+use crate::cluster::{Cluster, KEY, TEST_TIMEOUT, config, config_without_key, eventually, outcome};
 
 /// Time within which a withdrawn key must stop working.
 const WITHDRAWAL: Duration = Duration::from_secs(5);
@@ -109,3 +109,51 @@
     let response = cluster.get("/bake").await;
     assert_eq!(response.status(), 401);
 }
+
+/// Service time of a target with one slot, above the time for which an ingress's check of a key
+/// holds.
+const LONG_RUN: Duration = Duration::from_millis(2_200);
+
+/// Starts two requests, of which the second waits for the slot of the first, and returns the cluster
+/// and the reason of the second response once `change` has been applied.
+async fn queued(change: impl FnOnce(&Cluster)) -> (Cluster, String) {
+    let cluster = Cluster::with(Default::default(), 1, LONG_RUN).await;
+    let first = cluster.get("/bulk?bytes=1");
+    let second = async {
+        eventually("the first request runs", || cluster.target.running().0 == 1).await;
+        cluster.get("/bulk?bytes=1").await
+    };
+    let later = async {
+        tokio::time::sleep(LONG_RUN / 2).await;
+        change(&cluster);
+    };
+    let (first, second, ()) = tokio::join!(first, second, later);
+    assert_eq!(outcome(&first).0, "answer");
+    let reason = outcome(&second).1.to_owned();
+    (cluster, reason)
+}
+
+/// Guards against requests that wait for a slot in vain, as their key was checked too long ago.
+#[tokio::test]
+async fn queued_request_runs() {
+    let (cluster, reason) = queued(|_| {}).await;
+    assert_eq!((reason.as_str(), cluster.runs().len()), ("", 2));
+}
+
+/// Guards against the run of a queued request whose key was withdrawn while its ingress didn't know.
+#[tokio::test]
+async fn withdrawn_while_queued() {
+    let withdraw = |cluster: &Cluster| {
+        cluster.back.active_config().store(config_without_key());
+    };
+    let (cluster, reason) = queued(withdraw).await;
+    assert_eq!((reason.as_str(), cluster.runs().len()), ("stale-config", 1));
+}
+
+/// Guards against the run of a queued request by an egress that can't know of a withdrawal.
+#[tokio::test]
+async fn stale_while_queued() {
+    let expire = |cluster: &Cluster| cluster.back_fresh.set(false);
+    let (cluster, reason) = queued(expire).await;
+    assert_eq!((reason.as_str(), cluster.runs().len()), ("stale-config", 1));
+}
