Remember at the ingress what an egress has refused

Cause: a refusal states when the target takes requests again, but the ingress forgot it with the request; in a third to a half of the attempts the same ingress asked the same target again within 250 ms. Class: a belief that doesn't arrive where it decides. Now a target that refused (breaker open, busy, queue full) is left out for the stated time, at most a second, and used again when it serves a request. If all are left out, the request goes where a wait is possible and ends first, and queues there with its first attempt.

--- a/src/node/forward.rs
+++ b/src/node/forward.rs
@@ -214,6 +214,7 @@
             }
         };
         let attempt = AttemptId::random();
+        let may_queue = retry_state.may_queue() || pick.queue;
         let mut request = build_request(ctx, pick, attempt, upload);
         let fields = request.headers_mut();
         if retry_state.is_forced() {
@@ -221,13 +222,13 @@
         }
         let wait = ctx.slot_wait().as_millis() as u64;
         fields.insert(headers::WAIT_MS, HeaderValue::from(wait));
-        if retry_state.may_queue() {
+        if may_queue {
             fields.insert(headers::MAY_QUEUE, HeaderValue::from_static("1"));
         }
         authorize().map_err(Outcome::NotRun)?;
         log::info!(
             event = "attempt", request:% = ctx.id, attempt:% = attempt, target:% = pick.id,
-            may_queue = retry_state.may_queue(), forced = retry_state.is_forced(),
+            may_queue, forced = retry_state.is_forced(),
             left_ms = ctx.time_left().as_millis() as u64; "attempt sent"
         );
         let sent_before = ctx.delivery.mark_sent();
@@ -252,6 +253,7 @@
                 })
             }
         };
+        self.learn(ctx, &pick.id, &result);
         result.inspect_err(|outcome| {
             if matches!(outcome, Outcome::NotRun(_)) {
                 ctx.delivery.restore(sent_before);
@@ -259,6 +261,28 @@
         })
     }
 
+    /// Records what the end of an attempt shows about when its target takes requests.
+    fn learn(
+        &self,
+        ctx: &RequestContext<'_>,
+        target: &TargetId,
+        result: &Result<Response<Incoming>, Outcome>,
+    ) {
+        match result {
+            Ok(response) if !response.status().is_server_error() => self.targets.served(target),
+            Err(Outcome::NotRun(refusal)) => {
+                let mut refusal = *refusal;
+                if refusal.reason == Reason::Busy {
+                    // It takes requests again when the expected wait is short enough.
+                    let wait = refusal.retry_after.unwrap_or_default();
+                    refusal.retry_after = Some(wait.saturating_sub(ctx.slot_wait()));
+                }
+                self.targets.refused(target, &refusal);
+            }
+            _ => {}
+        }
+    }
+
     /// Sets the number of nodes that share the retry budget of a service.
     pub fn set_nodes(&self, nodes: usize) {
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
--- a/src/node/targets.rs
+++ b/src/node/targets.rs
@@ -10,6 +10,7 @@
 use crate::fleet::NodeRecord;
 use crate::ids::{NodeId, ServiceName, TargetId, ZoneName};
 use crate::metrics::Metrics;
+use crate::outcome::Refusal;
 use crate::route::{AttemptEvent, Balancer, Event, PickArgs};
 use crate::time::{Clock, Monotonic};
 
@@ -20,6 +21,8 @@
     pub id: TargetId,
     /// Link address of its node.
     pub addr: SocketAddr,
+    /// True if the request should wait for a slot there.
+    pub queue: bool,
 }
 
 /// The targets of the fleet as known to this node.
@@ -74,16 +77,23 @@
     pub fn pick(&self, request: &PickArgs<'_>) -> Option<Pick> {
         let mut state = self.lock();
         let now = self.clock.now();
-        let id = state.balancer.pick_for(now, request, &mut rand::rng())?;
-        let addr = *state.addrs.get(&id.node)?;
-        Some(Pick { id, addr })
+        let choice = state.balancer.choose(now, request, &mut rand::rng())?;
+        let addr = *state.addrs.get(&choice.target.node)?;
+        Some(Pick {
+            id: choice.target,
+            addr,
+            queue: choice.queue,
+        })
     }
 
-    /// Returns the given target with the address of its node, if that is known.
+    /// Returns the given busy target with the address of its node, if that is known.
     pub fn locate(&self, id: &TargetId) -> Option<Pick> {
         let addr = *self.lock().addrs.get(&id.node)?;
-        let id = id.clone();
-        Some(Pick { id, addr })
+        Some(Pick {
+            id: id.clone(),
+            addr,
+            queue: true,
+        })
     }
 
     /// Records an event of an attempt.
@@ -92,6 +102,17 @@
         self.lock().balancer.report(now, id, event);
     }
 
+    /// Records that the egress of a target refused an attempt.
+    pub fn refused(&self, id: &TargetId, refusal: &Refusal) {
+        let now = self.clock.now();
+        self.lock().balancer.refused(now, id, refusal);
+    }
+
+    /// Records that a target responded to an attempt without a server error.
+    pub fn served(&self, id: &TargetId) {
+        self.lock().balancer.served(id);
+    }
+
     /// Records the load that came with a response.
     pub fn observe(&self, id: &TargetId, load: Load) {
         let now = self.clock.now();
--- a/src/route/balancer.rs
+++ b/src/route/balancer.rs
@@ -13,6 +13,7 @@
 use crate::admission::Load;
 use crate::fleet::{Health, NodeRecord};
 use crate::ids::{NodeId, ServiceName, TargetId, TargetName, ZoneName};
+use crate::outcome::Refusal;
 use crate::time::Time;
 
 /// An event of one attempt, as its ingress observes it.
@@ -49,6 +50,15 @@
     pub fast_refusal: bool,
 }
 
+/// The target that is chosen for a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The target.
+    pub target: TargetId,
+    /// True if every target is known to be busy, so that the request should wait at this one.
+    pub queue: bool,
+}
+
 /// A change of rotation, to be logged and counted.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -162,6 +172,12 @@
         args: &PickArgs<'_>,
         rng: &mut impl Rng,
     ) -> Option<TargetId> {
+        Some(self.choose(now, args, rng)?.target)
+    }
+
+    /// Picks a target for the request that `args` describes, and whether the request should wait
+    /// there.
+    pub fn choose(&mut self, now: Time, args: &PickArgs<'_>, rng: &mut impl Rng) -> Option<Choice> {
         let service = self.services.get_mut(args.service)?;
         if service.is_due(now) {
             service.review(now, &self.zone, &mut self.events);
@@ -183,6 +199,20 @@
         }
     }
 
+    /// Records that the egress of a target refused an attempt.
+    pub fn refused(&mut self, now: Time, id: &TargetId, refusal: &Refusal) {
+        if let Some(service) = self.service_of(id) {
+            service.refused(now, id, refusal);
+        }
+    }
+
+    /// Records that a target responded to an attempt without a server error.
+    pub fn served(&mut self, id: &TargetId) {
+        if let Some(service) = self.service_of(id) {
+            service.served(id);
+        }
+    }
+
     /// Reviews every service that is due, so that reviews don't depend on traffic.
     pub fn tick(&mut self, now: Time) {
         for service in self.services.values_mut().filter(|s| s.is_due(now)) {
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -10,6 +10,7 @@
 mod ejection;
 mod floor;
 mod health;
+mod hold;
 mod kinds;
 mod outlier;
 mod path;
@@ -19,7 +20,7 @@
 mod stats;
 mod target;
 
-pub use balancer::{AttemptEvent, Balancer, Event, PickArgs};
+pub use balancer::{AttemptEvent, Balancer, Choice, Event, PickArgs};
 pub use ejection::{BASE_EJECTION_TIME, EjectionState, SLOW_START_WINDOW};
 pub use floor::Capacity;
 pub use health::{AttemptResult, Meter};
--- a/src/route/service.rs
+++ b/src/route/service.rs
@@ -9,10 +9,11 @@
 use super::floor::{Capacity, Losses, floor_slots};
 use super::outlier::{Cause, Deviation, Observation, detect_outliers, typical_service_time};
 use super::target::Target;
-use super::{AttemptEvent, Event, PickArgs};
+use super::{AttemptEvent, Choice, Event, PickArgs};
 use crate::admission::Load;
 use crate::fleet::Health;
 use crate::ids::{TargetId, ZoneName};
+use crate::outcome::Refusal;
 use crate::time::Time;
 use crate::units::Slots;
 
@@ -144,6 +145,18 @@
         }
     }
 
+    pub fn refused(&mut self, now: Time, id: &TargetId, refusal: &Refusal) {
+        if let Ok(at) = self.targets.binary_search_by(|t| t.id.cmp(id)) {
+            self.targets[at].hold.record(now, refusal);
+        }
+    }
+
+    pub fn served(&mut self, id: &TargetId) {
+        if let Ok(at) = self.targets.binary_search_by(|t| t.id.cmp(id)) {
+            self.targets[at].hold.clear();
+        }
+    }
+
     /// Returns the capacity at `now`.
     pub fn capacity(&mut self, now: Time) -> Capacity {
         let slots = |keep: fn(&Target) -> bool| -> u32 {
@@ -383,23 +396,55 @@
     }
 
     /// Picks a target by power of two choices, in the local zone while it has spare capacity.
-    pub fn pick(&self, now: Time, args: &PickArgs<'_>, rng: &mut impl Rng) -> Option<TargetId> {
+    ///
+    /// If every target is known to refuse requests now, it is the one that takes them again first.
+    pub fn pick(&self, now: Time, args: &PickArgs<'_>, rng: &mut impl Rng) -> Option<Choice> {
+        let choice = |at: usize, queue| Choice {
+            target: self.targets[at].id.clone(),
+            queue,
+        };
         if let Some(at) = self.probe(now, args, rng) {
-            return Some(self.targets[at].id.clone());
+            return Some(choice(at, false));
         }
         let local = self.choose(now, &self.local, args, rng);
         let try_local = args.fast_refusal && args.tried.len() < LOCAL_TRIES_MAX;
         if let Some(at) = local
             && (try_local || self.targets[at].utilization() < SPILLOVER_UTILIZATION)
         {
-            return Some(self.targets[at].id.clone());
+            return Some(choice(at, false));
         }
         let any = self.choose(now, &self.usable, args, rng);
         let best = match (local, any) {
-            (Some(a), Some(b)) => self.prefer_local(a, b),
-            (a, b) => a.or(b).or_else(|| self.last_resort(args))?,
+            (Some(a), Some(b)) => Some(self.prefer_local(a, b)),
+            (a, b) => a.or(b),
         };
-        Some(self.targets[best].id.clone())
+        if let Some(at) = best {
+            return Some(choice(at, false));
+        }
+        let held = self.first_available(now, args);
+        let queue = held.is_some_and(|at| self.targets[at].hold.may_queue(now));
+        let at = held.or_else(|| self.last_resort(args))?;
+        Some(choice(at, queue))
+    }
+
+    /// Returns the held target that takes requests again first, one where they may wait before the
+    /// others.
+    fn first_available(&self, now: Time, args: &PickArgs<'_>) -> Option<usize> {
+        let may_serve = |at: &usize| self.may_serve(now, *at, args);
+        self.usable
+            .iter()
+            .copied()
+            .filter(may_serve)
+            .min_by_key(|at| {
+                let hold = &self.targets[*at].hold;
+                (!hold.may_queue(now), hold.until())
+            })
+    }
+
+    /// Returns true if the request has not tried the target, and its kind is not banned there.
+    fn may_serve(&self, now: Time, at: usize, args: &PickArgs<'_>) -> bool {
+        let target = &self.targets[at];
+        !args.tried.contains(&target.id) && !target.bans.contains(now, args.kind)
     }
 
     /// Returns an ejected target to probe, for a small share of the idempotent requests.
@@ -439,10 +484,9 @@
         rng: &mut impl Rng,
     ) -> Option<usize> {
         let eligible = |at: usize| {
-            let target = &self.targets[at];
             Some(at) != except
-                && !args.tried.contains(&target.id)
-                && !target.bans.contains(now, args.kind)
+                && !self.targets[at].hold.is_active(now)
+                && self.may_serve(now, at, args)
         };
         if among.is_empty() {
             return None;
--- a/src/route/target.rs
+++ b/src/route/target.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::ejection::Ejection;
+use super::hold::Hold;
 use super::kinds::KindBans;
 use super::outlier::Observation;
 use super::path::Path;
@@ -37,6 +38,7 @@
     pub ejection: Ejection,
     pub path: Path,
     pub bans: KindBans,
+    pub hold: Hold,
     /// When the health was received.
     pub health_at: Time,
     cold_since: Time,
@@ -61,6 +63,7 @@
             ejection: Ejection::new(),
             path: Path::default(),
             bans: KindBans::default(),
+            hold: Hold::default(),
             health_at: now,
             cold_since: now,
             backlog: 0.0,
