Relay credit requests through another node if both candidates are out of reach

Cause: a node asked two candidates in turn and had no third way. Class: a fixed number of ways to one owner, all of which a partition may take. Test: limit_links::cut_candidates_are_relayed, no token in 30 s before, in under 2 s after.

--- a/src/limit/limiter.rs
+++ b/src/limit/limiter.rs
@@ -46,6 +46,10 @@
 /// The same for a longer absence of an owner; the timeout is at most 800 ms then.
 const DOUBLINGS_MAX: u32 = 5;
 
+/// Number of timeouts in a row after which both candidates count as out of reach, so that another
+/// node relays the requests.
+const TIMEOUTS_OF_CANDIDATES: u32 = 4;
+
 /// Largest random extension of a retry time, as a share of it, so that callers don't all retry at
 /// once.
 const JITTER: f64 = 0.25;
@@ -99,13 +103,27 @@
 struct Route {
     /// The owner according to another node.
     hint: Option<NodeId>,
-    /// Index of the candidate to try; the other one is tried after a timeout.
-    candidate: usize,
+    /// The node to try; the next one is tried after a timeout.
+    candidate: Candidate,
+    /// Number of timeouts of relays, which selects the next relay.
+    relay_turn: u32,
     /// Credit requests without a response since the last grant.
     timeouts: u32,
     last_timeout: Time,
 }
 
+/// The node to which a credit request is sent while no other node has named the owner.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Candidate {
+    /// The probable owner.
+    #[default]
+    First,
+    /// The node that would own the shard in its place, which may know the owner.
+    Second,
+    /// Any other node, as the paths to both may be cut.
+    Relay,
+}
+
 impl Route {
     /// Returns the number of timeouts in a row, or zero if the last one is long past.
     fn timeouts(&self, now: Time) -> u32 {
@@ -125,14 +143,29 @@
         REQUEST_TIMEOUT * 2u32.pow(doublings)
     }
 
-    /// Records a credit request without a response and selects the other candidate.
+    /// Returns to the probable owner some time after the last timeout.
+    fn expire_detour(&mut self, now: Time) {
+        if now.since(self.last_timeout) >= LEASE {
+            self.candidate = Candidate::First;
+        }
+    }
+
+    /// Records a credit request without a response and selects the next node to try.
     fn record_timeout(&mut self, now: Time) {
         self.timeouts = self.timeouts(now).saturating_add(1);
         self.last_timeout = now;
-        self.candidate = match self.hint.take() {
-            Some(_) => 0,
-            None => 1 - self.candidate,
+        self.candidate = match (self.hint.take(), self.candidate) {
+            (Some(_), Candidate::Relay) => Candidate::Relay,
+            (Some(_), _) => Candidate::First,
+            (None, Candidate::First) => Candidate::Second,
+            (None, Candidate::Second) if self.timeouts >= TIMEOUTS_OF_CANDIDATES => {
+                Candidate::Relay
+            }
+            (None, Candidate::Second | Candidate::Relay) => Candidate::First,
         };
+        if self.candidate == Candidate::Relay {
+            self.relay_turn = self.relay_turn.wrapping_add(1);
+        }
     }
 }
 
@@ -411,7 +444,10 @@
         if state.requested_at.is_some() {
             return None;
         }
-        let route = self.routes.get(&Shard::of(name)).copied();
+        let route = self.routes.get_mut(&Shard::of(name)).map(|route| {
+            route.expire_detour(now);
+            *route
+        });
         let route = route.unwrap_or_default();
         state.requested_at = Some(now);
         state.resend_at = Some(now + route.request_timeout(now));
@@ -430,7 +466,7 @@
         }
         let mut request = credit.request(now, name);
         request.waiting = missing as u32;
-        request.relay = route.timeouts(now) > 0;
+        request.relay = route.timeouts(now) > 0 || route.candidate != Candidate::First;
         request.demand = (demand * 1_000.0) as u64;
         Some(request)
     }
@@ -438,12 +474,17 @@
     /// Returns the node to which credit requests for a shard are sent.
     pub fn owner_of(&self, placement: &Placement, shard: Shard) -> Option<NodeId> {
         let route = self.routes.get(&shard).copied().unwrap_or_default();
-        let owners = placement.probable_owners(shard);
+        let [first, second] = placement.probable_owners(shard);
+        let candidate = match route.candidate {
+            Candidate::First => first,
+            Candidate::Second => second,
+            Candidate::Relay => placement.relay(shard, route.relay_turn),
+        };
         route
             .hint
             .filter(|node| placement.is_live(*node))
-            .or(owners[route.candidate])
-            .or(owners[0])
+            .or(candidate)
+            .or(first)
     }
 
     /// Applies an owner's response.
--- a/src/limit/placement.rs
+++ b/src/limit/placement.rs
@@ -351,6 +351,19 @@
         }
     }
 
+    /// Returns another live node that can relay credit requests for a shard to its owner; a different
+    /// one for each `turn`, as far as there are as many.
+    pub fn relay(&self, shard: Shard, turn: u32) -> Option<NodeId> {
+        let owners = self.probable_owners(shard);
+        let is_relay = |id: &NodeId| *id != self.me && !owners.contains(&Some(*id));
+        let live = self.nodes.iter().zip(&self.live).filter(|(_, live)| **live);
+        let relays: Vec<NodeId> = live.map(|(node, _)| node.id).filter(is_relay).collect();
+        // Nodes start at different relays, so that one node doesn't get the requests of all.
+        let start = xxh3_64_with_seed(&self.me.0.to_le_bytes(), u64::from(shard.0));
+        let at = start.wrapping_add(u64::from(turn)) % relays.len().max(1) as u64;
+        relays.get(at as usize).copied()
+    }
+
     fn preferred(&self, shard: Shard) -> &Preferred {
         self.preferred[usize::from(shard.0)].get_or_init(|| self.find_preferred(shard))
     }
--- a/tests/limit_links.rs
+++ b/tests/limit_links.rs
@@ -214,11 +214,28 @@
     }
 }
 
+/// Time within which a node finds a way to an owner round cut paths.
+const DETOUR_MAX: Duration = Duration::from_secs(2);
+
 /// Guards against an account without service on a node that can't reach the account's owner.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn cut_path_is_relayed() {
+    let took = check_cut_paths(4, false).await;
+    assert!(took < START_LIMIT, "{took:?}");
+}
+
+/// Guards against the same on a node that can't reach the other candidate either.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn cut_candidates_are_relayed() {
+    let took = check_cut_paths(6, true).await;
+    assert!(took < DETOUR_MAX, "{took:?}");
+}
+
+/// Cuts the path from one of `count` nodes to the owner of the account, or to both candidates, and
+/// returns how long its first request takes to be admitted.
+async fn check_cut_paths(count: usize, both: bool) -> Duration {
     let cut_paths = CutPaths::default();
-    let nodes = spawn_nodes(4, cut_paths.clone()).await;
+    let nodes = spawn_nodes(count, cut_paths.clone()).await;
     let account = account(&config());
     let infos: Vec<NodeInfo> = nodes.iter().map(|node| node.info.clone()).collect();
     let mut placement = Placement::new(NodeId(0));
@@ -234,10 +251,18 @@
         .collect();
     wait_admitted(&others, &account).await;
     let owner = wait_owner(&nodes).await;
-    cut_paths.lock().unwrap().push((cut.info.id, owner));
+    match both {
+        true => {
+            let cut_from = |id: &NodeId| (cut.info.id, *id);
+            let paths = owners.iter().flatten().map(cut_from);
+            cut_paths.lock().unwrap().extend(paths);
+        }
+        false => cut_paths.lock().unwrap().push((cut.info.id, owner)),
+    }
     let start = Instant::now();
     while let Err(refusal) = cut.limits.admit(&account, TOKEN_WAIT_MAX, DEADLINE).await {
         assert!(start.elapsed() < START_LIMIT, "last refusal {refusal:?}");
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
+    start.elapsed()
 }
