--- a/src/ctl/args.rs
+++ b/src/ctl/args.rs
@@ -51,6 +51,8 @@
     Explain(Explain),
     /// Generate a key.
     Key(KeyArgs),
+    /// Count attempts by their fate.
+    Attempts(AttemptsArgs),
 }
 
 /// Check a release note without contacting the fleet.
@@ -114,3 +116,13 @@
     #[argh(positional)]
     pub account: String,
 }
+
+/// Count the attempts in logs of nodes: a request, refused by egresses by reason, and the ends of
+/// requests.
+#[derive(FromArgs, Clone, Debug)]
+#[argh(subcommand, name = "attempts")]
+pub struct AttemptsArgs {
+    /// file with the logs of one or more nodes (default: standard input)
+    #[argh(positional)]
+    pub file: Option<String>,
+}
--- a/src/ctl/commands.rs
+++ b/src/ctl/commands.rs
@@ -1,11 +1,14 @@
 //! The commands and their output.
 
+use std::fs::File;
+use std::io::BufReader;
 use std::time::{Duration, Instant};
 
 use serde::Serialize;
 use serde_json::json;
 
-use super::args::{Args, Check, Command, Explain, KeyArgs, NoteArgs, Submit};
+use super::args::{Args, AttemptsArgs, Check, Command, Explain, KeyArgs, NoteArgs, Submit};
+use super::attempts::AttemptReport;
 use super::client::{Client, SubmitResponse};
 use crate::config::{Config, Note, NoteError};
 use crate::control::api::{Invalid, LocatedError, NoteState, Status};
@@ -53,6 +56,7 @@
         Some(Command::Check(check)) => run_check(check, json),
         Some(Command::Explain(explain)) => run_explain(explain, json),
         Some(Command::Key(key)) => run_key(key, json),
+        Some(Command::Attempts(attempts)) => run_attempts(attempts, json),
         Some(Command::Submit(submit)) => run_submit(&args, submit).await,
         Some(Command::Note(note)) => run_note(&args, note).await,
         Some(Command::Status(_)) => run_status(&args).await,
@@ -206,6 +210,21 @@
     Ok(Exit::Done)
 }
 
+fn run_attempts(args: &AttemptsArgs, json: bool) -> Result<Exit> {
+    let report = match &args.file {
+        Some(path) => {
+            let file = File::open(path).map_err(|e| Error::io(format!("read {path}"), e))?;
+            AttemptReport::read(BufReader::new(file))?
+        }
+        None => AttemptReport::read(std::io::stdin().lock())?,
+    };
+    match json {
+        true => print_json(&report),
+        false => print!("{report}"),
+    }
+    Ok(Exit::Done)
+}
+
 async fn run_submit(args: &Args, submit: &Submit) -> Result<Exit> {
     let text = read_file(&submit.file)?;
     let mut checker = Checker::from_env();
--- a/tests/processes/control_absence.rs
+++ b/tests/processes/control_absence.rs
@@ -14,6 +14,9 @@
 /// current.
 const STALE_MAX: Duration = Duration::from_secs(5);
 
+/// Reason of refusals by a node without a current freshness proof.
+const STALE: &str = "stale-config";
+
 fn status(fleet: &Fleet) -> Option<serde_json::Value> {
     let output = fleet.ctl(&["--json", "status"]);
     serde_json::from_slice(&output.stdout).ok()
@@ -101,12 +104,13 @@
     let start = Instant::now();
     loop {
         let sent = start.elapsed();
-        if is_stale(&fleet, 1) {
+        let seen = reason(&fleet, 1);
+        if seen == STALE {
             break;
         }
         assert!(
             sent < STALE_MAX,
-            "the node accepts keys with an expired freshness proof"
+            "the node accepts keys with an expired freshness proof: {seen}"
         );
     }
     // A node that was frozen must not accept keys after it resumes until it has a new freshness
@@ -114,19 +118,24 @@
     std::thread::sleep(STALE_MAX);
     fleet.nodes[1].as_ref().unwrap().freeze();
     fleet.nodes[0].as_ref().unwrap().thaw();
-    assert!(
-        is_stale(&fleet, 0),
+    let seen = reason(&fleet, 0);
+    assert_eq!(
+        seen, STALE,
         "a resumed node accepts keys with an expired freshness proof"
     );
 }
 
-/// Returns true if the node refuses a request because its configuration is stale; requests to
-/// targets beside frozen nodes time out.
-fn is_stale(fleet: &Fleet, node: usize) -> bool {
+/// Returns the reason of the refusal of a request, or why there is none; requests to targets beside
+/// frozen nodes time out.
+fn reason(fleet: &Fleet, node: usize) -> String {
     let key = format!("Bearer {YARD_KEY}");
     let headers = [("authorization", key.as_str())];
     let timeout = Duration::from_millis(300);
     let addr = fleet.caller_addr(node);
     let response = call_within(addr, "GET", "/records/1", &headers, timeout);
-    response.is_ok_and(|r| r.reason() == "stale-config")
+    match response {
+        Ok(response) if response.reason().is_empty() => format!("status {}", response.status),
+        Ok(response) => response.reason().to_owned(),
+        Err(e) => format!("no response: {e}"),
+    }
 }
