Queue a request only if its whole service is expected to end before its objective

Cause: half of the service time had to fit before the objective, a rule for deadlines; requests of other flows and calls go first, too, so a wait is longer than expected. Now the whole service time has to fit, after the expected wait and half of it again. Before, queue_objective:: whole_service_fits fails at 550 ms.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -147,6 +147,10 @@
 /// Minimum retry delay of a refusal.
 const MIN_RETRY: Duration = Duration::from_millis(5);
 
+/// Divisor of an expected wait, for the time by which it may be longer: calls and requests of other
+/// flows that come later may go first.
+const WAIT_MARGIN_DIVISOR: u32 = 2;
+
 /// A request that holds a slot.
 #[derive(Clone, Debug)]
 struct Running {
@@ -446,8 +450,11 @@
             }
             _ => {}
         }
-        let start = now + self.wait_behind(now, ahead);
-        let late = self.is_late(start, request.wait_limit(), &request.kind);
+        let expected = self.wait_behind(now, ahead);
+        let start = now + expected;
+        let end = start + expected / WAIT_MARGIN_DIVISOR + self.service_time_of(&request.kind);
+        let misses_objective = request.objective.is_some_and(|objective| end > objective);
+        let late = misses_objective || self.is_late(start, request.deadline, &request.kind);
         late.then(|| self.late_refusal(now, request, wait))
     }
 
--- a/tests/queue_objective.rs
+++ b/tests/queue_objective.rs
@@ -193,3 +193,17 @@
         "{refused:?}"
     );
 }
+
+/// Guards against a request that waits although its response would come after its objective.
+#[test]
+fn whole_service_fits() {
+    for (objective, is_queued) in [(550, false), (650, false), (750, true)] {
+        let mut queue = measured();
+        for n in 0..2 {
+            queue.admit(at(START), request(n, START, 2_000, 8_000));
+        }
+        // The expected wait is 200 ms and may take half as long again; the service takes 400 ms.
+        let admission = queue.admit(at(START), request(10, START, objective, 8_000));
+        assert_eq!(admission == Admission::Queued, is_queued, "{objective} ms");
+    }
+}
