Don't take an owner for silent while its response is on the way

Now an owner is silent once a credit request has had no response for 100 ms. token_wait::owner_on_its_way failed before (starting in place of rate).

--- a/src/limit/account.rs
+++ b/src/limit/account.rs
@@ -7,7 +7,7 @@
 use rand::rngs::StdRng;
 
 use crate::limit::credit::Credit;
-use crate::limit::{BATCH_PERIOD, LEASE, Ticket, WaitResult};
+use crate::limit::{BATCH_PERIOD, LEASE, TOKEN_WAIT_MAX, Ticket, WaitResult};
 use crate::outcome::{Reason, Refusal};
 use crate::time::Time;
 
@@ -58,14 +58,13 @@
     pub exhausted: Option<Exhausted>,
     /// When a request first timed out because no owner responded.
     pub no_owner_since: Option<Time>,
-    /// The last response of an owner.
-    pub granted_at: Time,
+    /// When the first credit request since the last grant was sent.
+    pub silent_since: Option<Time>,
 }
 
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Waiter {
     pub ticket: Ticket,
-    pub since: Time,
     pub until: Time,
     /// The latest time until which the request waits for a token that is granted already.
     pub latest: Time,
@@ -149,14 +148,15 @@
     }
 
     /// Returns the refusal of a request whose wait has ended without a token.
-    pub fn refuse_expired(&mut self, now: Time, waiter: Waiter, rng: &mut StdRng) -> Refusal {
-        let is_answered = self.held(now) > 0 || self.granted_at >= waiter.since;
-        if !is_answered {
+    pub fn refuse_expired(&mut self, now: Time, rng: &mut StdRng) -> Refusal {
+        let silent_for = self.silent_since.map_or(Duration::ZERO, |at| now.since(at));
+        let is_silent = self.held(now) == 0 && silent_for >= TOKEN_WAIT_MAX;
+        if is_silent {
             self.no_owner_since.get_or_insert(now);
         }
-        let other = match is_answered {
-            true => Refusal::after(Reason::Rate, BATCH_PERIOD),
-            false => Refusal::after(Reason::Starting, RETRY_MIN),
+        let other = match is_silent {
+            true => Refusal::after(Reason::Starting, RETRY_MIN),
+            false => Refusal::after(Reason::Rate, BATCH_PERIOD),
         };
         self.refusal(now, 0, Duration::ZERO, rng).unwrap_or(other)
     }
--- a/src/limit/limiter.rs
+++ b/src/limit/limiter.rs
@@ -107,7 +107,6 @@
         let until = now + wait;
         state.waiting.push_back(Waiter {
             ticket,
-            since: now,
             until,
             latest: until + TOKEN_WAIT_MAX,
         });
@@ -145,6 +144,7 @@
         state.requested_at = Some(now);
         state.resend_at = Some(now + route.request_timeout(now));
         state.last_requested_at = now;
+        state.silent_since.get_or_insert(now);
         self.pending.insert(name.clone());
         let missing = state.uncovered(now);
         let demand = state.demand;
@@ -226,7 +226,7 @@
             return;
         };
         state.no_owner_since = None;
-        state.granted_at = now;
+        state.silent_since = None;
         if let Some(route) = self.routes.get_mut(&Shard::of(name)) {
             route.record_grant();
         }
@@ -311,7 +311,7 @@
             self.due.insert(name.clone());
         }
         for waiter in state.take_expired(now) {
-            let refusal = state.refuse_expired(now, waiter, &mut self.rng);
+            let refusal = state.refuse_expired(now, &mut self.rng);
             self.results.push(WaitResult {
                 ticket: waiter.ticket,
                 result: Err(refusal),
--- a/tests/token_wait.rs
+++ b/tests/token_wait.rs
@@ -236,3 +236,32 @@
         "{results:?}"
     );
 }
+
+/// Guards against an owner that counts as silent while its response is on the way, so that all other
+/// requests of the account are refused at once.
+#[test]
+fn owner_on_its_way() {
+    let mut limiter = LocalLimiter::new(1);
+    let account: AccountName = "yard".parse().unwrap();
+    let mut owner = TestOwner {
+        silent_until: 0,
+        empty_until: 99,
+        total: 0,
+        requests: 0,
+    };
+    limiter.admit(ms(0), &account, TOKEN_WAIT_MAX);
+    let request = limiter.take_due(ms(0)).pop().unwrap();
+    limiter.receive(ms(10), &owner.respond(0, &request).unwrap());
+    limiter.take_results();
+    // The owner has a token at 109 ms, and its response arrives after the end of the wait.
+    let waiting = limiter.admit(ms(15), &account, TOKEN_WAIT_MAX);
+    assert!(matches!(waiting, AdmitResult::Waiting(_)), "{waiting:?}");
+    limiter.poll(ms(109));
+    assert_eq!(limiter.take_due(ms(109)).len(), 1);
+    limiter.poll(ms(115));
+    let results = limiter.take_results();
+    let reason = results[0].result.err().map(|refusal| refusal.reason);
+    assert_eq!(reason, Some(Reason::Rate));
+    let next = limiter.admit(ms(116), &account, TOKEN_WAIT_MAX);
+    assert!(matches!(next, AdmitResult::Waiting(_)), "{next:?}");
+}
