End a drain in time, with a response for each request in flight

And at the limit the requests were left without a response. Class: a time limit for each step in place of one for the whole. Now there is one limit; at it, ingresses answer what is in flight (not run, or unknown if it may have run), egresses refuse what has not started, and the connections get 100 ms more, within the margin before the kill. data_path::graceful_drain::drain_limit_answers failed before (1.1 s for a limit of 0.6).

--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -149,7 +149,12 @@
             wait_max: info.wait_max,
             deadline: self.clock.now() + left,
         };
-        let mut slot = target.queue.enter(slot).await.map_err(not_run)?;
+        let mut slot = tokio::select! {
+            slot = target.queue.enter(slot) => slot.map_err(not_run)?,
+            () = self.in_flight.ended() => {
+                return Err(not_run(Refusal::after(Reason::Draining, RETRY_LATER)));
+            }
+        };
         self.check_key(info).map_err(not_run)?;
         // The target may have started to drain while the request was queued.
         check_accepting(&target).map_err(not_run)?;
--- a/src/node/in_flight.rs
+++ b/src/node/in_flight.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
 
 use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 
 /// Stage of a node's drain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -27,6 +28,7 @@
     running: AtomicUsize,
     idle: Notify,
     stage: AtomicU8,
+    ended: CancellationToken,
 }
 
 /// Counts one request as in flight until dropped.
@@ -67,6 +69,16 @@
         self.inner.stage.fetch_max(stage, Ordering::SeqCst) < stage
     }
 
+    /// Ends the requests that are still in flight at the limit of a drain.
+    pub fn end_requests(&self) {
+        self.inner.ended.cancel();
+    }
+
+    /// Waits until [`InFlight::end_requests`] is called.
+    pub async fn ended(&self) {
+        self.inner.ended.cancelled().await;
+    }
+
     /// Waits until no request is in flight.
     pub async fn idle(&self) {
         loop {
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -249,6 +249,22 @@
         ctx: &RequestContext<'_>,
         config: &Config,
         active: Option<&ActiveRequest>,
+    ) -> Result<Response<Incoming>, Outcome> {
+        tokio::select! {
+            biased;
+            () = self.in_flight.ended() => {
+                Err(ctx.give_up(Refusal::after(Reason::Draining, RETRY_LATER)))
+            }
+            result = self.run_authorized(ctx, config, active) => result,
+        }
+    }
+
+    /// Runs a request until its key is withdrawn.
+    async fn run_authorized(
+        &self,
+        ctx: &RequestContext<'_>,
+        config: &Config,
+        active: Option<&ActiveRequest>,
     ) -> Result<Response<Incoming>, Outcome> {
         let Some(active) = active else {
             return self.admit_and_send(ctx, config).await;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -46,7 +46,7 @@
 
 use bytes::Bytes;
 use tokio::sync::watch;
-use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 pub use components::{ActiveConfig, Components, Freshness, Idempotency, RateLimiter};
@@ -78,6 +78,9 @@
 /// Time between checks for targets that stopped announcing and for an expired freshness proof.
 const TICK: Duration = Duration::from_millis(250);
 
+/// Time after the limit of a drain for the responses of the requests that it ends.
+const CLOSE_TIME: Duration = Duration::from_millis(100);
+
 /// A running node.
 pub struct Handle {
     id: NodeId,
@@ -438,12 +441,18 @@
 
     /// Leaves the fleet: refuses new requests after a grace period, finishes those in flight, then
     /// stops.
+    ///
+    /// Requests that are not finished in time get a refusal or an unknown outcome as their response.
     pub async fn drain(&self) {
         self.begin_drain();
         self.refusing.cancelled().await;
-        let finished = timeout(self.limits.drain_max, self.in_flight.idle()).await;
+        let end = Instant::now() + self.limits.drain_max;
+        let finished = timeout_at(end, self.in_flight.idle()).await;
+        if finished.is_err() {
+            self.in_flight.end_requests();
+        }
         self.shutdown.closing.cancel();
-        let closed = timeout(self.limits.drain_max, self.shutdown.connections.idle()).await;
+        let closed = timeout_at(end + CLOSE_TIME, self.shutdown.connections.idle()).await;
         self.stop.cancel();
         log::info!(
             event = "drain-ended", finished = finished.is_ok(), closed = closed.is_ok();
--- a/tests/data_path/graceful_drain.rs
+++ b/tests/data_path/graceful_drain.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use laburnumtide::node::Limits;
 
@@ -129,3 +129,34 @@
     let (long, ()) = tokio::join!(long, leave);
     assert_eq!(outcome(&long).0, "answer");
 }
+
+/// Guards against callers whose connection is closed without a response at the limit of a drain, and
+/// against a drain that takes longer than its limit.
+#[tokio::test]
+async fn drain_limit_answers() {
+    let limits = Limits {
+        drain_grace: Duration::from_millis(100),
+        drain_max: Duration::from_millis(500),
+        ..Limits::default()
+    };
+    let cluster = Arc::new(Cluster::with(limits, 1, Duration::ZERO).await);
+    let send = |path: &'static str| {
+        let cluster = cluster.clone();
+        tokio::spawn(async move { cluster.get(path).await })
+    };
+    let running = send("/bulk?fault=hang");
+    eventually("the request runs", || cluster.target.running().0 == 1).await;
+    let queued = send("/bulk?bytes=1");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let start = Instant::now();
+    cluster.front.drain().await;
+    assert!(
+        start.elapsed() < Duration::from_millis(900),
+        "{:?}",
+        start.elapsed()
+    );
+    for request in [running, queued] {
+        let response = request.await.expect("a response arrives");
+        assert_eq!(outcome(&response), ("unknown", "draining"));
+    }
+}
