Let a request leave the queue of a target that stopped to work

Cause: a queued request left only with a slot or at its deadline. Class: an estimate that is never checked against what happens. Now a request leaves as busy, to go elsewhere, after four times its longest expected wait, or, if it queued without such a limit, after twice its objective. queue_objective::stuck_target_releases failed before (both stayed until the deadline).

--- a/src/admission/fair.rs
+++ b/src/admission/fair.rs
@@ -24,9 +24,18 @@
 pub(super) struct Waiting {
     pub attempt: AttemptId,
     pub deadline: Time,
+    /// When the request goes elsewhere unless it has got a slot.
+    pub leaves: Time,
     pub kind: String,
 }
 
+impl Waiting {
+    /// Returns when the request must leave the queue.
+    pub fn expiry(&self) -> Time {
+        self.deadline.min(self.leaves)
+    }
+}
+
 /// The charge for a request that has started, to be settled when it ends.
 #[derive(Clone, Debug)]
 pub(super) struct Charge {
@@ -169,10 +178,10 @@
         self.len = self.flows.iter().map(|f| f.waiting.len()).sum();
     }
 
-    /// Returns the earliest deadline of a waiting request.
-    pub fn first_deadline(&self) -> Option<Time> {
+    /// Returns the earliest expiry of a waiting request.
+    pub fn first_expiry(&self) -> Option<Time> {
         let waiting = self.flows.iter().flat_map(|f| &f.waiting);
-        waiting.map(|w| w.deadline).min()
+        waiting.map(Waiting::expiry).min()
     }
 
     /// Resets all tags and the virtual time; called when the target is idle.
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -68,6 +68,17 @@
         Rate::from_millis(self.weight.as_millis() << (PRIORITY_MAX - priority))
     }
 
+    /// Returns when a request that queues now goes elsewhere unless it has got a slot.
+    ///
+    /// The target may have stopped to work after the wait was estimated.
+    fn leaves(&self, now: Time) -> Time {
+        match (self.wait_max, self.objective) {
+            (Duration::MAX, Some(objective)) => objective + objective.since(now),
+            (Duration::MAX, None) => self.deadline,
+            (wait_max, _) => now + wait_max * WAIT_FACTOR,
+        }
+    }
+
     /// Returns the time by which a request that waits for a slot must be able to end.
     fn wait_limit(&self) -> Time {
         self.objective
@@ -75,6 +86,9 @@
     }
 }
 
+/// Longest time in the queue as a multiple of the longest expected wait.
+const WAIT_FACTOR: u32 = 4;
+
 /// Least urgent priority with a weight of its own.
 const PRIORITY_MAX: u8 = 8;
 
@@ -256,7 +270,7 @@
                 if wait > request.wait_max {
                     return Admission::Refused(Refusal::after(Reason::Busy, wait.max(MIN_RETRY)));
                 }
-                self.enqueue(&request);
+                self.enqueue(now, &request);
                 Admission::Queued
             }
         }
@@ -317,8 +331,8 @@
     pub fn next_expiry(&self) -> Option<Time> {
         let unordered = self.calls.iter().chain(&self.anonymous_queue);
         let first = unordered
-            .map(|w| w.deadline)
-            .chain(self.fair_queue.first_deadline())
+            .map(Waiting::expiry)
+            .chain(self.fair_queue.first_expiry())
             .min()?;
         let growth = self.warm_up.next_step(self.last_call);
         Some(growth.map_or(first, |t| t.min(first)))
@@ -485,10 +499,11 @@
         Refusal::after(Reason::Deadline, step * steps as u32)
     }
 
-    fn enqueue(&mut self, request: &SlotRequest) {
+    fn enqueue(&mut self, now: Time, request: &SlotRequest) {
         let waiting = Waiting {
             attempt: request.attempt,
             deadline: request.deadline,
+            leaves: request.leaves(now),
             kind: request.kind.clone(),
         };
         match &request.flow() {
@@ -564,12 +579,14 @@
         let retry = self.wait_behind(now, self.queued()).max(MIN_RETRY);
         let mut late = Vec::new();
         let mut keep = |w: &Waiting| {
-            let in_time = now + need(&w.kind) <= w.deadline;
-            if !in_time {
-                let refusal = Refusal::after(Reason::Deadline, retry);
-                late.push(Decision::Refuse(w.attempt, refusal));
-            }
-            in_time
+            let reason = match (now + need(&w.kind) > w.deadline, now >= w.leaves) {
+                (true, _) => Reason::Deadline,
+                (false, true) => Reason::Busy,
+                (false, false) => return true,
+            };
+            let refusal = Refusal::after(reason, retry);
+            late.push(Decision::Refuse(w.attempt, refusal));
+            false
         };
         self.calls.retain(&mut keep);
         self.anonymous_queue.retain(&mut keep);
--- a/tests/queue_objective.rs
+++ b/tests/queue_objective.rs
@@ -207,3 +207,35 @@
         assert_eq!(admission == Admission::Queued, is_queued, "{objective} ms");
     }
 }
+
+/// Guards against requests that wait until their deadline for a target that has stopped to work.
+#[test]
+fn stuck_target_releases() {
+    let mut queue = measured();
+    for n in 0..2 {
+        queue.admit(at(START), request(n, START, 2_000, 8_000));
+    }
+    let brief = SlotRequest {
+        wait_max: Duration::from_millis(250),
+        ..request(10, START, 2_000, 8_000)
+    };
+    assert_eq!(queue.admit(at(START), brief), Admission::Queued);
+    let patient = request(11, START, 2_000, 8_000);
+    assert_eq!(queue.admit(at(START), patient), Admission::Queued);
+    let mut left = Vec::new();
+    let mut now = at(START);
+    while let Some(next) = queue.next_expiry() {
+        now = now.max(next);
+        for decision in queue.expire(now) {
+            match decision {
+                Decision::Refuse(attempt, refusal) => left.push((attempt.0, now, refusal.reason)),
+                Decision::Run(attempt) => panic!("{attempt} runs without a slot"),
+            }
+        }
+    }
+    let expected = [
+        (10, at(START + 1_000), Reason::Busy),
+        (11, at(START + 4_000), Reason::Busy),
+    ];
+    assert_eq!(left, expected);
+}
