--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -17,7 +17,7 @@
 use crate::http::path::{is_safe, resolve};
 use crate::http::{FAULT_METHOD, headers};
 use crate::idempotency::{IdempotencyKey, RunResult};
-use crate::ids::{AccountName, KeyDigest, RequestId, RouteName};
+use crate::ids::KeyDigest;
 use crate::metrics::Metrics;
 use crate::node::active_requests::{ActiveRequest, ActiveRequests};
 use crate::node::calls::Calls;
@@ -27,6 +27,7 @@
 use crate::node::forward::Forwarder;
 use crate::node::in_flight::{DrainStage, InFlight, InFlightGuard};
 use crate::node::open_limit::OpenLimit;
+use crate::node::request_log::RequestLogGuard;
 use crate::node::response_body::ResponseBody;
 use crate::node::settings::Limits;
 use crate::outcome::{FirstOutcome, Outcome, Reason, Refusal};
@@ -437,64 +438,6 @@
     }
 }
 
-/// Logs and counts a request that ends without a response of a target; one whose caller disconnected
-/// is recorded when this is dropped.
-struct RequestLogGuard<'a> {
-    id: RequestId,
-    route: Option<RouteName>,
-    account: Option<AccountName>,
-    metrics: &'a Metrics,
-    ended: bool,
-    arrived: Instant,
-}
-
-impl<'a> RequestLogGuard<'a> {
-    fn start(id: RequestId, metrics: &'a Metrics) -> RequestLogGuard<'a> {
-        RequestLogGuard {
-            id,
-            route: None,
-            account: None,
-            metrics,
-            ended: false,
-            arrived: Instant::now(),
-        }
-    }
-
-    fn log_refusal(&self, outcome: &Outcome) {
-        let Some(reason) = outcome.reason() else {
-            return;
-        };
-        self.metrics.refused(reason);
-        let latency = self.arrived.elapsed();
-        self.metrics.time("refusal", latency);
-        let retry_ms = outcome.retry_after().map(|d| d.as_millis() as u64);
-        log::info!(
-            event = "refused", request:% = self.id, outcome = outcome.name(), reason:% = reason,
-            route:% = label(&self.route), account:% = label(&self.account),
-            ms = latency.as_millis() as u64, retry_ms;
-            "request refused"
-        );
-    }
-}
-
-impl Drop for RequestLogGuard<'_> {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.metrics.count("cancelled");
-            log::info!(
-                event = "cancelled", request:% = self.id, route:% = label(&self.route),
-                account:% = label(&self.account),
-                ms = self.arrived.elapsed().as_millis() as u64; "caller disconnected"
-            );
-        }
-    }
-}
-
-/// Returns a name for log records; a dash if it is not known.
-fn label<T: std::fmt::Display>(name: &Option<T>) -> String {
-    name.as_ref().map_or_else(|| "-".to_owned(), T::to_string)
-}
-
 /// Reads and discards the rest of a refused request's body, within limits.
 ///
 /// Closing a socket with unread data resets the connection, and the caller could lose the refusal.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -30,6 +30,7 @@
 pub mod meter;
 pub mod open_limit;
 pub mod pool;
+mod request_log;
 pub mod response_body;
 pub mod settings;
 pub mod slots;
--- a/tests/token_wait.rs
+++ b/tests/token_wait.rs
@@ -91,6 +91,15 @@
 }
 
 impl TestOwner {
+    fn new(silent_until: u64, empty_until: u64) -> TestOwner {
+        TestOwner {
+            silent_until,
+            empty_until,
+            total: 0,
+            requests: 0,
+        }
+    }
+
     fn respond(&mut self, now: u64, request: &CreditRequest) -> Option<CreditResponse> {
         self.requests += 1;
         if now < self.silent_until {
@@ -153,12 +162,7 @@
 /// Guards against a refusal of a request whose token comes within its latency objective.
 #[test]
 fn token_within_objective() {
-    let mut owner = TestOwner {
-        silent_until: 0,
-        empty_until: 300,
-        total: 0,
-        requests: 0,
-    };
+    let mut owner = TestOwner::new(0, 300);
     let (results, refused) = play(&mut owner, 1);
     assert_eq!(refused, []);
     assert!(
@@ -174,12 +178,7 @@
 /// Guards against a request that waits for a token which can't come in time.
 #[test]
 fn late_token_refused_at_once() {
-    let mut owner = TestOwner {
-        silent_until: 0,
-        empty_until: 700,
-        total: 0,
-        requests: 0,
-    };
+    let mut owner = TestOwner::new(0, 700);
     let (results, refused) = play(&mut owner, 2);
     let [
         (
@@ -202,12 +201,7 @@
 /// Guards against a queue for tokens that is longer than its requests can wait.
 #[test]
 fn queue_for_tokens_bounded() {
-    let mut owner = TestOwner {
-        silent_until: 0,
-        empty_until: 200,
-        total: 0,
-        requests: 0,
-    };
+    let mut owner = TestOwner::new(0, 200);
     let (results, refused) = play(&mut owner, 20);
     let served = results.iter().filter(|(_, r)| r.result.is_ok()).count();
     // The first token comes after 200 ms, then one in each pace.
@@ -220,12 +214,7 @@
 /// a cut path or a change of the owner.
 #[test]
 fn late_owner_serves() {
-    let mut owner = TestOwner {
-        silent_until: 400,
-        empty_until: 0,
-        total: 0,
-        requests: 0,
-    };
+    let mut owner = TestOwner::new(400, 0);
     let (results, refused) = play(&mut owner, 1);
     assert_eq!(refused, []);
     assert!(
@@ -243,12 +232,7 @@
 fn owner_on_its_way() {
     let mut limiter = LocalLimiter::new(1);
     let account: AccountName = "yard".parse().unwrap();
-    let mut owner = TestOwner {
-        silent_until: 0,
-        empty_until: 99,
-        total: 0,
-        requests: 0,
-    };
+    let mut owner = TestOwner::new(0, 99);
     limiter.admit(ms(0), &account, TOKEN_WAIT_MAX);
     let request = limiter.take_due(ms(0)).pop().unwrap();
     limiter.receive(ms(10), &owner.respond(0, &request).unwrap());
