Let a test of once-only runs go on until it has seen enough unknown outcomes

No request ran twice: once both targets have failed five times in a row, both breakers are open and reject nearly all of the 200 requests, which take less than a second. The check stays; the test sends at least 200 requests and goes on, to 5,000 at most, until it has seen 21 unknown outcomes.

--- a/tests/data_path/retry_rules.rs
+++ b/tests/data_path/retry_rules.rs
@@ -44,8 +44,11 @@
     };
     cluster.target.set_behaviour(faulty);
     other.set_behaviour(faulty);
-    let (mut unknown, mut rejected) = (0, Vec::new());
-    for i in 0..200 {
+    let (mut unknown, mut rejected, mut sent) = (0, Vec::new(), 0);
+    // Open circuit breakers reject most requests for a time, which leaves few unknown outcomes.
+    while sent < 200 || unknown <= 20 && sent < 5_000 {
+        let i = sent;
+        sent += 1;
         // Some requests use pooled connections, some new ones.
         let body = if i % 2 == 0 { "" } else { "dough" };
         let request = Request::post(format!("/bake/{i}?bytes=0"))
