Acknowledge changes after the loss of most nodes

Cause: an entry was accepted only with a majority of every registry since the last accepted one, and the registry change that drops the lost nodes needed that majority itself. Ruled out by the logs: commit, leader, slow nodes.

Two rules, one for each kind of loss: - The registry carries a limit on the time for which nodes confirm one another after the last statement of the control group (--offline-time, 12 h; on the platform three quarters of ackMs). Nodes relay the age of that statement without an upper limit. After the limit and 3 % no node without a committed entry is fresh, so the leader accepts it. - A leaving node makes no statements, and the leader logs it, so it counts like a dead one for later leaders too. A refused connection is not taken as a proof of death: a firewall that resets connections looks the same. ProofExpiry holds both for the leader and for the simulation, in place of two maps of dead nodes.

node_registry::leaving_nodes_are_demoted compares a whole change, which now also lists the leaving node: the expected value has one more field and is as strict. Test literals of Settings name the new field. All other tests are unchanged.

Left: a silent loss of more than a third keeps the lost nodes registered for 60 s, and accounts with a rate wait for that.

--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -106,6 +106,8 @@
     pub metrics: Metrics,
     /// Voters that the group must have before the first note can be submitted.
     pub voters: usize,
+    /// Time for which nodes may confirm one another's configuration without the control group.
+    pub offline: Duration,
 }
 
 /// The replica together with its I/O.
@@ -121,6 +123,7 @@
     rng: StdRng,
     metrics: Metrics,
     voters: usize,
+    offline: Duration,
     in_flight: Option<InFlight>,
     queue: VecDeque<(Box<Note>, oneshot::Sender<SubmitResult>)>,
     leader_state: Option<LeaderState>,
@@ -169,6 +172,7 @@
             rng: rand::make_rng(),
             metrics: deps.metrics,
             voters: deps.voters,
+            offline: deps.offline,
             in_flight: None,
             queue: VecDeque::new(),
             leader_state: None,
@@ -375,7 +379,7 @@
             self.nodes.reset_probes();
             self.leader_state = Some(LeaderState {
                 term,
-                membership: MembershipTracker::default(),
+                membership: MembershipTracker::new(self.offline),
                 accepted: Position(0),
             });
         } else if role != Role::Leader && self.leader_state.take().is_some() {
@@ -494,7 +498,7 @@
         };
         if self.replica.propose(now, Entry::Accepted(position)).is_ok() {
             leader.accepted = position;
-            info!(event = "accepted", position:% = position; "position accepted by a majority of the nodes");
+            info!(event = "accepted", position:% = position; "no node that lacks the position can be fresh");
         }
     }
 
@@ -509,10 +513,11 @@
         if let Ok(position) = self.replica.propose(now, entry) {
             membership.record_proposed(position);
             let (joined, left) = (change.joined.len(), change.left.len());
-            let dead = membership.count_dead(&change.left);
+            let ended = membership.count_ended(&change.left);
+            let leaving = change.leaving.len();
             let (demoted, reinstated) = (change.demoted.len(), change.reinstated.len());
             info!(
-                event = "registry-changed", position:% = position, joined, left, dead, demoted, reinstated;
+                event = "registry-changed", position:% = position, joined, left, ended, demoted, reinstated, leaving;
                 "node registry changed"
             );
         }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -21,6 +21,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::Duration;
 
 use log::{debug, error, info};
 use tokio::net::TcpListener;
@@ -36,6 +37,7 @@
 use self::transport::Transport;
 use self::view::View;
 use crate::error::{Error, Result};
+use crate::freshness::PROOF_LIFETIME;
 use crate::ids::ReplicaId;
 use crate::metrics::Metrics;
 use crate::replica::{Member, REPLICAS_MAX, Replica};
@@ -60,6 +62,9 @@
     /// Number of voters that the group grows to; zero if it doesn't grow. No note is accepted from
     /// operators before the group has this size.
     pub voters: usize,
+    /// Time for which nodes may confirm one another's configuration after the last contact with the
+    /// control group. If most nodes are lost, a note is acknowledged only after it.
+    pub offline: Duration,
     /// The data directory.
     pub data_dir: PathBuf,
     /// The fleet secret.
@@ -79,6 +84,17 @@
     (2 * losses + 1).min(REPLICAS_MAX)
 }
 
+/// Default of [`Settings::offline`]: traffic goes on while all control processes are away for hours.
+pub const OFFLINE_TIME: Duration = Duration::from_secs(12 * 3_600);
+
+/// Returns the longest [`Settings::offline`] with which a change is acknowledged within `ack` after
+/// most nodes were lost.
+///
+/// A quarter of the time is left for the commit, clock drift and a repeated call.
+pub fn offline_for(ack: Duration) -> Duration {
+    (ack * 3 / 4).max(PROOF_LIFETIME)
+}
+
 impl Settings {
     /// Configures discovery: `seeds` are link addresses of some control processes, which may include
     /// this one, and `first` is true at the first start of the whole fleet.
@@ -108,6 +124,11 @@
                 "the peers must not include the link address of the process itself".to_owned(),
             );
         }
+        if self.offline < PROOF_LIFETIME {
+            errors.push(format!(
+                "the time offline must be at least {PROOF_LIFETIME:?}"
+            ));
+        }
         let mut peers = self.peers.clone();
         peers.sort();
         peers.dedup();
@@ -333,6 +354,7 @@
             clock: self.clock,
             metrics: self.metrics.clone(),
             voters: self.settings.voters,
+            offline: self.settings.offline,
         }
     }
 
--- a/src/control/nodes.rs
+++ b/src/control/nodes.rs
@@ -1,12 +1,12 @@
 //! The nodes that contacted a replica, and the registry changes that the leader derives from them.
 
-use std::collections::BTreeMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use crate::control::state::State;
-use crate::fleet::{Heartbeat, Member, MembershipTable, ProbeAck, Registry, RegistryChange};
-use crate::freshness::PROOF_LIFETIME_MAX;
+use crate::fleet::{
+    Heartbeat, Member, MembershipTable, ProbeAck, ProofExpiry, Registry, RegistryChange,
+};
 use crate::ids::NodeId;
 use crate::time::Time;
 use crate::units::Position;
@@ -148,11 +148,13 @@
 }
 
 /// The leader's view of fleet membership during its term.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct MembershipTracker {
     table: MembershipTable,
-    /// Processes that are proved dead, with the time of the proof.
-    dead: BTreeMap<NodeId, Time>,
+    /// When the proofs of nodes that are dead, leaving or out of contact have expired.
+    expiry: ProofExpiry,
+    /// The limit on the time offline that the registry should have.
+    offline: Duration,
     /// The position of the last registry that was applied.
     applied: Position,
     /// The position of the last change that this leader proposed.
@@ -162,26 +164,41 @@
 }
 
 impl MembershipTracker {
+    /// Creates the view of a new leader; `offline` is the limit that the registry should have.
+    pub fn new(offline: Duration) -> MembershipTracker {
+        MembershipTracker {
+            table: MembershipTable::default(),
+            expiry: ProofExpiry::default(),
+            offline,
+            applied: Position(0),
+            proposed: Position(0),
+            refreshed: None,
+        }
+    }
+
     /// Applies the registries that came into force since the last call, oldest first.
     pub fn apply_registries(&mut self, now: Time, state: &State) {
         for (position, registry) in state.registries() {
             if position > self.applied {
                 self.applied = position;
                 let dead = self.table.apply_registry(now, registry);
-                self.mark_dead(now, dead);
+                self.record_ends(now, dead);
+                self.record_ends(now, registry.leaving().iter().copied());
             }
         }
+        self.expiry.record_commit(now, state.position());
+        self.expiry.prune(state.accepted());
     }
 
     /// Records that a node responded to a probe.
     pub fn record_probe(&mut self, now: Time, ack: ProbeAck) {
         let dead = self.table.record_probe(now, ack);
-        self.mark_dead(now, dead);
+        self.record_ends(now, dead);
     }
 
-    fn mark_dead(&mut self, now: Time, dead: impl IntoIterator<Item = NodeId>) {
-        for id in dead {
-            self.dead.entry(id).or_insert(now);
+    fn record_ends(&mut self, now: Time, nodes: impl IntoIterator<Item = NodeId>) {
+        for id in nodes {
+            self.expiry.record_end(now, id);
         }
     }
 
@@ -205,12 +222,23 @@
                 self.table.record_heartbeat(&heartbeat);
             }
         }
-        self.table.propose(now, registry)
+        let change = self.table.propose(now, registry);
+        let offline = (registry.offline() != Some(self.offline)).then_some(self.offline);
+        let is_formed = !registry.members().is_empty();
+        match change {
+            Some(change) => Some(RegistryChange { offline, ..change }),
+            None if is_formed && offline.is_some() => Some(RegistryChange {
+                offline,
+                ..RegistryChange::default()
+            }),
+            None => None,
+        }
     }
 
-    /// Returns how many of the nodes are proved dead.
-    pub fn count_dead(&self, nodes: &[NodeId]) -> usize {
-        nodes.iter().filter(|id| self.dead.contains_key(id)).count()
+    /// Returns how many of the nodes are proved dead or were leaving.
+    pub fn count_ended(&self, nodes: &[NodeId]) -> usize {
+        let ended = nodes.iter().filter(|id| self.expiry.has_ended(**id));
+        ended.count()
     }
 
     /// Records the position of a change that [`MembershipTracker::due_change`] returned.
@@ -220,16 +248,16 @@
 
     /// Returns the last position that can be accepted.
     ///
-    /// A process that is proved dead counts as holding every position once all freshness proofs from
-    /// it have expired.
+    /// A process that is proved dead or leaving counts as holding every position once all freshness
+    /// proofs from it have expired. No majority is needed once the nodes' time offline is over.
     pub fn acceptable(&self, now: Time, nodes: &Nodes, state: &State) -> Option<Position> {
-        let proofs_expired = |since: &Time| now.since(*since) >= PROOF_LIFETIME_MAX;
         state.acceptable(|registry, position| {
             let missing = nodes.missing(registry, position);
-            registry.is_majority(|id| {
-                missing.binary_search(&id).is_err()
-                    || self.dead.get(&id).is_some_and(proofs_expired)
-            })
+            let holds = |id: NodeId| {
+                missing.binary_search(&id).is_err() || self.expiry.is_node_over(now, id)
+            };
+            let offline = registry.offline();
+            registry.is_majority(holds) || self.expiry.is_offline_over(now, position, offline)
         })
     }
 }
--- a/src/fleet/acks.rs
+++ b/src/fleet/acks.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use super::registry::RegistryLog;
-use crate::freshness::PROOF_LIFETIME_MAX;
+use super::proof_expiry::ProofExpiry;
+use super::registry::{Registry, RegistryLog};
 use crate::ids::NodeId;
 use crate::time::Time;
 use crate::units::Position;
@@ -16,12 +16,13 @@
 ///
 /// A process that is proved dead counts as holding every entry once every freshness proof based on
 /// its statements has expired. Otherwise a fleet whose processes have all restarted could accept no
-/// further entry.
+/// further entry. So does a leaving one, and a registry with a limit on the time offline needs no
+/// majority once that time has passed since the entry was committed.
 #[derive(Clone, Debug, Default)]
 pub struct AckTracker {
     accepted: Position,
     acked: BTreeMap<NodeId, Position>,
-    dead: BTreeMap<NodeId, Time>,
+    expiry: ProofExpiry,
 }
 
 impl AckTracker {
@@ -47,27 +48,37 @@
     /// Records that `node` is proved dead, as by
     /// [`MembershipTable::record_probe`](super::MembershipTable::record_probe).
     pub fn mark_dead(&mut self, now: Time, node: NodeId) {
-        self.dead.entry(node).or_insert(now);
+        self.expiry.record_end(now, node);
     }
 
     /// Returns true if `node` holds the entry at `position`, or if it is dead and every freshness
     /// proof based on its statements has expired.
     fn holds(&self, now: Time, node: NodeId, position: Position) -> bool {
-        let has_expired = |since: &Time| now.since(*since) >= PROOF_LIFETIME_MAX;
-        self.acked.get(&node).is_some_and(|p| *p >= position)
-            || self.dead.get(&node).is_some_and(has_expired)
+        self.acked.get(&node).is_some_and(|p| *p >= position) || self.expiry.is_node_over(now, node)
+    }
+
+    /// Returns true if no node of `registry` that lacks the entry at `position` can be fresh.
+    fn is_safe(&self, now: Time, registry: &Registry, position: Position) -> bool {
+        registry.is_majority(|node| self.holds(now, node, position))
+            || self
+                .expiry
+                .is_offline_over(now, position, registry.offline())
     }
 
     /// Accepts entries up to `committed` as far as possible and returns the last accepted position.
     pub fn advance(&mut self, now: Time, log: &RegistryLog, committed: Position) -> Position {
+        self.expiry.record_commit(now, committed);
+        let leaving = log.versions().flat_map(|r| r.leaving());
+        leaving.for_each(|id| self.expiry.record_end(now, *id));
         while self.accepted < committed {
             let next = self.accepted.next();
-            let holds = |node| self.holds(now, node, next);
-            if !log.before(next).is_majority(holds) || !log.at(next).is_majority(holds) {
+            let (before, after) = (log.before(next), log.at(next));
+            if !self.is_safe(now, before, next) || !self.is_safe(now, after, next) {
                 break;
             }
             self.accepted = next;
         }
+        self.expiry.prune(self.accepted);
         self.accepted
     }
 
@@ -76,6 +87,6 @@
         log.prune_before(self.accepted);
         let is_registered = |id: &NodeId| log.versions().any(|r| r.get(*id).is_some());
         self.acked.retain(|id, _| is_registered(id));
-        self.dead.retain(|id, _| is_registered(id));
+        self.expiry.retain(|id| is_registered(&id));
     }
 }
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -101,7 +101,9 @@
     /// The ages of the peer's freshness proofs; their position is the last entry that it holds.
     pub ages: ProofAges,
     /// The age of the peer's freshness proof from the control group; 255 for none.
-    pub group_age: u8,
+    pub group_age: u32,
+    /// True if the peer makes no statement of its own any more; see [`FreshnessProof::retire`].
+    pub retired: bool,
     /// The hash of the peer's records.
     pub hash: u64,
     /// The scope of the request.
@@ -205,6 +207,7 @@
     fn update_registry(&mut self, position: Position) {
         let registry = self.registry.latest();
         self.proof.set_nodes(position, &registry.ids());
+        self.proof.set_offline(registry.offline());
         self.records.set_registry(registry);
     }
 
@@ -288,6 +291,7 @@
             node: self.me,
             ages: self.proof.ages(now),
             group_age: self.proof.group_age(now),
+            retired: self.proof.is_retired(),
             hash: self.records.hash(scope),
             scope,
             records,
@@ -319,8 +323,13 @@
             true => None,
             false => since.or(Some(self.divergence_start(now, response.scope))),
         };
-        self.proof
-            .record_peer(now, sent, response.node, &response.ages, response.group_age);
+        let (ages, group) = (&response.ages, response.group_age);
+        match response.retired {
+            true => self.proof.record_relayed(now, sent, ages, group),
+            false => self
+                .proof
+                .record_peer(now, sent, response.node, ages, group),
+        }
         if response.requested.is_empty() {
             return None;
         }
--- a/src/fleet/membership.rs
+++ b/src/fleet/membership.rs
@@ -190,12 +190,14 @@
         let mut joined: Vec<Member> = new.into_iter().map(|s| s.member.clone()).collect();
         joined.sort_by_key(|m| m.id);
         let demoted = self.to_demote(now, registry);
-        let interval = match demoted.is_empty() {
-            true => CHANGE_INTERVAL,
-            false => DEMOTION_INTERVAL,
+        let leaving = self.to_mark_leaving(registry);
+        let is_urgent = !demoted.is_empty() || !leaving.is_empty();
+        let interval = match is_urgent {
+            true => DEMOTION_INTERVAL,
+            false => CHANGE_INTERVAL,
         };
         let is_due = |last: Time| now.since(last) >= interval;
-        let is_batching = self.is_batching(now, newest) && demoted.is_empty();
+        let is_batching = self.is_batching(now, newest) && !is_urgent;
         if is_batching || !self.last_change.is_none_or(is_due) {
             return None;
         }
@@ -204,6 +206,8 @@
             left: self.to_remove(now, registry),
             demoted,
             reinstated: self.to_reinstate(now, registry),
+            leaving,
+            offline: None,
         };
         if change.is_empty() {
             return None;
@@ -232,6 +236,14 @@
         ids.filter(|id| !registry.is_demoted(*id)).collect()
     }
 
+    /// Returns the leaving nodes that the registry doesn't list as such, sorted.
+    fn to_mark_leaving(&self, registry: &Registry) -> Vec<NodeId> {
+        let nodes = registry.members().iter().filter_map(|m| self.state_of(m));
+        let ids = nodes.filter(|s| s.leaving).map(|s| s.member.id);
+        ids.filter(|id| registry.leaving().binary_search(id).is_err())
+            .collect()
+    }
+
     /// Returns the demoted nodes to reinstate: those that are reachable and not leaving, sorted.
     fn to_reinstate(&self, now: Time, registry: &Registry) -> Vec<NodeId> {
         let members = registry.members().iter();
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 pub mod acks;
 pub mod gossip;
 pub mod membership;
+pub mod proof_expiry;
 pub mod record;
 pub mod registry;
 pub mod table;
@@ -16,6 +17,7 @@
 pub use acks::AckTracker;
 pub use gossip::{Gossip, GossipRequest, GossipResponse, Push, RelayedEntry, RequestStamp};
 pub use membership::{CHANGE_INTERVAL, Heartbeat, MembershipTable, ProbeAck, REMOVAL_TIMEOUT};
+pub use proof_expiry::ProofExpiry;
 pub use record::{
     Health, KindHealth, LATENCY_BANDS, NodeRecord, TargetRecord, TargetState, Window,
 };
--- a/src/fleet/registry.rs
+++ b/src/fleet/registry.rs
@@ -1,6 +1,7 @@
 //! The registered nodes and the log entries that change them.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use crate::error::{Error, Result};
 use crate::ids::{NodeId, ZoneName};
@@ -26,6 +27,11 @@
     members: Vec<Member>,
     /// Members that may not be lease voters, sorted.
     demoted: Vec<NodeId>,
+    /// Members that are leaving and confirm nobody's configuration any more, sorted.
+    leaving: Vec<NodeId>,
+    /// Time for which nodes confirm one another's configuration after the last contact with the
+    /// control group; `None` if it is unlimited.
+    offline: Option<Duration>,
 }
 
 /// A change of the registry in one log entry; all lists are sorted by id.
@@ -39,13 +45,17 @@
     pub demoted: Vec<NodeId>,
     /// Demoted members that may be lease voters again.
     pub reinstated: Vec<NodeId>,
+    /// Members that are leaving and confirm nobody's configuration any more.
+    pub leaving: Vec<NodeId>,
+    /// The new limit for [`Registry::offline`], if it changes.
+    pub offline: Option<Duration>,
 }
 
 impl RegistryChange {
     /// Returns true if the change is empty.
     pub fn is_empty(&self) -> bool {
-        let ids = [&self.left, &self.demoted, &self.reinstated];
-        self.joined.is_empty() && ids.iter().all(|ids| ids.is_empty())
+        let ids = [&self.left, &self.demoted, &self.reinstated, &self.leaving];
+        self.joined.is_empty() && self.offline.is_none() && ids.iter().all(|ids| ids.is_empty())
     }
 }
 
@@ -75,6 +85,17 @@
         self.demoted.binary_search(&id).is_ok()
     }
 
+    /// Returns the members that are leaving and confirm nobody's configuration any more, sorted.
+    pub fn leaving(&self) -> &[NodeId] {
+        &self.leaving
+    }
+
+    /// Returns the time for which nodes confirm one another's configuration after the last contact
+    /// with the control group; `None` if it is unlimited.
+    pub fn offline(&self) -> Option<Duration> {
+        self.offline
+    }
+
     /// Returns the member with `id`.
     pub fn get(&self, id: NodeId) -> Option<&Member> {
         let i = self.members.binary_search_by_key(&id, |m| m.id).ok()?;
@@ -125,18 +146,26 @@
         if members.len() > MEMBERS_MAX {
             return Err(Error::invalid(format!("more than {MEMBERS_MAX} nodes")));
         }
-        let mut demoted = self.demoted.clone();
-        demoted.extend(&change.demoted);
-        demoted.sort();
-        demoted.dedup();
-        demoted.retain(|id| {
-            let is_member = members.binary_search_by_key(id, |m| m.id).is_ok();
-            is_member && !change.reinstated.contains(id)
-        });
-        Ok(Registry { members, demoted })
+        let mut demoted = merged(&members, &self.demoted, &change.demoted);
+        demoted.retain(|id| !change.reinstated.contains(id));
+        Ok(Registry {
+            leaving: merged(&members, &self.leaving, &change.leaving),
+            offline: change.offline.or(self.offline),
+            members,
+            demoted,
+        })
     }
 }
 
+/// Returns the members that are in one of the two lists, sorted.
+fn merged(members: &[Member], a: &[NodeId], b: &[NodeId]) -> Vec<NodeId> {
+    let mut ids: Vec<NodeId> = a.iter().chain(b).copied().collect();
+    ids.sort();
+    ids.dedup();
+    ids.retain(|id| members.binary_search_by_key(id, |m| m.id).is_ok());
+    ids
+}
+
 /// The versions of the registry since the last accepted entry.
 #[derive(Clone, Debug, Default)]
 pub struct RegistryLog {
@@ -157,6 +186,8 @@
         static EMPTY: Registry = Registry {
             members: Vec::new(),
             demoted: Vec::new(),
+            leaving: Vec::new(),
+            offline: None,
         };
         let after = self.versions.partition_point(|(p, _)| *p <= position);
         after.checked_sub(1).map_or(&EMPTY, |i| &self.versions[i].1)
--- a/src/freshness/mod.rs
+++ b/src/freshness/mod.rs
@@ -5,6 +5,10 @@
 //! than the node's own position. An entry is accepted only once majorities of both groups hold it,
 //! and any two majorities of a group overlap, so no newer entry had been accepted at that time.
 //!
+//! The registry may limit the time for which nodes confirm one another after the last statement of
+//! the control group, and an entry is then accepted without most of the nodes once that time is over
+//! for every node that lacks it.
+//!
 //! A statement, by which a replica or node says that it held no newer entry, is dated with the send
 //! time of the request, by the clock of the requesting node; a relayed statement is older by the age
 //! in the response. Every part of an age is measured by one clock, so clock offsets don't matter, and
@@ -44,8 +48,14 @@
 
 /// Time after the end of a process by which every proof based on its statements has expired, by any
 /// clock.
+pub const PROOF_LIFETIME_MAX: Duration = with_drift(PROOF_LIFETIME);
+
+/// Returns a time that is at least `span` by any other clock that was started with it.
 ///
-/// The proof may be measured by a clock that is 1 % slow and this time by one that is 1 % fast; the
-/// third percent covers the product of both.
-pub const PROOF_LIFETIME_MAX: Duration =
-    Duration::from_millis(PROOF_LIFETIME.as_millis() as u64 * 103 / 100);
+/// The span may be measured by a clock that is 1 % slow and the returned time by one that is 1 %
+/// fast; the third percent covers the product of both.
+pub const fn with_drift(span: Duration) -> Duration {
+    Duration::from_micros(
+        (span.as_micros() as u64).saturating_add(span.as_micros() as u64 / 100 * 3),
+    )
+}
--- a/src/freshness/proof.rs
+++ b/src/freshness/proof.rs
@@ -1,5 +1,7 @@
 //! The freshness proof of one process.
 
+use std::time::Duration;
+
 use super::PROOF_LIFETIME;
 use super::ages::{self, ProofAges};
 use super::quorum::{MemberStatements, Quorum};
@@ -35,6 +37,11 @@
     replicas: Quorum<ReplicaId>,
     /// Statements of a leader for the whole control group, received directly or relayed.
     group: MemberStatements,
+    /// Time for which the nodes prove freshness to one another after a statement of the control
+    /// group; `None` if it is unlimited.
+    offline: Option<Duration>,
+    /// True once this process has stopped making statements.
+    retired: bool,
     expires: Time,
 }
 
@@ -48,6 +55,8 @@
             nodes: Quorum::default(),
             replicas: Quorum::default(),
             group: MemberStatements::default(),
+            offline: None,
+            retired: false,
             expires: Time::ZERO,
         }
     }
@@ -97,6 +106,25 @@
         self.update();
     }
 
+    /// Limits the time for which the nodes prove freshness to one another after a statement of the
+    /// control group.
+    pub fn set_offline(&mut self, limit: Option<Duration>) {
+        self.offline = limit;
+        self.update();
+    }
+
+    /// Stops making statements, also for this process's own proof, which from now on needs a
+    /// majority without itself.
+    pub fn retire(&mut self) {
+        self.retired = true;
+        self.update();
+    }
+
+    /// Returns true if this process has stopped making statements.
+    pub fn is_retired(&self) -> bool {
+        self.retired
+    }
+
     /// Sets the voters of the control group, as of the entry at `position`.
     pub fn set_replicas(&mut self, position: Position, voters: &[ReplicaId]) {
         self.replicas.replace(voters);
@@ -133,7 +161,7 @@
         sent: Time,
         node: NodeId,
         ages: &ProofAges,
-        group: u8,
+        group: u32,
     ) {
         if sent > now {
             return;
@@ -141,8 +169,16 @@
         if let Some(statements) = self.nodes.get_mut(node) {
             statements.record(self.position, ages.position, sent);
         }
+        self.record_relayed(now, sent, ages, group);
+    }
+
+    /// Like [`FreshnessProof::record_peer`] for a node that makes no statement of its own any more.
+    pub fn record_relayed(&mut self, now: Time, sent: Time, ages: &ProofAges, group: u32) {
+        if sent > now {
+            return;
+        }
         self.record_ages(sent, ages);
-        if let Some(age) = ages::decode(group) {
+        if let Some(age) = ages::decode_long(group) {
             self.group.record(self.position, ages.position, sent - age);
         }
         self.update();
@@ -164,7 +200,7 @@
     /// Returns the ages of the statements from all registered nodes.
     pub fn ages(&self, now: Time) -> ProofAges {
         let age = |(id, statements): &(NodeId, MemberStatements)| match statements.as_of {
-            _ if *id == self.me => 0,
+            _ if *id == self.me && !self.retired => 0,
             Some(as_of) => ages::encode(now.since(as_of)),
             None => u8::MAX,
         };
@@ -176,18 +212,26 @@
     }
 
     /// Returns the age of the statement from the control group; 255 for none.
-    pub fn group_age(&self, now: Time) -> u8 {
-        let as_of = self.group.as_of.max(self.replicas.as_of(None));
-        as_of.map_or(u8::MAX, |time| ages::encode(now.since(time)))
+    pub fn group_age(&self, now: Time) -> u32 {
+        let age = |time| ages::encode_long(now.since(time));
+        self.group_as_of().map_or(ages::NONE.into(), age)
+    }
+
+    /// Returns the latest time at which the control group held no entry after this process's
+    /// position.
+    fn group_as_of(&self) -> Option<Time> {
+        self.group.as_of.max(self.replicas.as_of(None))
     }
 
     fn update(&mut self) {
-        let group = self.group.as_of.max(self.replicas.as_of(None));
-        let nodes = self.nodes.as_of(Some(self.me));
-        let as_of = group.max(nodes).unwrap_or(Time::ZERO);
-        self.expires = match as_of {
-            Time::ZERO => Time::ZERO,
-            as_of => as_of + PROOF_LIFETIME,
+        let group = self.group_as_of();
+        let nodes = self.nodes.as_of((!self.retired).then_some(self.me));
+        let by_group = group.map_or(Time::ZERO, |as_of| as_of + PROOF_LIFETIME);
+        let by_nodes = nodes.map_or(Time::ZERO, |as_of| as_of + PROOF_LIFETIME);
+        let offline_end = match self.offline {
+            None => Time(u64::MAX),
+            Some(limit) => group.map_or(Time::ZERO, |as_of| as_of + limit),
         };
+        self.expires = by_group.max(by_nodes.min(offline_end));
     }
 }
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -210,8 +210,11 @@
         let own = inner.gossip.records().get(self.me.id);
         let starts_leaving = leaving && own.is_none_or(|p| !p.record.leaving);
         inner.gossip.publish(advertisement);
-        drop(inner);
-        self.notify();
+        if starts_leaving {
+            // Control counts on this from the next request on, which says that this node leaves.
+            inner.gossip.proof_mut().retire();
+        }
+        self.publish_changes(inner);
         if starts_leaving {
             self.leave_started.notify_one();
         }
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -4,8 +4,8 @@
 
 use argh::FromArgs;
 
-use super::{Checker, Errors};
-use crate::control::Settings;
+use super::{Checker, DurationSetting, Errors};
+use crate::control::{OFFLINE_TIME, Settings};
 
 /// A control process: keeps the replicated log of release notes and sends it to the nodes.
 #[derive(FromArgs, Clone, Debug, Default)]
@@ -40,6 +40,11 @@
     #[argh(option)]
     pub operator_secret_file: Option<String>,
 
+    /// time for which nodes confirm one another's configuration without the control processes; at
+    /// least 3s (default 12h)
+    #[argh(option)]
+    pub offline_time: Option<String>,
+
     /// address for metrics as statsd lines by UDP
     #[argh(option)]
     pub statsd: Option<String>,
@@ -80,6 +85,11 @@
         let fleet_secret = checker.secret("fleet-secret", self.fleet_secret_file);
         let operator_secret = checker.secret("operator-secret", self.operator_secret_file);
         let statsd = checker.optional("statsd", self.statsd);
+        let offline = checker.default(
+            "offline-time",
+            self.offline_time,
+            DurationSetting(OFFLINE_TIME),
+        );
         let (Some(link), Some(operator), Some(data_dir), Some(fleet_secret), Some(operator_secret)) =
             (link, operator, data_dir, fleet_secret, operator_secret)
         else {
@@ -94,6 +104,7 @@
             peers,
             bootstrap: true,
             voters: 0,
+            offline: offline.0,
             data_dir,
             fleet_secret,
             operator_secret,
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -112,6 +112,8 @@
     entries: Vec<EntryRecord>,
     #[prost(bool, tag = "12")]
     with_health: bool,
+    #[prost(bool, tag = "13")]
+    retired: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -263,7 +265,8 @@
             position: response.ages.position.0,
             registry: response.ages.registry.0,
             ages: response.ages.bytes.clone(),
-            group: response.group_age.into(),
+            group: response.group_age,
+            retired: response.retired,
             hash: response.hash,
             records: encode_all(&response.records),
             wanted: response.requested.iter().map(|n| n.0).collect(),
@@ -300,7 +303,8 @@
             registry: Position(r.registry),
             bytes: r.ages,
         },
-        group_age: u8::try_from(r.group).map_err(|_| malformed())?,
+        group_age: r.group,
+        retired: r.retired,
         hash: r.hash,
         scope: decode_scope(r.with_health),
         records: decode_all(r.records)?,
--- a/src/wire/registry.rs
+++ b/src/wire/registry.rs
@@ -1,5 +1,7 @@
 //! Encoding of node registries and their changes in log entries and snapshots.
 
+use std::time::Duration;
+
 use prost::Message;
 
 use crate::error::{Error, Result};
@@ -26,6 +28,10 @@
     relieved: Vec<u64>,
     #[prost(fixed64, repeated, tag = "4")]
     reinstated: Vec<u64>,
+    #[prost(fixed64, repeated, tag = "5")]
+    leaving: Vec<u64>,
+    #[prost(uint64, optional, tag = "6")]
+    offline_ms: Option<u64>,
 }
 
 fn numbers(ids: &[NodeId]) -> Vec<u64> {
@@ -44,6 +50,8 @@
         left: numbers(&change.left),
         relieved: numbers(&change.demoted),
         reinstated: numbers(&change.reinstated),
+        leaving: numbers(&change.leaving),
+        offline_ms: change.offline.map(|t| t.as_millis() as u64),
     };
     record.encode_to_vec()
 }
@@ -70,6 +78,8 @@
         left: ids(record.left),
         demoted: ids(record.relieved),
         reinstated: ids(record.reinstated),
+        leaving: ids(record.leaving),
+        offline: record.offline_ms.map(Duration::from_millis),
     })
 }
 
@@ -78,6 +88,8 @@
     encode_change(&RegistryChange {
         joined: registry.members().to_vec(),
         demoted: registry.demoted().to_vec(),
+        leaving: registry.leaving().to_vec(),
+        offline: registry.offline(),
         ..RegistryChange::default()
     })
 }
--- a/tests/control_group.rs
+++ b/tests/control_group.rs
@@ -7,7 +7,7 @@
 
 use laburnumtide::control::api::NoteState;
 use laburnumtide::control::journal::StoreJournal;
-use laburnumtide::control::{Handle, Settings, spawn, spawn_with};
+use laburnumtide::control::{Handle, OFFLINE_TIME, Settings, spawn, spawn_with};
 use laburnumtide::ctl::{Client, SubmitResponse};
 use laburnumtide::fleet::Member;
 use laburnumtide::prelude::*;
@@ -73,6 +73,7 @@
             peers: others.map(|j| self.addr(j, 7100)).collect(),
             bootstrap: true,
             voters: 0,
+            offline: OFFLINE_TIME,
             data_dir: self.data_dir(i),
             fleet_secret: fleet_secret(),
             operator_secret: operator_secret(),
--- a/tests/control_seeds.rs
+++ b/tests/control_seeds.rs
@@ -8,7 +8,7 @@
 use laburnumtide::config::{Note, Replacement};
 use laburnumtide::control::driver::SubmitResult;
 use laburnumtide::control::journal::MemoryJournal;
-use laburnumtide::control::{Handle, Settings, spawn_with, voters_for};
+use laburnumtide::control::{Handle, OFFLINE_TIME, Settings, spawn_with, voters_for};
 use laburnumtide::prelude::*;
 use laburnumtide::wire::Secret;
 
@@ -39,6 +39,7 @@
             peers: Vec::new(),
             bootstrap: false,
             voters: voters_for(2),
+            offline: OFFLINE_TIME,
             data_dir: "unused".into(),
             fleet_secret: Secret::new(b"fleet-secret-0123456789").unwrap(),
             operator_secret: Secret::new(b"operator-secret-0123456789").unwrap(),
--- a/tests/fleet_sim/mod.rs
+++ b/tests/fleet_sim/mod.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use laburnumtide::fleet::{AckTracker, Gossip, ProbeAck, RelayedEntry};
+use laburnumtide::fleet::{AckTracker, Gossip, Heartbeat, ProbeAck, RegistryChange, RelayedEntry};
 use laburnumtide::freshness::{PROOF_LIFETIME, ReplicaReport};
 use laburnumtide::ids::{NodeId, ReplicaId};
 use laburnumtide::replica::Confirmation;
@@ -28,6 +28,7 @@
 const CONTROL: usize = usize::MAX;
 
 pub struct Sim {
+    pub seed: u64,
     plan: Plan,
     rng: StdRng,
     pub now: u64,
@@ -52,6 +53,7 @@
         let mut rng = StdRng::seed_from_u64(seed);
         let control = Control::new(&mut rng);
         let mut sim = Sim {
+            seed,
             plan,
             rng,
             now: 0,
@@ -159,6 +161,7 @@
             Event::Commit(_) => {}
             Event::Note => self.note(),
             Event::Fault => self.fault(),
+            Event::Leave(every) => self.random_leave(every),
             Event::Resume(vm, id) => self.resume(vm, id),
         }
     }
@@ -192,7 +195,13 @@
         let now = self.now;
         let Some(process) = &self.vms[vm] else { return };
         let position = process.gossip.proof().position();
-        let message = Message::Sync(vm, process.id, process.clock.read(now), position);
+        let heartbeat = Heartbeat {
+            received: process.clock.read(now),
+            id: process.id,
+            addr: member(process.id, vm).addr,
+            leaving: process.gossip.proof().is_retired(),
+        };
+        let message = Message::Sync(heartbeat, process.clock.read(now), position);
         self.send(vm, CONTROL, message);
     }
 
@@ -255,7 +264,12 @@
     fn deliver_to_control(&mut self, message: Message) {
         let local = self.control.clock.read(self.now);
         match message {
-            Message::Sync(vm, id, sent, position) => {
+            Message::Sync(heartbeat, sent, position) => {
+                let (id, vm) = (heartbeat.id, usize::from(heartbeat.addr.port()) - 1);
+                self.control.membership.record_heartbeat(&Heartbeat {
+                    received: local,
+                    ..heartbeat
+                });
                 self.control.acks.ack(id, position);
                 let entries = entries_after(&self.log, position);
                 let last = Position(self.log.len() as u64);
@@ -283,7 +297,10 @@
         }
         let registry = self.control.registry.latest();
         if self.control.pending.is_none() {
-            self.control.pending = self.control.membership.propose(local, registry);
+            let offline = self.control.offline;
+            let offline = offline.filter(|_| registry.offline() != offline);
+            let change = self.control.membership.propose(local, registry);
+            self.control.pending = change.map(|c| RegistryChange { offline, ..c });
             if self.control.pending.is_some() {
                 self.control.proposals += 1;
                 let delay = Duration::from_millis(self.rng.random_range(1..3_000));
@@ -446,6 +463,7 @@
         let mut control = Control {
             acks: AckTracker::new(Position(known as u64)),
             proposals: self.control.proposals,
+            offline: self.control.offline,
             ..Control::new(&mut self.rng)
         };
         for (entry, position) in self.log.iter().zip(1..) {
@@ -473,6 +491,35 @@
         self.vms[vm] = None;
     }
 
+    /// Makes a node start to leave.
+    pub fn leave(&mut self, vm: usize) {
+        if let Some(process) = &mut self.vms[vm] {
+            process.gossip.proof_mut().retire();
+        }
+    }
+
+    /// Makes a random node start to leave from time to time.
+    pub fn leave_every(&mut self, every: Duration) {
+        self.schedule(every, Event::Leave(every));
+    }
+
+    fn random_leave(&mut self, every: Duration) {
+        let vm = self.rng.random_range(0..self.plan.nodes);
+        self.leave(vm);
+        self.leave_every(every);
+    }
+
+    /// Limits the time for which nodes confirm one another without the control leader.
+    pub fn set_offline(&mut self, limit: Duration) {
+        self.control.offline = Some(limit);
+    }
+
+    /// Commits a note and returns its position, counted from zero.
+    pub fn submit(&mut self) -> usize {
+        self.log.push(Entry::Note);
+        self.log.len() - 1
+    }
+
     /// Returns the time for which each running process is still fresh.
     pub fn remaining_freshness(&self) -> impl Iterator<Item = Duration> {
         let now = self.now;
--- a/tests/fleet_sim/parts.rs
+++ b/tests/fleet_sim/parts.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use laburnumtide::fleet::{
-    AckTracker, Gossip, GossipRequest, GossipResponse, Member, MembershipTable, Push,
+    AckTracker, Gossip, GossipRequest, GossipResponse, Heartbeat, Member, MembershipTable, Push,
     RegistryChange, RegistryLog,
 };
 use laburnumtide::ids::NodeId;
@@ -40,7 +40,7 @@
     Request(usize, GossipRequest),
     Response(GossipResponse, Vec<Entry>),
     Push(Push),
-    Sync(usize, NodeId, Time, Position),
+    Sync(Heartbeat, Time, Position),
     Synced(NodeId, Time, Position, Vec<Entry>),
     Probe(Time),
     Probed(Time, Member),
@@ -55,6 +55,7 @@
     Commit(u64),
     Note,
     Fault,
+    Leave(Duration),
     Resume(usize, u64),
 }
 
@@ -97,6 +98,8 @@
     /// The proposed change that is not committed yet, and the number of proposals.
     pub(super) pending: Option<RegistryChange>,
     pub(super) proposals: u64,
+    /// The limit on the time offline that the registry should have.
+    pub(super) offline: Option<Duration>,
 }
 
 impl Control {
@@ -110,6 +113,7 @@
             inbox: VecDeque::new(),
             pending: None,
             proposals: 0,
+            offline: None,
         }
     }
 }
--- a/tests/freshness_proof.rs
+++ b/tests/freshness_proof.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use fleet_sim::{Plan, Sim};
+use laburnumtide::control::{OFFLINE_TIME, offline_for};
 use laburnumtide::freshness::{AGE_UNIT, FreshnessProof, PROOF_LIFETIME, ProofAges, ReplicaReport};
 use laburnumtide::ids::{NodeId, ReplicaId};
 use laburnumtide::replica::Confirmation;
@@ -25,6 +26,22 @@
 /// Guards against a node that honours a revoked key for longer than the lifetime of a proof.
 #[test]
 fn no_stale_proof() {
+    check_proofs(|_| {});
+}
+
+/// Guards against the same while control accepts changes without the nodes that are silent or
+/// leaving.
+#[test]
+fn no_stale_proof_offline() {
+    check_proofs(|sim| {
+        let limit = 3_000 + sim.seed % 7 * 1_000;
+        sim.set_offline(Duration::from_millis(limit));
+        sim.leave_every(Duration::from_secs(5));
+    });
+}
+
+/// Runs each seed with random faults after `set_up`, and checks every proof.
+fn check_proofs(set_up: impl Fn(&mut Sim) + std::panic::RefUnwindSafe) {
     let (mut tested, mut accepted, mut failed) = (0, 0, Vec::new());
     for seed in seeds() {
         let run = std::panic::catch_unwind(|| {
@@ -40,6 +57,7 @@
                 note_every: Some(Duration::from_millis(1_500)),
             };
             let mut sim = Sim::new(seed, plan);
+            set_up(&mut sim);
             sim.run(Duration::from_secs(150));
             (sim.checked, sim.accepted_at.len())
         });
@@ -124,6 +142,102 @@
     }
 }
 
+/// The bound of the users' deployments on the time to the acknowledgement of a change.
+const ACK_MAX: Duration = Duration::from_secs(4);
+
+/// Guards against changes that are never acknowledged after most nodes were lost at once
+/// (review/2).
+#[test]
+fn accepts_after_silence() {
+    for seed in 0..20 {
+        let mut sim = Sim::new(seed, without_faults(5));
+        sim.set_offline(offline_for(ACK_MAX));
+        sim.run(Duration::from_secs(20));
+        for vm in 2..5 {
+            sim.kill(vm);
+        }
+        sim.run(Duration::from_secs(5));
+        let note = sim.submit();
+        sim.run(ACK_MAX);
+        assert!(sim.accepted_at.len() > note, "seed {seed}");
+    }
+}
+
+/// Guards against the same after half of the nodes have left as planned, faster than the registry
+/// can follow, and the leader that heard them was lost, with hours to confirm one another.
+#[test]
+fn accepts_after_departure() {
+    for seed in 0..20 {
+        let mut sim = Sim::new(seed, without_faults(30));
+        sim.set_offline(OFFLINE_TIME);
+        sim.run(Duration::from_secs(20));
+        for vm in 0..16 {
+            sim.leave(vm);
+            sim.run(Duration::from_millis(125));
+        }
+        sim.run(Duration::from_secs(2));
+        for vm in 0..16 {
+            sim.kill(vm);
+        }
+        // The simulated log commits a change after up to 3 s.
+        sim.run(Duration::from_secs(6));
+        sim.pause_control();
+        sim.run(Duration::from_secs(1));
+        sim.resume_control();
+        sim.run(ACK_MAX);
+        let note = sim.submit();
+        sim.run(ACK_MAX);
+        assert!(sim.accepted_at.len() > note, "seed {seed}");
+    }
+}
+
+/// Guards against silent nodes that can still confirm one another when a change is accepted without
+/// them.
+#[test]
+fn silent_nodes_expire_first() {
+    let limit = Duration::from_secs(8);
+    let mut proof = new_proof(&[1, 2, 3]);
+    proof.set_offline(Some(limit));
+    let statement = |sent| ReplicaReport {
+        sent,
+        replica: ReplicaId(1),
+        position: Position(4),
+        confirmation: Confirmation::Leader,
+    };
+    proof.record_replica(START, statement(START));
+    for second in 1..=20 {
+        let now = START + Duration::from_secs(second);
+        proof.record_peer(now, now, NodeId(2), &ages(4, 3, &[]), 255);
+        assert_eq!(proof.is_fresh(now), second < 8, "after {second} s");
+    }
+    // A peer relays a statement that is older than a short age can express.
+    let mut other = new_proof(&[1, 2, 3]);
+    other.set_offline(Some(limit));
+    let now = START + Duration::from_secs(7);
+    other.record_peer(
+        now,
+        now,
+        NodeId(2),
+        &ages(4, 4, &[0; 3]),
+        proof.group_age(now),
+    );
+    assert!(other.is_fresh(now));
+    assert!(!other.is_fresh(START + limit));
+}
+
+/// Guards against a leaving node whose statements still count.
+#[test]
+fn leaving_node_confirms_nobody() {
+    let mut proof = new_proof(&[1, 2, 3]);
+    proof.record_relayed(START, START, &ages(4, 4, &[255, 0, 255]), 255);
+    assert!(proof.is_fresh(START));
+    proof.retire();
+    assert!(!proof.is_fresh(START));
+    assert_eq!(proof.ages(START).bytes[0], 255);
+    proof.record_relayed(START, START, &ages(4, 4, &[255, 0, 0]), 255);
+    assert!(proof.is_fresh(START));
+}
+
 const START: Time = Time::from_millis(3_600_000);
 
 fn new_proof(nodes: &[u64]) -> FreshnessProof {
--- a/tests/node_registry.rs
+++ b/tests/node_registry.rs
@@ -329,7 +329,11 @@
         .for_each(|m| table.record_heartbeat(&heartbeat(now, m)));
     table.record_heartbeat(&leaves(&all[1], now));
     let change = table.propose(now, &registry).unwrap();
-    assert_eq!(change, demotes(&[2]));
+    let demotion = RegistryChange {
+        leaving: vec![NodeId(2)],
+        ..demotes(&[2])
+    };
+    assert_eq!(change, demotion);
     registry = registry.with_change(&change).unwrap();
     assert_eq!(registry.demoted(), [NodeId(2)]);
     assert_eq!(registry.members().len(), 5);
--- a/tests/slow_links.rs
+++ b/tests/slow_links.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use laburnumtide::control::{Handle, Settings, spawn};
+use laburnumtide::control::{Handle, OFFLINE_TIME, Settings, spawn};
 use laburnumtide::ctl::{Client, SubmitResponse};
 use laburnumtide::fleet::Member;
 use laburnumtide::metrics::Metrics;
@@ -72,6 +72,7 @@
                 peers: peers.map(|j| addr(network, j, 7100)).collect(),
                 bootstrap: true,
                 voters: 0,
+                offline: OFFLINE_TIME,
                 data_dir: dir.path().join(format!("control{i}")),
                 fleet_secret: fleet_secret(),
                 operator_secret: operator_secret(),
