Keep the final slash of a route's prefix

Cause: the platform adapter cut the final slash off each prefix, and the product matched prefixes at segment boundaries, where a path is a prefix of itself. Ruled out: egress and limits, which match no path.

The product's routes now know both forms, so the adapter decides nothing.

--- a/src/config/aggregate.rs
+++ b/src/config/aggregate.rs
@@ -230,8 +230,8 @@
         }
     }
 
-    /// Finds the route without a host that has the longest path prefix, at segment boundaries, that
-    /// matches `path`.
+    /// Finds the route without a host that has the longest path prefix that matches `path`; see
+    /// [`Route::path`].
     ///
     /// The query is ignored. A path with a `.` or `..` segment matches no route.
     pub fn match_route_without_host(&self, method: &str, path: &str) -> RouteMatch<'_> {
--- a/src/config/model.rs
+++ b/src/config/model.rs
@@ -62,7 +62,8 @@
     pub name: RouteName,
     /// The host, in lower case without port; empty if any host matches.
     pub host: String,
-    /// The path prefix; it matches at segment boundaries.
+    /// The path prefix: with a final slash it covers what is below it, otherwise also the path
+    /// itself, at segment boundaries.
     pub path: String,
     /// The allowed methods, sorted; [`ANY_METHOD`] allows all.
     pub methods: Vec<String>,
--- a/src/config/reader.rs
+++ b/src/config/reader.rs
@@ -434,7 +434,7 @@
         let path = self.str("path", value)?;
         let checked = match path.len() > PATH_MAX_BYTES {
             true => Err(format!("path is longer than {PATH_MAX_BYTES} bytes")),
-            false => check_path(path).map(|()| path.to_owned()),
+            false => check_note_path(path).map(|()| path.to_owned()),
         };
         self.located(value, checked)
     }
@@ -504,6 +504,14 @@
     }
 }
 
+/// Checks the path prefix of a release note, which always covers the path itself too.
+fn check_note_path(path: &str) -> Result<(), String> {
+    if path.len() > 1 && path.ends_with('/') {
+        return Err("path must not end with '/'; a prefix covers everything below it".to_owned());
+    }
+    check_path(path)
+}
+
 fn has(table: &DeTable<'_>, field: &str) -> bool {
     table.keys().any(|key| key.get_ref() == field)
 }
--- a/src/config/routes.rs
+++ b/src/config/routes.rs
@@ -84,10 +84,14 @@
 }
 
 /// Returns the prefixes of `path` that a route can have, longest first.
+///
+/// Each segment ends two of them: a prefix with a final slash covers what is below it, and one
+/// without also covers the path itself.
 fn prefixes(path: &str) -> impl Iterator<Item = &str> {
-    let bounds = path.match_indices('/').skip(1).map(|(i, _)| i);
-    let mut ends: Vec<usize> = bounds.take(PATH_MAX_SEGMENTS).collect();
-    if ends.len() < PATH_MAX_SEGMENTS {
+    let slashes = path.match_indices('/').skip(1).map(|(i, _)| i);
+    let slashes = slashes.take(PATH_MAX_SEGMENTS);
+    let mut ends: Vec<usize> = slashes.flat_map(|i| [i, i + 1]).collect();
+    if ends.len() < 2 * PATH_MAX_SEGMENTS {
         ends.push(path.len());
     }
     ends.into_iter()
@@ -106,7 +110,7 @@
     plain == "." || plain == ".."
 }
 
-/// Checks a path prefix and returns what is wrong with it.
+/// Checks a path prefix, which may end with a slash, and returns what is wrong with it.
 pub(super) fn check_path(path: &str) -> Result<(), String> {
     if path.len() > PATH_MAX_BYTES {
         return Err(format!("path is longer than {PATH_MAX_BYTES} bytes"));
@@ -117,9 +121,7 @@
     if rest.is_empty() {
         return Ok(());
     }
-    if path.ends_with('/') {
-        return Err("path must not end with '/'; a prefix covers everything below it".to_owned());
-    }
+    let rest = rest.strip_suffix('/').unwrap_or(rest);
     if rest.split('/').count() > PATH_MAX_SEGMENTS {
         return Err(format!("path has more than {PATH_MAX_SEGMENTS} segments"));
     }
