Remove learners that are lost for good

Cause: only voters without contact were removed. Lost learners filled the group's seven places, each later machine was refused, and receive_envelope dropped the error without a log line. Ruled out: lost entries and elections, by the record of the case (a leader and every entry as long as a majority ran).

The leader removes a learner without contact for 2.5 s. The time without contact of a new member counts from when it was added, since it would be removed at once otherwise. The refusal of a joiner is logged, at most every 5 s for one process. Discovery asks only the seeds, the members and what was listed last: lost addresses would fill its list of sixteen in the same way (by reading, no test shows it).

--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -21,7 +21,7 @@
 use crate::fleet::ProbeAck;
 use crate::ids::ReplicaId;
 use crate::metrics::Metrics;
-use crate::replica::{Action, Entry, LogEntry, Message, Replica, Role};
+use crate::replica::{Action, Entry, LogEntry, Member, Message, Replica, Role};
 use crate::time::{Clock, Monotonic, Time};
 use crate::units::{NoteNumber, Position, Term};
 use crate::wire::registry::encode_change;
@@ -36,6 +36,9 @@
 /// Delay before reopening a data directory that failed to open.
 const RELOAD_DELAY: Duration = Duration::from_millis(500);
 
+/// Shortest time between two log lines about the refusal of one process that wants to join.
+const REFUSAL_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Maximum number of queued commands that are handled before the replica's actions are executed.
 const COMMAND_BATCH_MAX: usize = 64;
 
@@ -130,6 +133,8 @@
     /// When to reload the journal; set after a failed write until a reload succeeds.
     reload_at: Option<Instant>,
     last_role: (Role, Term, Option<ReplicaId>),
+    /// The last refusal of a process that wants to join the group, as logged.
+    last_refusal: Option<(ReplicaId, Time)>,
 }
 
 /// Restores the applied state from a replica's snapshot.
@@ -178,6 +183,7 @@
             leader_state: None,
             reload_at: None,
             last_role,
+            last_refusal: None,
         }
     }
 
@@ -246,9 +252,26 @@
             self.bootstrap();
         } else if self.replica.replicas().get(from).is_none()
             && self.replica.confirmed_until(now).is_some()
-            && self.replica.join(now, envelope.from).is_ok()
         {
-            info!(event = "replica-joining", replica:% = from; "replica joining as a learner");
+            self.add_learner(now, envelope.from);
+        }
+    }
+
+    /// Adds a process that isn't a member as a learner.
+    fn add_learner(&mut self, now: Time, joiner: Member) {
+        let id = joiner.id;
+        match self.replica.join(now, joiner) {
+            Ok(()) => {
+                info!(event = "replica-joining", replica:% = id; "replica joining as a learner");
+            }
+            Err(e) => {
+                let is_logged =
+                    |(last, at): (ReplicaId, Time)| last == id && now.since(at) < REFUSAL_INTERVAL;
+                if !self.last_refusal.is_some_and(is_logged) {
+                    self.last_refusal = Some((id, now));
+                    warn!(event = "replica-refused", replica:% = id, error:% = e; "replica can't join now");
+                }
+            }
         }
     }
 
--- a/src/control/transport.rs
+++ b/src/control/transport.rs
@@ -204,7 +204,8 @@
     commands: Sender<Command>,
 ) {
     let mut clients: BTreeMap<SocketAddr, Peer> = BTreeMap::new();
-    let mut addrs = peers;
+    // Listed by a process in the last round. Addresses of lost members must not pile up.
+    let mut listed: Vec<SocketAddr> = Vec::new();
     let mut interval = tokio::time::interval(DISCOVERY_INTERVAL);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -213,11 +214,14 @@
             continue;
         }
         let members = view.meta().replicas.clone();
+        let mut addrs = peers.clone();
+        addrs.append(&mut listed);
         addrs.extend(members.members().iter().map(|m| m.link));
         addrs.sort_unstable();
         addrs.dedup();
         addrs.retain(|addr| *addr != own.link);
         addrs.truncate(DISCOVERED_MAX);
+        clients.retain(|addr, _| addrs.binary_search(addr).is_ok());
         for addr in &addrs {
             clients.entry(*addr).or_insert_with(|| new_peer(*addr));
         }
@@ -226,6 +230,6 @@
             exchange(&clients[addr], payload, &commands)
         });
         let links = futures::future::join_all(calls).await;
-        addrs.extend(links.into_iter().flatten());
+        listed.extend(links.into_iter().flatten());
     }
 }
--- a/src/replica/leader.rs
+++ b/src/replica/leader.rs
@@ -26,6 +26,8 @@
 #[derive(Debug)]
 pub(super) struct Progress {
     id: ReplicaId,
+    /// When this leader began to replicate to the member.
+    added: Time,
     /// The position of the next entry to send.
     next: Position,
     /// The last position that the member is known to have synced.
@@ -61,7 +63,7 @@
         } else {
             Entry::Empty
         };
-        self.append_as_leader(vec![first]);
+        self.append_as_leader(now, vec![first]);
         self.send_appends(now);
         self.advance_commit(now);
     }
@@ -99,10 +101,8 @@
     pub(super) fn time_since_contact(&self, now: Time, id: ReplicaId) -> Option<Duration> {
         let lead = self.leadership()?;
         let follower = lead.followers.iter().find(|f| f.id == id)?;
-        let contact = follower
-            .last_ack
-            .map_or(lead.elected_at, |ack| ack.max(lead.elected_at));
-        Some(now.since(contact))
+        let contact = follower.last_ack.max(Some(follower.added));
+        contact.map(|contact| now.since(contact))
     }
 
     /// Returns the end of the lease that the responses of a majority extend.
@@ -125,7 +125,7 @@
     }
 
     /// Appends entries in the leader's term; returns the position of the last.
-    pub(super) fn append_as_leader(&mut self, entries: Vec<Entry>) -> Position {
+    pub(super) fn append_as_leader(&mut self, now: Time, entries: Vec<Entry>) -> Position {
         let mut log_entries = Vec::with_capacity(entries.len());
         for entry in entries {
             let log_entry = LogEntry {
@@ -138,12 +138,12 @@
         }
         self.actions
             .push(Action::Persist(Persist::Append(log_entries)));
-        self.update_followers();
+        self.update_followers(now);
         self.log.last_position()
     }
 
     /// Keeps one [`Progress`] for each other member of the current group.
-    fn update_followers(&mut self) {
+    fn update_followers(&mut self, now: Time) {
         let me = self.hard_state.id;
         let last = self.log.last_position();
         let ids: Vec<ReplicaId> = self.log.replicas().members().iter().map(|m| m.id).collect();
@@ -157,6 +157,7 @@
             }
             lead.followers.push(Progress {
                 id,
+                added: now,
                 next: last,
                 matched: Position(0),
                 last_ack: None,
--- a/src/replica/machine.rs
+++ b/src/replica/machine.rs
@@ -243,7 +243,7 @@
         if let Entry::Replicas(group) = &entry {
             self.check_group(group)?;
         }
-        let position = self.append_as_leader(vec![entry]);
+        let position = self.append_as_leader(now, vec![entry]);
         self.send_appends(now);
         self.advance_commit(now);
         Ok(position)
--- a/src/replica/membership.rs
+++ b/src/replica/membership.rs
@@ -4,7 +4,7 @@
 use crate::ids::ReplicaId;
 use crate::replica::entry::{Entry, Member, Replicas};
 use crate::replica::machine::Replica;
-use crate::replica::{REPLICAS_MAX, VOTER_TIMEOUT};
+use crate::replica::{LEARNER_TIMEOUT, REPLICAS_MAX, VOTER_TIMEOUT};
 use crate::time::Time;
 
 impl Replica {
@@ -39,26 +39,41 @@
         own.expect("a leader is a member").link
     }
 
-    /// Proposes the next membership change once a learner has caught up: a step of its promotion,
-    /// or the removal of an unresponsive voter that it then replaces.
+    /// Proposes the next membership change: the removal of an unresponsive learner or, once a learner
+    /// has caught up, a step of its promotion or the removal of an unresponsive voter that it then
+    /// replaces.
     pub(super) fn advance_membership(&mut self, now: Time) {
         if !self.can_change_group() {
             return;
         }
-        let group = self.log.replicas();
-        let ready = |m: &&Member| !m.voter && self.has_caught_up(now, m.id);
-        let Some(learner) = group.members().iter().find(ready) else {
+        let Some(next) = self.next_group(now) else {
             return;
         };
-        let can_promote = learner.replaces.is_some() || group.voters().count() < self.voter_count;
-        let next = match (can_promote, self.unresponsive_voter(now)) {
-            (true, _) => group.promote(learner.id),
-            (false, Some(voter)) => group.without(voter),
-            (false, None) => return,
-        };
-        let entry = Entry::Replicas(next);
         // Fails without a lease; a later tick tries again.
-        let _ = self.propose(now, entry);
+        let _ = self.propose(now, Entry::Replicas(next));
+    }
+
+    fn next_group(&self, now: Time) -> Option<Replicas> {
+        let group = self.log.replicas();
+        if let Some(learner) = self.unresponsive_learner(now) {
+            return Some(group.without(learner));
+        }
+        let ready = |m: &&Member| !m.voter && self.has_caught_up(now, m.id);
+        let learner = group.members().iter().find(ready)?;
+        let can_promote = learner.replaces.is_some() || group.voters().count() < self.voter_count;
+        match (can_promote, self.unresponsive_voter(now)) {
+            (true, _) => Some(group.promote(learner.id)),
+            (false, Some(voter)) => Some(group.without(voter)),
+            (false, None) => None,
+        }
+    }
+
+    /// Returns a learner without contact for [`LEARNER_TIMEOUT`].
+    fn unresponsive_learner(&self, now: Time) -> Option<ReplicaId> {
+        let mut learners = self.log.replicas().members().iter().filter(|m| !m.voter);
+        let idle = |m: &&Member| self.time_since_contact(now, m.id);
+        let lost = learners.find(|m| idle(m).is_some_and(|idle| idle >= LEARNER_TIMEOUT));
+        lost.map(|m| m.id)
     }
 
     /// Returns the voter with the longest time since its last contact, if it is over the timeout.
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -72,5 +72,11 @@
 /// only unreachable rejoins as a learner and loses no data.
 pub const VOTER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Time without contact after which a learner is removed from the group.
+///
+/// A learner that is lost for good would hold one of the [`REPLICAS_MAX`] places. One that was only
+/// unreachable rejoins.
+pub const LEARNER_TIMEOUT: Duration = Duration::from_millis(2_500);
+
 /// Largest number of replicas in a group.
 pub const REPLICAS_MAX: usize = 7;
--- a/tests/control_seeds.rs
+++ b/tests/control_seeds.rs
@@ -1,6 +1,6 @@
 //! Bootstrap of a control group from seeds, its growth, and the replacement of lost members.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
@@ -224,3 +224,76 @@
     let state = leader(&handles).unwrap().operator_api().newest_state();
     assert_eq!(state.unwrap().document(), Some(&Bytes::from("document 1")));
 }
+
+/// Returns the link addresses of all members of the group.
+fn members(handle: &Handle) -> Vec<SocketAddr> {
+    let meta = handle.view().meta();
+    meta.replicas.members().iter().map(|m| m.link).collect()
+}
+
+/// Returns the last part of a process's address.
+fn host_of(handle: &Handle) -> u8 {
+    match handle.link().ip() {
+        IpAddr::V4(ip) => ip.octets()[3],
+        IpAddr::V6(_) => unreachable!("the networks are IPv4"),
+    }
+}
+
+/// Waits until the group consists of the running processes, five of them voters.
+async fn settled(handles: &[Handle]) {
+    let running: Vec<SocketAddr> = handles.iter().map(Handle::link).collect();
+    eventually("the group has only running members", || {
+        let Some(leader) = leader(handles) else {
+            return false;
+        };
+        let members = members(leader);
+        voters(leader).len() == 5
+            && members.len() == handles.len()
+            && members.iter().all(|m| running.contains(m))
+    })
+    .await;
+}
+
+/// Guards against learners that are lost for good and fill the group, so that later machines are
+/// refused until no majority of the voters is left (review/1).
+#[tokio::test]
+async fn replaced_one_by_one() {
+    let network = Network::new();
+    let mut handles = start_group(&network).await;
+    submit(&handles, 1, 0).await;
+    for host in 6..=7 {
+        handles.push(network.start(host, &[1, 2, 3], false).await);
+    }
+    settled(&handles).await;
+    for (i, host) in (8..=14).enumerate() {
+        let voting = voters(leader(&handles).unwrap());
+        let is_next = |h: &Handle| match i {
+            // The learners, the leader, then other voters.
+            0 | 1 => !voting.contains(&h.link()),
+            2 => h.operator_api().newest_state().is_some(),
+            _ => voting.contains(&h.link()),
+        };
+        let at = handles.iter().position(is_next).unwrap();
+        handles.remove(at).stop().await.unwrap();
+        let seeds: Vec<u8> = handles.iter().take(3).map(host_of).collect();
+        // A first successor is lost while it copies.
+        let lost = network.start(100 + host, &seeds, false).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        lost.stop().await.unwrap();
+        handles.push(network.start(host, &seeds, false).await);
+        settled(&handles).await;
+    }
+    // The same VM comes back with an empty disk.
+    let lost = handles.remove(0);
+    let host = host_of(&lost);
+    lost.stop().await.unwrap();
+    let seeds: Vec<u8> = handles.iter().take(3).map(host_of).collect();
+    handles.push(network.start(host, &seeds, false).await);
+    settled(&handles).await;
+    assert!(matches!(
+        submit(&handles, 2, 1).await,
+        SubmitResult::Committed(_)
+    ));
+    let state = leader(&handles).unwrap().operator_api().newest_state();
+    assert_eq!(state.unwrap().document(), Some(&Bytes::from("document 2")));
+}
