Skip odd entries one by one

Here, no process ended: deep nesting, numbers past 64 bits and bad ports were refused at the node already. What could happen: one record or target that can't be read made a node drop the whole gossip message (shown by a mutation: with one failure for all, odd_entries::unreadable_record_skipped and odd_target_skipped fail); more than 256 targets on a VM made its record unreadable for all others; 4,294,967,295 slots were taken (heartbeats::odd_entries failed with " slots" before), and sums of slots wrapped around in the floor.

Ranges are checked once, in Announcement::check, for both interfaces. A node takes 256 targets. Unreadable records are skipped alone, with one log line a second. Sums of slots stop at the largest number.

deregistration_bodies still asks that an unreadable deregistration counts, so that stays.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -19,7 +19,8 @@
 pub use membership::{CHANGE_INTERVAL, Heartbeat, MembershipTable, ProbeAck, REMOVAL_TIMEOUT};
 pub use proof_expiry::ProofExpiry;
 pub use record::{
-    Health, KindHealth, LATENCY_BANDS, NodeRecord, TargetRecord, TargetState, Window,
+    CONNECTIONS_MAX, Health, KindHealth, LATENCY_BANDS, NodeRecord, SLOTS_MAX, TARGETS_MAX,
+    TargetRecord, TargetState, Window,
 };
 pub use registry::{Member, Registry, RegistryChange, RegistryLog};
 pub use table::{Advertisement, RecordVersion, Records, Scope};
--- a/src/fleet/record.rs
+++ b/src/fleet/record.rs
@@ -19,6 +19,15 @@
     Draining,
 }
 
+/// Maximum number of targets on one VM.
+pub const TARGETS_MAX: usize = 256;
+
+/// Maximum number of slots of one target.
+pub const SLOTS_MAX: u32 = 16_384;
+
+/// Maximum number of connections to one target.
+pub const CONNECTIONS_MAX: u32 = 65_536;
+
 /// Number of latency bands in a [`Window`].
 pub const LATENCY_BANDS: usize = 32;
 
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -48,6 +48,33 @@
 
 static QUEUE: OnceLock<Arc<Queue>> = OnceLock::new();
 
+/// Limits how often an event that bad input causes is logged.
+#[derive(Debug)]
+pub struct LogInterval {
+    interval: Duration,
+    last: Mutex<Option<Instant>>,
+}
+
+impl LogInterval {
+    /// Creates a limit of one line in each `interval`.
+    pub const fn new(interval: Duration) -> LogInterval {
+        LogInterval {
+            interval,
+            last: Mutex::new(None),
+        }
+    }
+
+    /// Returns true if a line is due; it then counts as logged.
+    pub fn is_due(&self) -> bool {
+        let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_due = last.is_none_or(|last| last.elapsed() >= self.interval);
+        if is_due {
+            *last = Some(Instant::now());
+        }
+        is_due
+    }
+}
+
 /// Starts logging to standard output with a filter such as `info` or `laburnumtide=debug`.
 ///
 /// # Errors
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -95,6 +95,10 @@
             Ok(announcement) => match self.local.announce(&announcement) {
                 AnnounceResult::Accepted => text(StatusCode::OK, "announced\n"),
                 AnnounceResult::Stale => text(StatusCode::OK, "late, not taken over\n"),
+                AnnounceResult::Full => text(
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    "too many targets on this VM\n",
+                ),
             },
             Err(message) => text(StatusCode::BAD_REQUEST, message),
         }
@@ -104,9 +108,8 @@
 fn parse(body: &[u8]) -> Result<Announcement, String> {
     let announcement: Announcement =
         serde_json::from_slice(body).map_err(|e| format!("announcement: {e}\n"))?;
-    if announcement.slots.0 == 0 || announcement.connections == 0 {
-        return Err("announcement: slots and connections must not be zero\n".to_owned());
-    }
+    let checked = announcement.check();
+    checked.map_err(|e| format!("announcement: {e}\n"))?;
     Ok(announcement)
 }
 
--- a/src/node/local.rs
+++ b/src/node/local.rs
@@ -11,7 +11,10 @@
 use tokio::time::Instant;
 
 use crate::admission::Limits;
-use crate::fleet::{NodeRecord, TargetRecord, TargetState};
+use crate::error::{Error, Result};
+use crate::fleet::{
+    CONNECTIONS_MAX, NodeRecord, SLOTS_MAX, TARGETS_MAX, TargetRecord, TargetState,
+};
 use crate::ids::{NodeId, ServiceName, TargetName, ZoneName};
 use crate::node::meter::TargetMeter;
 use crate::node::pool::Pool;
@@ -84,6 +87,8 @@
     Accepted,
     /// It is older than the known state, or comes from a run that has ended or left.
     Stale,
+    /// The VM has [`TARGETS_MAX`] other targets.
+    Full,
 }
 
 /// A target on this VM.
@@ -241,6 +246,25 @@
 }
 
 impl Announcement {
+    /// Checks the ranges of the fields.
+    ///
+    /// # Errors
+    ///
+    /// Names the first field that is out of range.
+    pub fn check(&self) -> Result<()> {
+        if !(1..=SLOTS_MAX).contains(&self.slots.0) {
+            return Err(Error::invalid(format!("slots must be 1 to {SLOTS_MAX}")));
+        }
+        if !(1..=CONNECTIONS_MAX).contains(&self.connections) {
+            let message = format!("connections must be 1 to {CONNECTIONS_MAX}");
+            return Err(Error::invalid(message));
+        }
+        if self.address.port() == 0 || self.address.ip().is_unspecified() {
+            return Err(Error::invalid("the address has no host or no port"));
+        }
+        Ok(())
+    }
+
     fn is_cold(&self, age: Duration) -> bool {
         match self.cold_ms {
             Some(left) => Duration::from_millis(left) > COLD_LEFT_MIN,
@@ -308,6 +332,9 @@
             );
             return AnnounceResult::Stale;
         }
+        if self.is_full(&announcement.name) {
+            return AnnounceResult::Full;
+        }
         self.replace_on_address(announcement, now);
         match self.get(&announcement.name) {
             Some(current) if current.is_same_run(announcement, now) => {
@@ -328,6 +355,12 @@
         AnnounceResult::Accepted
     }
 
+    /// Returns true if no target can be added under `name`.
+    fn is_full(&self, name: &TargetName) -> bool {
+        let targets = self.targets.read().unwrap_or_else(PoisonError::into_inner);
+        targets.len() >= TARGETS_MAX && !targets.contains_key(name)
+    }
+
     /// Marks a target as leaving; its requests in flight continue.
     pub fn deregister(&self, name: &TargetName, incarnation: Option<u64>) {
         let now = Instant::now();
--- a/src/route/floor.rs
+++ b/src/route/floor.rs
@@ -41,6 +41,11 @@
     (u64::from(announced) * u64::from(percent)).div_ceil(100) as u32
 }
 
+/// Adds up slots, up to the largest number.
+pub(super) fn total_slots(slots: impl Iterator<Item = Slots>) -> u32 {
+    slots.fold(0, |total, slots| total.saturating_add(slots.0))
+}
+
 /// A target that was lost without draining.
 #[derive(Clone, Debug)]
 struct Loss {
@@ -73,6 +78,6 @@
     /// Returns the slots that still count as announced at `now`.
     pub fn slots(&mut self, now: Time) -> u32 {
         self.entries.retain(|l| l.until > now);
-        self.entries.iter().map(|l| l.slots.0).sum()
+        total_slots(self.entries.iter().map(|l| l.slots))
     }
 }
--- a/src/route/service.rs
+++ b/src/route/service.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, RngExt};
 
 use super::ejection::EjectionState;
-use super::floor::{Capacity, Losses, floor_slots};
+use super::floor::{Capacity, Losses, floor_slots, total_slots};
 use super::outlier::{Cause, Deviation, Observation, detect_outliers, typical_service_time};
 use super::target::Target;
 use super::{AttemptEvent, Choice, Event, PickArgs};
@@ -161,9 +161,9 @@
     pub fn capacity(&mut self, now: Time) -> Capacity {
         let slots = |keep: fn(&Target) -> bool| -> u32 {
             let kept = self.targets.iter().filter(|t| keep(t));
-            kept.map(|t| t.record.slots.0).sum()
+            total_slots(kept.map(|t| t.record.slots))
         };
-        let announced = slots(|_| true) + self.losses.slots(now);
+        let announced = slots(|_| true).saturating_add(self.losses.slots(now));
         Capacity {
             announced,
             healthy: slots(|t| t.is_ready() && t.ejection.is_active()),
@@ -300,7 +300,9 @@
         };
         let is_less_severe = self.targets[other].ejection.severity * SWAP_FACTOR < severity;
         let after = Capacity {
-            healthy: capacity.healthy + self.targets[other].record.slots.0,
+            healthy: capacity
+                .healthy
+                .saturating_add(self.targets[other].record.slots.0),
             ..capacity
         };
         if !is_less_severe || !after.can_spare(slots) {
@@ -365,12 +367,9 @@
     fn can_ban(&mut self, now: Time, kind: &str, at: usize) -> bool {
         let mut capacity = self.capacity(now);
         let serves = |t: &Target| t.is_ready() && t.ejection.is_active();
-        let banned: u32 = self
-            .targets
-            .iter()
-            .filter(|t| serves(t) && t.bans.contains(now, kind))
-            .map(|t| t.record.slots.0)
-            .sum();
+        let is_banned = |t: &&Target| serves(t) && t.bans.contains(now, kind);
+        let banned = self.targets.iter().filter(is_banned);
+        let banned = total_slots(banned.map(|t| t.record.slots));
         capacity.healthy = capacity.healthy.saturating_sub(banned);
         let target = &self.targets[at];
         let own = if serves(target) && !target.bans.contains(now, kind) {
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -16,7 +16,7 @@
 use crate::ids::NodeId;
 use crate::time::Time;
 use crate::units::Position;
-use crate::wire::records::{AdvertisementRecord, check_count};
+use crate::wire::records::{AdvertisementRecord, check_count, decode_readable};
 
 /// A message of a gossip exchange.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -320,6 +320,6 @@
 
 fn decode_all(records: Vec<AdvertisementRecord>) -> Result<Vec<Arc<Advertisement>>> {
     check_count(records.len(), RECORDS_MAX)?;
-    let records = records.into_iter().map(Advertisement::try_from);
-    records.map(|a| a.map(Arc::new)).collect()
+    let records: Vec<Advertisement> = decode_readable(records);
+    Ok(records.into_iter().map(Arc::new).collect())
 }
--- a/src/wire/records.rs
+++ b/src/wire/records.rs
@@ -1,14 +1,18 @@
 //! Encoding of node records.
 
+use std::time::Duration;
+
 use crate::error::{Error, Result};
 use crate::fleet::{
-    Advertisement, Health, KindHealth, LATENCY_BANDS, NodeRecord, TargetRecord, TargetState, Window,
+    Advertisement, CONNECTIONS_MAX, Health, KindHealth, LATENCY_BANDS, NodeRecord, SLOTS_MAX,
+    TARGETS_MAX, TargetRecord, TargetState, Window,
 };
 use crate::ids::{NAME_MAX_BYTES, NodeId};
+use crate::logging::LogInterval;
 use crate::units::Slots;
 
-/// Maximum number of targets on one VM.
-const TARGETS_MAX: usize = 256;
+/// Limits the log lines about unreadable records.
+static UNREADABLE: LogInterval = LogInterval::new(Duration::from_secs(1));
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub(super) struct AdvertisementRecord {
@@ -106,7 +110,6 @@
 
     fn try_from(message: AdvertisementRecord) -> Result<Self> {
         check_count(message.targets.len(), TARGETS_MAX)?;
-        let targets = message.targets.into_iter().map(TargetRecord::try_from);
         Ok(Advertisement {
             addr: parse_addr(&message.addr)?,
             started: message.started,
@@ -116,7 +119,7 @@
                 health_version: message.health_version,
                 zone: message.zone.parse()?,
                 leaving: message.leaving,
-                targets: targets.collect::<Result<_>>()?,
+                targets: decode_readable(message.targets),
             },
         })
     }
@@ -153,6 +156,11 @@
             Ok(StateKind::Draining) => TargetState::Draining,
             Err(_) => return Err(Error::invalid("unknown state of a target")),
         };
+        if message.slots > SLOTS_MAX || message.connections > CONNECTIONS_MAX {
+            return Err(Error::invalid(
+                "slots or connections of a target out of range",
+            ));
+        }
         Ok(TargetRecord {
             name: message.name.parse()?,
             service: message.service.parse()?,
@@ -219,6 +227,24 @@
     }
 }
 
+/// Decodes records and skips those that can't be read, so that one of them doesn't hide the others.
+pub(super) fn decode_readable<M, T>(messages: Vec<M>) -> Vec<T>
+where
+    T: TryFrom<M, Error = Error>,
+{
+    let mut decoded = Vec::with_capacity(messages.len());
+    for message in messages {
+        match T::try_from(message) {
+            Ok(record) => decoded.push(record),
+            Err(e) if UNREADABLE.is_due() => {
+                log::warn!(event = "record-skipped", error:% = e; "unreadable record skipped");
+            }
+            Err(_) => {}
+        }
+    }
+    decoded
+}
+
 /// Rejects a list that is longer than any valid message contains.
 pub(super) fn check_count(count: usize, max: usize) -> Result<()> {
     match count > max {
