Count a refusal on a used connection only if it names its request

Other operators report a faulty server that writes an earlier refusal once more on a kept connection. Shown here with raw sockets through both hops: a copy after the next request was sent ended that request as not-run (left ("not-run", "shed")) although the target ran it.

Cause: the name of the request is optional in a response, and a refusal without one was taken for that of the request on the connection. Now such a refusal on a used connection is unknown (crossed). The stand-in target names its refusals, as docs/operators.md asks.

--- a/examples/standin/mod.rs
+++ b/examples/standin/mod.rs
@@ -296,7 +296,7 @@
     ) -> Result<Response<ResponseBody>, std::io::Error> {
         let plan = ResponsePlan::read(&request, &self.behaviour());
         if plan.fault == Some(Fault::Shed) {
-            return Ok(response::shed());
+            return Ok(response::shed(request.headers()));
         }
         let (head, mut body) = request.into_parts();
         let mut run = RunGuard::start(self.clone(), &head);
--- a/examples/standin/response.rs
+++ b/examples/standin/response.rs
@@ -105,13 +105,16 @@
     }
 }
 
-/// Refuses a request before it runs.
-pub fn shed() -> Response<ResponseBody> {
+/// Refuses the request with these headers before it runs.
+pub fn shed(request: &HeaderMap) -> Response<ResponseBody> {
     let mut response = Response::new(ResponseBody::default());
     *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
     let headers = response.headers_mut();
     headers.insert("laburnum-outcome", HeaderValue::from_static("not-run"));
     headers.insert("retry-after", HeaderValue::from_static("1"));
+    if let Some(id) = request.get("laburnum-request-id") {
+        headers.insert("laburnum-request-id", id.clone());
+    }
     response
 }
 
--- a/src/node/dialect.rs
+++ b/src/node/dialect.rs
@@ -81,6 +81,10 @@
         response: &Response<Incoming>,
     ) -> Result<(), Outcome>;
 
+    /// Returns true if the response names the request that it belongs to; a mismatch is an error of
+    /// [`Dialect::check_response`].
+    fn is_named(&self, response: &Response<Incoming>) -> bool;
+
     /// Returns the header of a request that a target echoes in its response, if there is one.
     fn correlation_header<'a>(&self, headers: &'a HeaderMap) -> Option<&'a HeaderValue>;
 }
@@ -148,6 +152,13 @@
         Ok(())
     }
 
+    fn is_named(&self, response: &Response<Incoming>) -> bool {
+        let names = [headers::REQUEST_ID, headers::ATTEMPT];
+        names
+            .iter()
+            .any(|name| response.headers().contains_key(name))
+    }
+
     fn correlation_header<'a>(&self, _: &'a HeaderMap) -> Option<&'a HeaderValue> {
         None
     }
--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -24,6 +24,7 @@
 use crate::node::in_flight::{DrainStage, InFlight, InFlightGuard};
 use crate::node::key_check::KeyCheck;
 use crate::node::local::{LocalTarget, LocalTargets};
+use crate::node::pool::TargetResponse;
 use crate::node::settings::Limits;
 use crate::node::target_body::{AttemptEnd, AttemptResources, TargetBody};
 use crate::outcome::{Outcome, Reason, Refusal};
@@ -179,9 +180,12 @@
         let received = sent.unwrap_or(Err(Outcome::Unknown(Reason::Timeout)));
         let checked = received.and_then(|received| {
             check_not_upgrade(&received.response)?;
-            self.dialect
-                .check_response(&dispatch, correlation.as_ref(), &received.response)?;
-            Ok(received)
+            let sent = correlation.as_ref();
+            let response = &received.response;
+            match self.dialect.check_response(&dispatch, sent, response) {
+                Ok(()) => Ok(received),
+                Err(outcome) => Err(self.confirm(outcome, &received)),
+            }
         });
         let received = checked.inspect_err(|outcome| {
             measured.set_outcome(outcome);
@@ -208,6 +212,19 @@
         self.build_response(info, received.response, resources, in_flight)
     }
 
+    /// Returns the outcome of a response that is no answer.
+    ///
+    /// A refusal on a connection with an earlier response may be a copy that belongs to another
+    /// request, unless it names this one. The connection of a refusal isn't used again.
+    fn confirm(&self, outcome: Outcome, received: &TargetResponse) -> Outcome {
+        let is_refusal = matches!(outcome, Outcome::NotRun(_));
+        let is_doubtful = received.is_reused && !self.dialect.is_named(&received.response);
+        match is_refusal && is_doubtful {
+            true => Outcome::Unknown(Reason::Crossed),
+            false => outcome,
+        }
+    }
+
     fn check_key(&self, info: &AttemptInfo) -> std::result::Result<(), Refusal> {
         match &info.account {
             Some(account) => self
--- a/src/node/pool.rs
+++ b/src/node/pool.rs
@@ -64,6 +64,8 @@
     pub response: Response<Incoming>,
     /// The connection, to be returned to the pool once the response has been read completely.
     pub sender: Sender,
+    /// True if the connection carried an earlier response.
+    pub is_reused: bool,
 }
 
 impl Pool {
@@ -101,7 +103,13 @@
     pub async fn send(&self, mut request: Request<TimeoutBody>) -> Result<TargetResponse, Outcome> {
         while let Some(mut sender) = self.take().await {
             match sender.try_send_request(request).await {
-                Ok(response) => return Ok(TargetResponse { response, sender }),
+                Ok(response) => {
+                    return Ok(TargetResponse {
+                        response,
+                        sender,
+                        is_reused: true,
+                    });
+                }
                 Err(mut e) => match e.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(unknown(e.error())),
@@ -110,7 +118,11 @@
         }
         let mut sender = self.connect().await.map_err(not_run)?;
         match sender.try_send_request(request).await {
-            Ok(response) => Ok(TargetResponse { response, sender }),
+            Ok(response) => Ok(TargetResponse {
+                response,
+                sender,
+                is_reused: false,
+            }),
             Err(mut e) => Err(match e.take_message() {
                 Some(_) => not_run(Reason::Connect),
                 None => unknown(e.error()),
