Wait for seeds in place of a panic

Looked through the code for remainders and indices by the length of a list from outside: Client::try_next is behind a check for an empty list, placement has max(1).

--- a/src/node/sync.rs
+++ b/src/node/sync.rs
@@ -152,7 +152,10 @@
         let mut next = rand::random_range(0..usize::MAX / 2);
         loop {
             let peers = self.peers();
-            let peer = &peers[next % peers.len()];
+            let Some(peer) = peers.get(next % peers.len().max(1)) else {
+                sleep(RETRY_DELAY).await;
+                continue;
+            };
             match self.exchange(peer, WAIT_MAX, 0).await {
                 Ok(response) => {
                     let mut changes = self.view.changes();
--- a/tests/control_group.rs
+++ b/tests/control_group.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
@@ -10,6 +11,10 @@
 use laburnumtide::control::{Handle, OFFLINE_TIME, Settings, spawn, spawn_with};
 use laburnumtide::ctl::{Client, SubmitResponse};
 use laburnumtide::fleet::Member;
+use laburnumtide::metrics::Metrics;
+use laburnumtide::node::components::ActiveConfig;
+use laburnumtide::node::sync::ControlClient;
+use laburnumtide::node::view::FleetView;
 use laburnumtide::prelude::*;
 use laburnumtide::replica::Confirmation;
 use laburnumtide::storage::fake::FakeDisk;
@@ -17,6 +22,7 @@
 use laburnumtide::wire::{Channel, Hello, Peer, Protocol, Role, Secret, accept};
 use tempfile::TempDir;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 
 const TIMEOUT: Duration = Duration::from_secs(30);
@@ -504,3 +510,45 @@
         group.spawn(0).await;
     }
 }
+
+/// Guards against a node that starts with an empty list of seeds and never follows the log, also
+/// after the list is filled.
+#[tokio::test(flavor = "multi_thread")]
+async fn empty_seeds() {
+    let group = Group::start(3).await;
+    let mut client = group.client();
+    let id = NodeId::random();
+    let member = Member {
+        id,
+        addr: group.addr(50, 7200),
+        zone: "zone-1".parse().unwrap(),
+    };
+    let hello = Hello {
+        role: Role::Node,
+        id: id.0,
+        protocol: Protocol::Frames,
+    };
+    let config = Arc::new(ActiveConfig::new());
+    let view = Arc::new(FleetView::new(member, Monotonic::new(), config));
+    let (seeds, receiver) = watch::channel(Vec::new());
+    let metrics = Metrics::open(None).unwrap();
+    let control = ControlClient::new(view.clone(), receiver, fleet_secret(), hello, metrics);
+    let control = Arc::new(control);
+    let poller = control.clone();
+    let polls = tokio::spawn(async move { poller.poll_freshness().await });
+    let watches = tokio::spawn(async move { control.watch_changes().await });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert!(!polls.is_finished() && !watches.is_finished());
+    submit(&mut client, &note(1, "yard")).await;
+    seeds.send_replace(vec![group.addr(0, 7100)]);
+    for number in 1..=2 {
+        let start = Instant::now();
+        while view.note_number() < NoteNumber(number) {
+            assert!(start.elapsed() < Duration::from_secs(3), "note {number}");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        submit(&mut client, &note(number + 1, &format!("office-{number}"))).await;
+    }
+    polls.abort();
+    watches.abort();
+}
