Drop a lost majority after 20 s where nodes serve only shortly without control

After the silent loss of more than a third of the nodes, those stayed registered for 60 s. Fleets with hours offline keep the minute.

node_registry::lost_majority_is_removed failed before (nothing to remove at 20 s) and has a row for each kind of fleet.

--- a/src/fleet/membership.rs
+++ b/src/fleet/membership.rs
@@ -64,6 +64,12 @@
 /// Time without contact after which a registered node is removed, however many are unreachable.
 const REMOVAL_TIMEOUT_LONG: Duration = Duration::from_secs(60);
 
+/// Like [`REMOVAL_TIMEOUT_LONG`] in a fleet whose nodes serve only shortly without control.
+///
+/// Nodes that are cut off for so long serve no accounts any more, and those that are left need the
+/// lease voters.
+const REMOVAL_TIMEOUT_OFFLINE: Duration = Duration::from_secs(20);
+
 /// A node's response to a connection that the leader opened to its address.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ProbeAck {
@@ -265,9 +271,16 @@
         let is_unresponsive = |s: &&NodeState| !s.leaving && idle(s) >= REMOVAL_TIMEOUT;
         let nodes = members.iter().filter_map(|m| self.state_of(m));
         let too_many = nodes.filter(is_unresponsive).count() > members.len() / REMOVAL_DIVISOR;
+        let is_short = registry
+            .offline()
+            .is_some_and(|limit| limit < REMOVAL_TIMEOUT_OFFLINE);
+        let longest = match is_short {
+            true => REMOVAL_TIMEOUT_OFFLINE,
+            false => REMOVAL_TIMEOUT_LONG,
+        };
         let timeout = |s: &NodeState| match s.leaving {
             true => LEAVING_TIMEOUT,
-            false if too_many => REMOVAL_TIMEOUT_LONG,
+            false if too_many => longest,
             false => REMOVAL_TIMEOUT,
         };
         let stays = |m: &&Member| self.state_of(m).is_some_and(|s| idle(s) < timeout(s));
--- a/tests/node_registry.rs
+++ b/tests/node_registry.rs
@@ -302,6 +302,32 @@
     assert_eq!(change.reinstated, [NodeId(6)]);
 }
 
+/// Guards against a fleet that keeps a lost majority registered for a minute, so that accounts with
+/// a limit have no lease voters, although its nodes serve only for seconds without control.
+#[test]
+fn lost_majority_is_removed() {
+    let all: Vec<Member> = (1..=9).map(|n| member(n, n as u16)).collect();
+    for (offline, after) in [(Some(3), 20), (Some(43_200), 60), (None, 60)] {
+        let joined = RegistryChange {
+            offline: offline.map(Duration::from_secs),
+            ..joins(&all)
+        };
+        let registry = Registry::new().with_change(&joined).unwrap();
+        let mut table = MembershipTable::default();
+        table.apply_registry(START, &registry);
+        let mut heard = |second| {
+            let now = START + Duration::from_secs(second);
+            for m in &all[..4] {
+                table.record_heartbeat(&heartbeat(now, m));
+            }
+            table.propose(now, &registry)
+        };
+        assert_eq!(heard(after - 1), None);
+        let lost: Vec<NodeId> = (5..=9).map(NodeId).collect();
+        assert_eq!(heard(after).unwrap().left, lost);
+    }
+}
+
 /// Guards against lease voters that are about to stop. The leader demoted leaving nodes only once
 /// they were unreachable, and when 14 nodes left within 10 s, three of five voters were lost
 /// (run `mix --seed 480380651728` on Kylmaring).
