--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -97,6 +97,7 @@
     pub targets: Vec<Option<Proc>>,
     network: u32,
     node_options: Vec<(&'static str, String)>,
+    control_options: Vec<(&'static str, String)>,
 }
 
 impl Fleet {
@@ -110,6 +111,24 @@
         controls: usize,
         nodes: usize,
         node_options: Vec<(&'static str, String)>,
+    ) -> Fleet {
+        Fleet::open(controls, nodes, node_options, Vec::new())
+    }
+
+    /// Starts a fleet with additional flags for the control processes.
+    pub fn start_limited(
+        controls: usize,
+        nodes: usize,
+        control_options: Vec<(&'static str, String)>,
+    ) -> Fleet {
+        Fleet::open(controls, nodes, Vec::new(), control_options)
+    }
+
+    fn open(
+        controls: usize,
+        nodes: usize,
+        node_options: Vec<(&'static str, String)>,
+        control_options: Vec<(&'static str, String)>,
     ) -> Fleet {
         let dir = TempDir::new().unwrap();
         std::fs::write(dir.path().join("fleet.secret"), "fleet-secret-0123456789").unwrap();
@@ -130,6 +149,7 @@
             targets: Vec::new(),
             network,
             node_options,
+            control_options,
         };
         for i in 0..controls {
             fleet.start_control(i);
@@ -203,7 +223,7 @@
     /// Starts control process `i` on its existing data directory, if any.
     pub fn start_control(&mut self, i: usize) {
         let peers = (0..self.controls.len()).filter(|j| *j != i);
-        let args = [
+        let mut args = vec![
             ("link-listen", self.control_link(i).to_string()),
             ("operator-listen", self.operator_addr(i).to_string()),
             ("peers", Self::list(peers.map(|j| self.control_link(j)))),
@@ -211,6 +231,7 @@
             ("fleet-secret-file", self.secret_file("fleet")),
             ("operator-secret-file", self.secret_file("operator")),
         ];
+        args.extend(self.control_options.iter().cloned());
         let program = Path::new(env!("CARGO_BIN_EXE_laburnum-control"));
         self.controls[i] = Some(self.spawn(&format!("control{i}"), program, &args));
     }
