--- a/src/node/local.rs
+++ b/src/node/local.rs
@@ -91,6 +91,42 @@
     Full,
 }
 
+impl AnnounceResult {
+    /// Returns the name in metrics.
+    pub fn code(self) -> &'static str {
+        match self {
+            AnnounceResult::Accepted => "accepted",
+            AnnounceResult::Stale => "stale",
+            AnnounceResult::Full => "full",
+        }
+    }
+}
+
+/// What a deregistration changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeaveEffect {
+    /// The run starts to leave.
+    Started,
+    /// The run was leaving already.
+    Repeated,
+    /// Nothing: the target isn't known.
+    UnknownTarget,
+    /// Nothing: the target is known with another run.
+    OtherRun,
+}
+
+impl LeaveEffect {
+    /// Returns the name in log lines and metrics.
+    pub fn code(self) -> &'static str {
+        match self {
+            LeaveEffect::Started => "started",
+            LeaveEffect::Repeated => "repeated",
+            LeaveEffect::UnknownTarget => "unknown-target",
+            LeaveEffect::OtherRun => "other-run",
+        }
+    }
+}
+
 /// A target on this VM.
 #[derive(Debug)]
 pub struct LocalTarget {
@@ -195,8 +231,9 @@
             true => {
                 if last.draining_since.is_none() {
                     log::info!(
-                        event = "target-draining", target:% = announcement.name;
-                        "target started to drain"
+                        event = "target-draining", target:% = announcement.name,
+                        incarnation:? = announcement.incarnation,
+                        sequence:? = announcement.sequence; "target started to drain"
                     );
                 }
                 last.draining_since.or(Some(now))
@@ -205,11 +242,13 @@
         };
     }
 
-    /// Marks the target as leaving.
-    fn leave(&self, now: Instant) {
+    /// Marks the target as leaving; returns false if it was already.
+    fn leave(&self, now: Instant) -> bool {
         let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_new = !last.deregistered;
         last.deregistered = true;
         last.draining_since = last.draining_since.or(Some(now));
+        is_new
     }
 
     fn last(&self) -> LastAnnouncement {
@@ -327,8 +366,8 @@
         if self.is_stale(announcement) {
             log::info!(
                 event = "announcement-stale", target:% = announcement.name,
-                sequence:? = announcement.sequence, incarnation:? = announcement.incarnation;
-                "stale announcement of a target ignored"
+                sequence:? = announcement.sequence, incarnation:? = announcement.incarnation,
+                draining = announcement.draining; "stale announcement of a target ignored"
             );
             return AnnounceResult::Stale;
         }
@@ -344,7 +383,9 @@
                 log::info!(
                     event = "target-announced", target:% = announcement.name,
                     service:% = announcement.service, address:% = announcement.address,
-                    slots:% = announcement.slots; "target announced"
+                    slots:% = announcement.slots, incarnation:? = announcement.incarnation,
+                    sequence:? = announcement.sequence, draining = announcement.draining;
+                    "target announced"
                 );
                 let target = LocalTarget::new(announcement, self.clock, self.connect_timeout, now);
                 self.write()
@@ -362,16 +403,32 @@
     }
 
     /// Marks a target as leaving; its requests in flight continue.
-    pub fn deregister(&self, name: &TargetName, incarnation: Option<u64>) {
+    pub fn deregister(&self, name: &TargetName, incarnation: Option<u64>) -> LeaveEffect {
         let now = Instant::now();
-        if let Some(target) = self.get(name)
-            && (incarnation.is_none() || incarnation == target.identity.incarnation)
-        {
-            log::info!(event = "target-deregistered", target:% = name; "target deregistered");
-            target.leave(now);
-            self.add_tombstone(name, target.identity.incarnation, now);
-        }
+        let target = self.get(name);
+        let effect = match &target {
+            None => LeaveEffect::UnknownTarget,
+            Some(target) if incarnation.is_some_and(|i| Some(i) != target.identity.incarnation) => {
+                LeaveEffect::OtherRun
+            }
+            Some(target) => {
+                let is_new = target.leave(now);
+                self.add_tombstone(name, target.identity.incarnation, now);
+                match is_new {
+                    true => LeaveEffect::Started,
+                    false => LeaveEffect::Repeated,
+                }
+            }
+        };
+        let known = target.as_ref().and_then(|t| t.identity.incarnation);
+        let sequence = target.as_ref().and_then(|t| t.last().sequence);
+        log::info!(
+            event = "target-deregistered", target:% = name, incarnation:? = incarnation,
+            known:? = known, sequence:? = sequence, effect = effect.code();
+            "deregistration of a target"
+        );
         self.publish();
+        effect
     }
 
     /// Returns true if the announcement comes from a run that has ended or left, or is older than
@@ -441,11 +498,13 @@
     /// Removes targets that stopped announcing and closes idle connections.
     pub fn tick(&self) {
         self.write().retain(|name, target| {
-            let is_expired = target.last().received.elapsed() > ANNOUNCE_TIMEOUT;
+            let last = target.last();
+            let is_expired = last.received.elapsed() > ANNOUNCE_TIMEOUT;
             if is_expired {
                 log::warn!(
-                    event = "target-timed-out", target:% = name;
-                    "target removed: no announcement in time"
+                    event = "target-timed-out", target:% = name,
+                    incarnation:? = target.identity.incarnation, sequence:? = last.sequence,
+                    draining = last.draining_since.is_some(); "target removed: no announcement in time"
                 );
             }
             !is_expired
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -398,12 +398,19 @@
 
     /// Applies the announcement of a target on this VM.
     pub fn announce(&self, announcement: &Announcement) -> AnnounceResult {
-        self.local.announce(announcement)
+        let result = self.local.announce(announcement);
+        if announcement.draining {
+            let name = format!("leaves.draining.{}", result.code());
+            self.metrics.count(&name);
+        }
+        result
     }
 
     /// Marks a target on this VM as leaving, without an announced drain.
     pub fn deregister(&self, name: &TargetName, incarnation: Option<u64>) {
-        self.local.deregister(name, incarnation);
+        let effect = self.local.deregister(name, incarnation);
+        let name = format!("leaves.deregister.{}", effect.code());
+        self.metrics.count(&name);
     }
 
     /// Replaces the seed addresses of the control processes.
