Keep a leave as a fact about one run of a target

Cause: the leave was part of the target's entry and went with it. The time limit removed the entry with its drain and its sequence number; a deregistration without an entry, or for another run, left no trace but got its 200; a later ready announcement of the run undid a drain; a drain that a later announcement had overtaken was acknowledged and ignored; a first announcement that said draining was given 1.5 s of requests.

The leave of a run is now recorded in a bounded table of its own (fleet::departures), whatever else is known of the target, and is never undone. A run that timed out is remembered with its sequence number. The end of a drain also counts on the clock that runs on while the VM is suspended.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,9 +4,10 @@
 //! change it. The control leader derives these changes from its [`MembershipTable`]. A committed
 //! entry is accepted once a majority of the registered nodes holds it too, which [`AckTracker`]
 //! determines. [`Records`] is one node's table of the [`NodeRecord`]s that all nodes publish about
-//! their targets, and [`Gossip`] exchanges records and freshness proofs between nodes.
+//! their targets, [`Departures`] lists runs of targets that must get no more requests, and [`Gossip`] exchanges records and freshness proofs between nodes.
 
 pub mod acks;
+pub mod departures;
 pub mod gossip;
 pub mod membership;
 pub mod proof_expiry;
@@ -15,6 +16,7 @@
 pub mod table;
 
 pub use acks::AckTracker;
+pub use departures::{Departure, Departures, TargetRun};
 pub use gossip::{Gossip, GossipRequest, GossipResponse, Push, RelayedEntry, RequestStamp};
 pub use membership::{CHANGE_INTERVAL, Heartbeat, MembershipTable, ProbeAck, REMOVAL_TIMEOUT};
 pub use proof_expiry::ProofExpiry;
--- a/src/node/local.rs
+++ b/src/node/local.rs
@@ -2,8 +2,8 @@
 
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -16,10 +16,11 @@
     CONNECTIONS_MAX, NodeRecord, SLOTS_MAX, TARGETS_MAX, TargetRecord, TargetState,
 };
 use crate::ids::{NodeId, ServiceName, TargetName, ZoneName};
+use crate::node::departures::NodeDepartures;
 use crate::node::meter::TargetMeter;
 use crate::node::pool::Pool;
 use crate::node::slots::TargetQueue;
-use crate::time::Monotonic;
+use crate::time::{Clock, Monotonic, Time};
 use crate::units::Slots;
 
 /// Time without an announcement after which a target is removed.
@@ -32,10 +33,13 @@
 /// balancing by measured latency handle so short a warm-up.
 const COLD_LEFT_MIN: Duration = Duration::from_secs(5);
 
-/// Time for which the run of a departed target is remembered, so that a delayed announcement
+/// Time for which a run that was replaced or timed out is remembered, so that a delayed announcement
 /// doesn't restore it.
 const TOMBSTONE_TTL: Duration = Duration::from_secs(60);
 
+/// Maximum number of remembered runs that were replaced or timed out.
+const TOMBSTONES_MAX: usize = 1_024;
+
 /// Difference between announced start times that delays of announcements can cause.
 const RESTART_MARGIN: Duration = Duration::from_secs(1);
 
@@ -44,6 +48,9 @@
 /// It ends before the 2 s after which a leaving target must not receive new requests.
 const DRAIN_GRACE: Duration = Duration::from_millis(1_500);
 
+/// Link address in the departures of a node that exchanges none.
+const NO_ADDR: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
 /// The state that a target announces.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -109,10 +116,10 @@
     Started,
     /// The run was leaving already.
     Repeated,
-    /// Nothing: the target isn't known.
-    UnknownTarget,
-    /// Nothing: the target is known with another run.
-    OtherRun,
+    /// The run isn't in use here; its departure is recorded.
+    Recorded,
+    /// Nothing: the call names no run, and the target isn't known.
+    Unidentified,
 }
 
 impl LeaveEffect {
@@ -121,8 +128,8 @@
         match self {
             LeaveEffect::Started => "started",
             LeaveEffect::Repeated => "repeated",
-            LeaveEffect::UnknownTarget => "unknown-target",
-            LeaveEffect::OtherRun => "other-run",
+            LeaveEffect::Recorded => "recorded",
+            LeaveEffect::Unidentified => "unidentified",
         }
     }
 }
@@ -136,6 +143,7 @@
     pub meter: Arc<TargetMeter>,
     /// Connections to it.
     pub pool: Pool,
+    clock: Monotonic,
     identity: TargetIdentity,
     last: Mutex<LastAnnouncement>,
 }
@@ -157,7 +165,28 @@
     deregistered: bool,
     started: Instant,
     limits: Limits,
-    draining_since: Option<Instant>,
+    drain: Option<DrainEnd>,
+}
+
+/// The time from which a draining target accepts no request any more.
+#[derive(Clone, Copy, Debug)]
+struct DrainEnd {
+    at: Instant,
+    /// The same time on a clock that continues while the VM is suspended.
+    boot_time: Time,
+}
+
+impl DrainEnd {
+    fn after(time: Duration, now: Instant, clock: Monotonic) -> DrainEnd {
+        DrainEnd {
+            at: now + time,
+            boot_time: clock.now() + time,
+        }
+    }
+
+    fn is_over(&self, clock: Monotonic) -> bool {
+        Instant::now() >= self.at || clock.now() >= self.boot_time
+    }
 }
 
 impl LocalTarget {
@@ -169,6 +198,10 @@
     ) -> LocalTarget {
         let age = Duration::from_millis(announcement.started_ms_ago);
         let limits = announcement.limits();
+        // No request was sent here on the strength of an earlier announcement to this process.
+        let drain = announcement
+            .draining
+            .then(|| DrainEnd::after(Duration::ZERO, now, clock));
         LocalTarget {
             queue: TargetQueue::new(clock, limits, announcement.is_cold(age)),
             meter: TargetMeter::new(clock),
@@ -177,6 +210,7 @@
                 announcement.connections,
                 connect_timeout,
             ),
+            clock,
             identity: TargetIdentity::of(announcement),
             last: Mutex::new(LastAnnouncement {
                 received: now,
@@ -184,7 +218,7 @@
                 deregistered: false,
                 started: announcement.started(now),
                 limits,
-                draining_since: announcement.draining.then_some(now),
+                drain,
             }),
         }
     }
@@ -214,8 +248,8 @@
 
     /// Returns true if a request may be dispatched now.
     pub fn accepts_requests(&self) -> bool {
-        let since = self.last().draining_since;
-        since.is_none_or(|since| since.elapsed() < DRAIN_GRACE)
+        let drain = self.last().drain;
+        drain.is_none_or(|drain| !drain.is_over(self.clock))
     }
 
     fn update(&self, announcement: &Announcement, now: Instant) {
@@ -227,19 +261,27 @@
             self.queue.set_limits(last.limits);
             self.pool.set_limit(announcement.connections);
         }
-        last.draining_since = match announcement.draining {
-            true => {
-                if last.draining_since.is_none() {
-                    log::info!(
-                        event = "target-draining", target:% = announcement.name,
-                        incarnation:? = announcement.incarnation,
-                        sequence:? = announcement.sequence; "target started to drain"
-                    );
-                }
-                last.draining_since.or(Some(now))
-            }
-            false => None,
-        };
+        // Without an incarnation, the target may be another run that is ready.
+        if !announcement.draining && announcement.incarnation.is_none() {
+            last.drain = None;
+        }
+        drop(last);
+        if announcement.draining {
+            self.start_drain(announcement, now);
+        }
+    }
+
+    /// Starts the drain that the target announces, unless it has started.
+    fn start_drain(&self, announcement: &Announcement, now: Instant) {
+        let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
+        if last.drain.is_none() {
+            log::info!(
+                event = "target-draining", target:% = announcement.name,
+                incarnation:? = announcement.incarnation, sequence:? = announcement.sequence;
+                "target started to drain"
+            );
+            last.drain = Some(DrainEnd::after(DRAIN_GRACE, now, self.clock));
+        }
     }
 
     /// Marks the target as leaving; returns false if it was already.
@@ -247,7 +289,8 @@
         let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
         let is_new = !last.deregistered;
         last.deregistered = true;
-        last.draining_since = last.draining_since.or(Some(now));
+        let end = DrainEnd::after(DRAIN_GRACE, now, self.clock);
+        last.drain.get_or_insert(end);
         is_new
     }
 
@@ -258,7 +301,7 @@
 
     fn record(&self, name: &TargetName) -> TargetRecord {
         let last = self.last();
-        let state = match last.draining_since {
+        let state = match last.drain {
             Some(_) => TargetState::Draining,
             None => self.queue.state(),
         };
@@ -330,11 +373,33 @@
     clock: Monotonic,
     connect_timeout: Duration,
     targets: RwLock<BTreeMap<TargetName, Arc<LocalTarget>>>,
-    /// Runs that have left or were replaced on their address, with the time when this happened.
-    tombstones: Mutex<Vec<(TargetName, Option<u64>, Instant)>>,
+    departures: NodeDepartures,
+    tombstones: Mutex<Vec<Tombstone>>,
     record: watch::Sender<NodeRecord>,
 }
 
+/// A run that was replaced on its address or timed out.
+#[derive(Debug)]
+struct Tombstone {
+    name: TargetName,
+    incarnation: u64,
+    /// The last sequence number of a run that timed out; `None` if the run has ended.
+    sequence: Option<u64>,
+    since: Instant,
+}
+
+impl Tombstone {
+    fn covers(&self, announcement: &Announcement) -> bool {
+        let is_earlier = match self.sequence {
+            Some(last) => announcement.sequence.is_some_and(|s| s <= last),
+            None => true,
+        };
+        self.name == announcement.name
+            && Some(self.incarnation) == announcement.incarnation
+            && is_earlier
+    }
+}
+
 impl LocalTargets {
     /// Creates an empty table for the node `me`; connections open within `connect_timeout`.
     pub fn new(
@@ -355,6 +420,7 @@
             clock,
             connect_timeout,
             targets: RwLock::default(),
+            departures: NodeDepartures::new(NO_ADDR),
             tombstones: Mutex::default(),
             record: watch::Sender::new(record),
         }
@@ -363,6 +429,9 @@
     /// Applies an announcement.
     pub fn announce(&self, announcement: &Announcement) -> AnnounceResult {
         let now = Instant::now();
+        if announcement.draining {
+            self.record_drain(announcement, now);
+        }
         if self.is_stale(announcement) {
             log::info!(
                 event = "announcement-stale", target:% = announcement.name,
@@ -396,6 +465,32 @@
         AnnounceResult::Accepted
     }
 
+    /// Records an announced drain, which holds even if a later announcement has overtaken it.
+    fn record_drain(&self, announcement: &Announcement, now: Instant) {
+        let Some(incarnation) = announcement.incarnation else {
+            return;
+        };
+        self.departures.record(&announcement.name, incarnation);
+        if let Some(current) = self.get(&announcement.name)
+            && current.is_same_run(announcement, now)
+        {
+            current.start_drain(announcement, now);
+            self.publish();
+        }
+    }
+
+    /// Returns true if the announcement comes from a run that leaves, unless the target is in use
+    /// and repeats that it drains.
+    fn is_departed(&self, announcement: &Announcement) -> bool {
+        let is_departed = |incarnation| self.departures.contains(&announcement.name, incarnation);
+        let is_held = || {
+            let target = self.get(&announcement.name);
+            target.is_some_and(|t| t.identity.incarnation == announcement.incarnation)
+        };
+        let may_be_used = announcement.draining && is_held();
+        announcement.incarnation.is_some_and(is_departed) && !may_be_used
+    }
+
     /// Returns true if no target can be added under `name`.
     fn is_full(&self, name: &TargetName) -> bool {
         let targets = self.targets.read().unwrap_or_else(PoisonError::into_inner);
@@ -406,19 +501,23 @@
     pub fn deregister(&self, name: &TargetName, incarnation: Option<u64>) -> LeaveEffect {
         let now = Instant::now();
         let target = self.get(name);
+        let leaving = incarnation.or(target.as_ref().and_then(|t| t.identity.incarnation));
+        if let Some(incarnation) = leaving {
+            self.departures.record(name, incarnation);
+        }
         let effect = match &target {
-            None => LeaveEffect::UnknownTarget,
-            Some(target) if incarnation.is_some_and(|i| Some(i) != target.identity.incarnation) => {
-                LeaveEffect::OtherRun
-            }
-            Some(target) => {
-                let is_new = target.leave(now);
-                self.add_tombstone(name, target.identity.incarnation, now);
-                match is_new {
+            // Its earlier runs have ended too.
+            Some(target) if target.identity.incarnation <= leaving => {
+                if let Some(earlier) = target.identity.incarnation {
+                    self.departures.record(name, earlier);
+                }
+                match target.leave(now) {
                     true => LeaveEffect::Started,
                     false => LeaveEffect::Repeated,
                 }
             }
+            _ if leaving.is_some() => LeaveEffect::Recorded,
+            _ => LeaveEffect::Unidentified,
         };
         let known = target.as_ref().and_then(|t| t.identity.incarnation);
         let sequence = target.as_ref().and_then(|t| t.last().sequence);
@@ -434,16 +533,11 @@
     /// Returns true if the announcement comes from a run that has ended or left, or is older than
     /// the known state of its name or address.
     fn is_stale(&self, announcement: &Announcement) -> bool {
-        let tombstones = self
-            .tombstones
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let has_ended = |t: &(TargetName, Option<u64>, Instant)| {
-            t.0 == announcement.name
-                && t.1 == announcement.incarnation
-                && announcement.incarnation.is_some()
-        };
-        if tombstones.iter().any(has_ended) {
+        if self.is_departed(announcement) {
+            return true;
+        }
+        let tombstones = self.lock_tombstones();
+        if tombstones.iter().any(|t| t.covers(announcement)) {
             return true;
         }
         drop(tombstones);
@@ -476,17 +570,30 @@
                 event = "target-replaced", target:% = name, by:% = announcement.name;
                 "target replaced by another on its address"
             );
-            self.add_tombstone(&name, incarnation, now);
+            if let Some(incarnation) = incarnation {
+                self.add_tombstone(Tombstone {
+                    name,
+                    incarnation,
+                    sequence: None,
+                    since: now,
+                });
+            }
+        }
+    }
+
+    fn add_tombstone(&self, tombstone: Tombstone) {
+        let mut tombstones = self.lock_tombstones();
+        tombstones.retain(|t| t.since.elapsed() < TOMBSTONE_TTL);
+        if tombstones.len() == TOMBSTONES_MAX {
+            tombstones.remove(0);
         }
+        tombstones.push(tombstone);
     }
 
-    fn add_tombstone(&self, name: &TargetName, incarnation: Option<u64>, now: Instant) {
-        let mut tombstones = self
-            .tombstones
+    fn lock_tombstones(&self) -> MutexGuard<'_, Vec<Tombstone>> {
+        self.tombstones
             .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        tombstones.retain(|(_, _, since)| now.duration_since(*since) < TOMBSTONE_TTL);
-        tombstones.push((name.clone(), incarnation, now));
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns the target with the given name.
@@ -497,18 +604,31 @@
 
     /// Removes targets that stopped announcing and closes idle connections.
     pub fn tick(&self) {
+        let now = Instant::now();
+        let mut expired = Vec::new();
         self.write().retain(|name, target| {
             let last = target.last();
-            let is_expired = last.received.elapsed() > ANNOUNCE_TIMEOUT;
+            let is_expired = now - last.received > ANNOUNCE_TIMEOUT;
             if is_expired {
-                log::warn!(
-                    event = "target-timed-out", target:% = name,
-                    incarnation:? = target.identity.incarnation, sequence:? = last.sequence,
-                    draining = last.draining_since.is_some(); "target removed: no announcement in time"
-                );
+                expired.push((name.clone(), target.identity.incarnation, last));
             }
             !is_expired
         });
+        for (name, incarnation, last) in expired {
+            log::warn!(
+                event = "target-timed-out", target:% = name, incarnation:? = incarnation,
+                sequence:? = last.sequence, draining = last.drain.is_some();
+                "target removed: no announcement in time"
+            );
+            if let (Some(incarnation), Some(sequence)) = (incarnation, last.sequence) {
+                self.add_tombstone(Tombstone {
+                    name,
+                    incarnation,
+                    sequence: Some(sequence),
+                    since: now,
+                });
+            }
+        }
         let targets = self.targets.read().unwrap_or_else(PoisonError::into_inner);
         targets.values().for_each(|target| target.pool.trim());
         drop(targets);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -15,6 +15,7 @@
 pub mod calls;
 pub mod components;
 pub mod context;
+pub mod departures;
 pub mod dialect;
 pub mod egress;
 pub mod forward;
