Count what a drain takes, refuses and cuts

The logs of a stopped node couldn't tell the hypotheses of the incident apart: drain-ended had no count of the requests that were taken after the signal, ended with an answer of the node's own or cut, and no times.

drain-ended now has these counts (also as the counters drain.taken, drain.refused, drain.ended and drain.cut), the connections still open, and the time since the signal of each stage. A request that the drain ends has a line drain-cut with its id, its age, when it was taken, the hop, and whether its response had begun.

--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -21,7 +21,7 @@
 use crate::node::calls::Calls;
 use crate::node::components::Freshness;
 use crate::node::dialect::{Dialect, Dispatch};
-use crate::node::in_flight::{DrainStage, InFlight, InFlightGuard};
+use crate::node::in_flight::{DrainStage, Hop, InFlight, InFlightGuard};
 use crate::node::key_check::KeyCheck;
 use crate::node::local::{LocalTarget, LocalTargets};
 use crate::node::pool::TargetResponse;
@@ -153,6 +153,7 @@
         let mut slot = tokio::select! {
             slot = target.queue.enter(slot) => slot.map_err(not_run)?,
             () = self.in_flight.ended() => {
+                in_flight.log_ended(Hop::Egress, info.request);
                 return Err(not_run(Refusal::after(Reason::Draining, RETRY_LATER)));
             }
         };
@@ -165,6 +166,7 @@
         queue
             .check_breaker(info.attempt, info.idempotent, info.forced)
             .map_err(not_run)?;
+        self.in_flight.count_taken();
         let dispatch = info.dispatch();
         let request = self.prepare(&dispatch, request);
         let correlation = self.dialect.correlation_header(request.headers()).cloned();
@@ -254,6 +256,7 @@
 
     fn target(&self, info: &AttemptInfo) -> std::result::Result<Arc<LocalTarget>, Refusal> {
         if self.in_flight.stage() == DrainStage::Refusing {
+            self.in_flight.count_refused();
             return Err(Refusal::after(Reason::Draining, RETRY_LATER));
         }
         let target = self.local.get(&info.target);
--- a/src/node/in_flight.rs
+++ b/src/node/in_flight.rs
@@ -1,11 +1,15 @@
 //! Tracking of requests in flight and of the stages of a drain.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
 
 use tokio::sync::Notify;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::ids::RequestId;
+
 /// Stage of a node's drain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum DrainStage {
@@ -17,6 +21,38 @@
     Refusing,
 }
 
+/// The part of a node that handles a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Hop {
+    /// The node that the caller is connected to.
+    Ingress,
+    /// The node on the target's VM.
+    Egress,
+}
+
+impl Hop {
+    /// Returns the name for log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            Hop::Ingress => "ingress",
+            Hop::Egress => "egress",
+        }
+    }
+}
+
+/// How many requests a drain took, refused and ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DrainCounts {
+    /// Requests taken after the stop signal.
+    pub taken: usize,
+    /// Requests refused because of the drain.
+    pub refused: usize,
+    /// Requests that were ended without a response of a target.
+    pub ended: usize,
+    /// Responses that were broken off.
+    pub cut: usize,
+}
+
 /// A counter of requests in flight, shared with the drain stage of the node.
 #[derive(Clone, Debug, Default)]
 pub struct InFlight {
@@ -28,13 +64,23 @@
     running: AtomicUsize,
     idle: Notify,
     stage: AtomicU8,
+    /// Time of the stop signal.
+    signal: OnceLock<Instant>,
     ended: CancellationToken,
+    aborted: CancellationToken,
+    taken: AtomicUsize,
+    refused: AtomicUsize,
+    ended_count: AtomicUsize,
+    cut: AtomicUsize,
 }
 
 /// Counts one request as in flight until dropped.
 #[derive(Debug)]
 pub struct InFlightGuard {
     inner: Arc<Inner>,
+    entered: Instant,
+    /// The request whose response is being passed on.
+    response: Option<(Hop, RequestId)>,
 }
 
 impl InFlight {
@@ -43,6 +89,8 @@
         self.inner.running.fetch_add(1, Ordering::SeqCst);
         InFlightGuard {
             inner: self.inner.clone(),
+            entered: Instant::now(),
+            response: None,
         }
     }
 
@@ -65,10 +113,39 @@
 
     /// Advances to `stage`; returns false if the drain had reached it before.
     pub fn advance(&self, stage: DrainStage) -> bool {
+        self.inner.signal.get_or_init(Instant::now);
         let stage = stage as u8;
         self.inner.stage.fetch_max(stage, Ordering::SeqCst) < stage
     }
 
+    /// Returns the time of the stop signal, if there was one.
+    pub fn signal(&self) -> Option<Instant> {
+        self.inner.signal.get().copied()
+    }
+
+    /// Counts a request that is taken although the node drains.
+    pub fn count_taken(&self) {
+        if self.signal().is_some() {
+            self.inner.taken.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Counts a request that is refused because the node drains.
+    pub fn count_refused(&self) {
+        self.inner.refused.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns what the drain did so far.
+    pub fn counts(&self) -> DrainCounts {
+        let load = |count: &AtomicUsize| count.load(Ordering::Relaxed);
+        DrainCounts {
+            taken: load(&self.inner.taken),
+            refused: load(&self.inner.refused),
+            ended: load(&self.inner.ended_count),
+            cut: load(&self.inner.cut),
+        }
+    }
+
     /// Ends the requests that are still in flight at the limit of a drain.
     pub fn end_requests(&self) {
         self.inner.ended.cancel();
@@ -79,6 +156,16 @@
         self.inner.ended.cancelled().await;
     }
 
+    /// Marks the responses that aren't complete from now on as cut by the drain.
+    pub fn abort_responses(&self) {
+        self.inner.aborted.cancel();
+    }
+
+    /// Waits until [`InFlight::abort_responses`] is called.
+    pub async fn aborted(&self) {
+        self.inner.aborted.cancelled().await;
+    }
+
     /// Waits until no request is in flight.
     pub async fn idle(&self) {
         loop {
@@ -91,10 +178,53 @@
     }
 }
 
+impl InFlightGuard {
+    /// Logs and counts a request that the drain ends without a response of its target.
+    pub fn log_ended(&self, hop: Hop, request: RequestId) {
+        self.inner.ended_count.fetch_add(1, Ordering::Relaxed);
+        self.log_cut(hop, request, "waiting");
+    }
+
+    /// Starts to pass on the response to `request`; it counts as cut unless it is completed.
+    pub fn begin_response(&mut self, hop: Hop, request: RequestId) {
+        self.response = Some((hop, request));
+    }
+
+    /// Completes the response.
+    pub fn complete(&mut self) {
+        self.response = None;
+    }
+
+    fn log_cut(&self, hop: Hop, request: RequestId, stage: &str) {
+        let signal = self.inner.signal.get();
+        let taken = signal.map(|s| signed_ms(*s, self.entered));
+        let since = signal.map(|s| s.elapsed().as_millis() as u64);
+        log::warn!(
+            event = "drain-cut", request:% = request, hop = hop.name(), stage,
+            age_ms = self.entered.elapsed().as_millis() as u64, taken_ms = taken, ms = since;
+            "request ended by the drain"
+        );
+    }
+}
+
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
+        if let Some((hop, request)) = self.response
+            && self.inner.aborted.is_cancelled()
+        {
+            self.inner.cut.fetch_add(1, Ordering::Relaxed);
+            self.log_cut(hop, request, "response");
+        }
         if self.inner.running.fetch_sub(1, Ordering::SeqCst) == 1 {
             self.inner.idle.notify_waiters();
         }
     }
 }
+
+/// Returns the milliseconds from `start` to `at`, which may come first.
+fn signed_ms(start: Instant, at: Instant) -> i64 {
+    match at.checked_duration_since(start) {
+        Some(time) => time.as_millis() as i64,
+        None => -(start.duration_since(at).as_millis() as i64),
+    }
+}
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -25,7 +25,7 @@
 use crate::node::context::{Identity, RequestContext};
 use crate::node::dialect::{Dialect, RequestInfo};
 use crate::node::forward::Forwarder;
-use crate::node::in_flight::{DrainStage, InFlight, InFlightGuard};
+use crate::node::in_flight::{DrainStage, Hop, InFlight, InFlightGuard};
 use crate::node::open_limit::OpenLimit;
 use crate::node::request_log::RequestLogGuard;
 use crate::node::response_body::ResponseBody;
@@ -174,6 +174,7 @@
         let in_flight = self.in_flight.enter();
         check_well_formed(&head).map_err(refused)?;
         if self.in_flight.stage() == DrainStage::Refusing {
+            self.in_flight.count_refused();
             return Err(retry_later(Reason::Draining));
         }
         let config = self
@@ -224,7 +225,8 @@
         let call = shared_flow.then(|| self.calls.begin_call()).flatten();
         ctx.is_call = call.is_some();
         self.log_admitted(&ctx, &config);
-        let result = self.run(&ctx, &config, active.as_ref()).await;
+        self.in_flight.count_taken();
+        let result = self.run(&ctx, &config, active.as_ref(), &in_flight).await;
         let is_served = result.as_ref().is_ok_and(|r| !r.status().is_server_error());
         if let Some(call) = call.filter(|_| !is_served) {
             call.fail();
@@ -266,10 +268,12 @@
         ctx: &RequestContext<'_>,
         config: &Config,
         active: Option<&ActiveRequest>,
+        in_flight: &InFlightGuard,
     ) -> Result<Response<Incoming>, Outcome> {
         tokio::select! {
             biased;
             () = self.in_flight.ended() => {
+                in_flight.log_ended(Hop::Ingress, ctx.id);
                 Err(ctx.give_up(Refusal::after(Reason::Draining, RETRY_LATER)))
             }
             result = self.run_authorized(ctx, config, active) => result,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -447,17 +447,27 @@
     pub async fn drain(&self) {
         self.begin_drain();
         self.refusing.cancelled().await;
+        let signal = self.in_flight.signal().unwrap_or_else(Instant::now);
+        let refusing_ms = signal.elapsed().as_millis() as u64;
         let end = Instant::now() + self.limits.drain_max;
         let finished = timeout_at(end, self.in_flight.idle()).await;
         if finished.is_err() {
             self.in_flight.end_requests();
         }
+        let idle_ms = signal.elapsed().as_millis() as u64;
         self.shutdown.closing.cancel();
         let closed = timeout_at(end + CLOSE_TIME, self.shutdown.connections.idle()).await;
         self.stop.cancel();
+        let counts = self.in_flight.counts();
+        self.metrics.add("drain.taken", counts.taken as u64);
+        self.metrics.add("drain.refused", counts.refused as u64);
+        self.metrics.add("drain.ended", counts.ended as u64);
+        self.metrics.add("drain.cut", counts.cut as u64);
         log::info!(
-            event = "drain-ended", finished = finished.is_ok(), closed = closed.is_ok();
-            "drain ended"
+            event = "drain-ended", finished = finished.is_ok(), closed = closed.is_ok(),
+            taken = counts.taken, refused = counts.refused, ended = counts.ended, cut = counts.cut,
+            running = self.in_flight.running(), open = self.shutdown.connections.running(),
+            refusing_ms, idle_ms, ms = signal.elapsed().as_millis() as u64; "drain ended"
         );
     }
 
--- a/src/node/response_body.rs
+++ b/src/node/response_body.rs
@@ -12,7 +12,7 @@
 use crate::http::body::BodyError;
 use crate::ids::RequestId;
 use crate::node::active_requests::ActiveRequest;
-use crate::node::in_flight::InFlightGuard;
+use crate::node::in_flight::{Hop, InFlightGuard};
 use crate::outcome::Reason;
 
 /// The response body of a target; it fails when the caller's key is withdrawn, or when the caller's
@@ -24,7 +24,7 @@
     watch: Option<KeyWatch>,
     /// Completes when the caller no longer waits.
     end: Option<Pin<Box<Sleep>>>,
-    _in_flight: InFlightGuard,
+    in_flight: InFlightGuard,
 }
 
 #[derive(Debug)]
@@ -41,10 +41,13 @@
         request: RequestId,
         active: Option<ActiveRequest>,
         end: Option<Instant>,
-        in_flight: InFlightGuard,
+        mut in_flight: InFlightGuard,
     ) -> ResponseBody {
         let end = end.filter(|_| !body.is_end_stream());
         let active = active.filter(|_| !body.is_end_stream());
+        if !body.is_end_stream() {
+            in_flight.begin_response(Hop::Ingress, request);
+        }
         let watch = active.map(|active| KeyWatch {
             cancelled: Box::pin(active.token().clone().cancelled_owned()),
             _active: active,
@@ -54,7 +57,7 @@
             request,
             watch,
             end: end.map(|end| Box::pin(sleep_until(end))),
-            _in_flight: in_flight,
+            in_flight,
         }
     }
 
@@ -94,12 +97,20 @@
                 return Poll::Pending;
             };
             match frame {
-                None => return Poll::Ready(None),
+                None => {
+                    this.in_flight.complete();
+                    return Poll::Ready(None);
+                }
                 Some(Err(e)) => {
                     let error = BodyError::Connection(e);
                     return Poll::Ready(Some(Err(this.log_failure(error))));
                 }
-                Some(Ok(frame)) if frame.is_data() => return Poll::Ready(Some(Ok(frame))),
+                Some(Ok(frame)) if frame.is_data() => {
+                    if this.body.is_end_stream() {
+                        this.in_flight.complete();
+                    }
+                    return Poll::Ready(Some(Ok(frame)));
+                }
                 Some(Ok(_)) => {}
             }
         }
--- a/src/node/target_body.rs
+++ b/src/node/target_body.rs
@@ -10,7 +10,7 @@
 use crate::http::body::{BodyError, TimeoutBody};
 use crate::ids::RequestId;
 use crate::node::calls::RunGuard;
-use crate::node::in_flight::InFlightGuard;
+use crate::node::in_flight::{Hop, InFlightGuard};
 use crate::node::local::LocalTarget;
 use crate::node::meter::MeasuredAttempt;
 use crate::node::pool::Sender;
@@ -53,7 +53,7 @@
     /// The result of reading ahead: a chunk, a failure or the end.
     ahead: Option<Option<Result<Bytes, BodyError>>>,
     resources: Option<AttemptResources>,
-    _in_flight: InFlightGuard,
+    in_flight: InFlightGuard,
 }
 
 impl TargetBody {
@@ -62,15 +62,16 @@
         body: TimeoutBody,
         end: AttemptEnd,
         resources: AttemptResources,
-        in_flight: InFlightGuard,
+        mut in_flight: InFlightGuard,
     ) -> TargetBody {
+        in_flight.begin_response(Hop::Egress, end.request);
         let mut this = TargetBody {
             body,
             end,
             bytes_left: end.bytes_max,
             ahead: None,
             resources: Some(resources),
-            _in_flight: in_flight,
+            in_flight,
         };
         this.read_ahead();
         this
@@ -125,6 +126,7 @@
     }
 
     fn release(&mut self) {
+        self.in_flight.complete();
         if let Some(mut resources) = self.resources.take() {
             resources.measured.set(self.end.result);
             resources.target.pool.put(resources.sender);
