Take no request after a planned stop that can't end before the process does

Callers saw: requests that were sent 3.02 to 3.17 s after the SIGTERM of their node (graceS 6), among them POSTs that may not be repeated, were sent on to a target and cut 2.8 s later while it worked: with an answer of the node's own (502, draining), or, where the process was killed at 6 s, with a closed connection. Requests in chunks whose body ended after 3 s met the same.

Cause: a node accepted requests for half of its grace time, from the moment at which a timer fired that started when the process had seen its signal, looked at the head of a request only, and ended all that was left 200 ms before the end. With the close of connections (100 ms) and the flush of logs a process needed 5.96 s by design, so one that saw its signal late outlived the grace time and was killed with its requests.

Now the times of a drain count from the signal and are compared with the clock at each decision: a node takes requests for half of its grace time but no longer than 3 s, less 600 ms for a late signal; waits for a short body of any framing before it sends a request on; and checks before each attempt, at the ingress and the egress, whether the request can end: by what its caller waits, or by the times of others of its kind (drain::RequestTimes). Requests without a response end one seventh before the end of the grace time, in its last sixth; responses on their way have 150 ms more and are then broken off, and connections 100 ms. The end of the runtime doesn't wait for tasks.

Dropped: the 95th percentile with a margin at the ingress too.

--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -49,6 +49,10 @@
     inner: Incoming,
     idle_timeout: Duration,
     timer: Option<Pin<Box<Sleep>>>,
+    /// Data that was read ahead.
+    ahead: Option<BytesMut>,
+    /// True if the end was read.
+    ended: bool,
 }
 
 impl TimeoutBody {
@@ -58,17 +62,52 @@
             inner,
             idle_timeout,
             timer: None,
+            ahead: None,
+            ended: false,
         }
     }
 
     /// Returns true if no data will follow.
     pub fn is_done(&self) -> bool {
-        self.inner.is_end_stream()
+        self.ahead.is_none() && (self.ended || self.inner.is_end_stream())
+    }
+
+    /// Reads ahead until the end, or until more than `limit` bytes are held; the data is returned by
+    /// later polls.
+    pub fn poll_ahead(
+        &mut self,
+        cx: &mut Context<'_>,
+        limit: usize,
+    ) -> Poll<std::result::Result<(), BodyError>> {
+        let mut ahead = self.ahead.take().unwrap_or_default();
+        let result = loop {
+            if ahead.len() > limit {
+                break Poll::Ready(Ok(()));
+            }
+            match self.poll_data(cx) {
+                Poll::Pending => break Poll::Pending,
+                Poll::Ready(Some(Ok(data))) => ahead.extend_from_slice(&data),
+                Poll::Ready(Some(Err(e))) => break Poll::Ready(Err(e)),
+                Poll::Ready(None) => break Poll::Ready(Ok(())),
+            }
+        };
+        self.ahead = Some(ahead).filter(|ahead| !ahead.is_empty());
+        result
     }
 
     /// Returns the bounds of the remaining size.
     pub fn size(&self) -> SizeHint {
-        self.inner.size_hint()
+        let held = self.ahead.as_ref().map_or(0, BytesMut::len) as u64;
+        if self.ended {
+            return SizeHint::with_exact(held);
+        }
+        let rest = self.inner.size_hint();
+        let mut size = SizeHint::new();
+        size.set_lower(rest.lower() + held);
+        if let Some(upper) = rest.upper() {
+            size.set_upper(upper + held);
+        }
+        size
     }
 
     /// Polls for the next data; trailers are dropped.
@@ -76,13 +115,22 @@
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<std::result::Result<Bytes, BodyError>>> {
+        if let Some(ahead) = self.ahead.take() {
+            return Poll::Ready(Some(Ok(ahead.freeze())));
+        }
+        if self.ended {
+            return Poll::Ready(None);
+        }
         loop {
             match Pin::new(&mut self.inner).poll_frame(cx) {
                 Poll::Pending => return self.poll_timeout(cx),
                 Poll::Ready(frame) => {
                     self.timer = None;
                     match frame {
-                        None => return Poll::Ready(None),
+                        None => {
+                            self.ended = true;
+                            return Poll::Ready(None);
+                        }
                         Some(Err(e)) => return Poll::Ready(Some(Err(BodyError::Connection(e)))),
                         Some(Ok(frame)) => {
                             if let Ok(data) = frame.into_data() {
@@ -189,6 +237,27 @@
         Ok(())
     }
 
+    /// Reads the body ahead until its end or until it is longer than `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// As [`UploadBuffer::buffer_short`].
+    pub async fn read_ahead(&self, limit: usize) -> Result<(), Reason> {
+        std::future::poll_fn(|cx| {
+            let mut state = self.lock();
+            let Some(body) = state.body.as_mut() else {
+                return Poll::Ready(Ok(()));
+            };
+            let read = body.poll_ahead(cx, limit);
+            read.map_err(|e| {
+                let reason = reason_of(&e);
+                state.failure = Some(reason);
+                reason
+            })
+        })
+        .await
+    }
+
     /// Takes the body for an attempt; returns `None` if an earlier attempt has read from it.
     pub fn take(self: &Arc<Self>, limit: u64) -> Option<Upload> {
         let mut state = self.lock();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,7 +15,7 @@
 //!
 //! The modules with the decision logic take time, randomness and messages as arguments and use no
 //! sockets, files or clocks: [`config`], [`replica`], [`fleet`], [`freshness`], [`limit`],
-//! [`idempotency`], [`route`] and [`admission`].
+//! [`idempotency`], [`route`], [`admission`] and [`drain`].
 //! The I/O layer connects them: [`storage`], [`wire`], [`http`], [`node`], [`control`] and [`ctl`].
 //! Both use the types in [`error`], [`ids`], [`outcome`], [`time`] and [`units`]; the daemons also
 //! use [`settings`], [`logging`] and [`metrics`].
@@ -24,6 +24,7 @@
 pub mod config;
 pub mod control;
 pub mod ctl;
+pub mod drain;
 pub mod error;
 pub mod fleet;
 pub mod freshness;
--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -21,7 +21,7 @@
 use crate::node::calls::Calls;
 use crate::node::components::Freshness;
 use crate::node::dialect::{Dialect, Dispatch};
-use crate::node::in_flight::{DrainStage, Hop, InFlight, InFlightGuard};
+use crate::node::in_flight::{Hop, InFlight, InFlightGuard};
 use crate::node::key_check::KeyCheck;
 use crate::node::local::{LocalTarget, LocalTargets};
 use crate::node::pool::TargetResponse;
@@ -166,6 +166,8 @@
         queue
             .check_breaker(info.attempt, info.idempotent, info.forced)
             .map_err(not_run)?;
+        // The request may have been queued for most of what is left of this node's drain.
+        self.check_drain(info).map_err(not_run)?;
         self.in_flight.count_taken();
         let dispatch = info.dispatch();
         let request = self.prepare(&dispatch, request);
@@ -227,6 +229,12 @@
         }
     }
 
+    /// Checks that the attempt can end before the end of this node's drain.
+    fn check_drain(&self, info: &AttemptInfo) -> std::result::Result<(), Refusal> {
+        let left = info.deadline.saturating_duration_since(Instant::now());
+        self.in_flight.check(Hop::Egress, &info.kind, Some(left))
+    }
+
     fn check_key(&self, info: &AttemptInfo) -> std::result::Result<(), Refusal> {
         match &info.account {
             Some(account) => self
@@ -255,10 +263,7 @@
     }
 
     fn target(&self, info: &AttemptInfo) -> std::result::Result<Arc<LocalTarget>, Refusal> {
-        if self.in_flight.stage() == DrainStage::Refusing {
-            self.in_flight.count_refused();
-            return Err(Refusal::after(Reason::Draining, RETRY_LATER));
-        }
+        self.check_drain(info)?;
         let target = self.local.get(&info.target);
         let target = target.ok_or(Refusal::after(Reason::Connect, RETRY_LATER))?;
         check_accepting(&target)?;
@@ -304,7 +309,7 @@
             bytes_max: self.response_bytes,
         };
         let is_too_large = body.size().lower() > self.response_bytes;
-        let body = TargetBody::new(body, attempt, resources, in_flight);
+        let body = TargetBody::new(body, attempt, &info.kind, resources, in_flight);
         if is_too_large || body.has_failed() {
             return Err(Outcome::Unknown(Reason::AnswerCut));
         }
--- a/src/node/in_flight.rs
+++ b/src/node/in_flight.rs
@@ -1,14 +1,16 @@
 //! Tracking of requests in flight and of the stages of a drain.
 
-use std::sync::Arc;
-use std::sync::OnceLock;
-use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::Duration;
 
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::drain::{DrainTimes, RequestEnd, RequestTimes};
 use crate::ids::RequestId;
+use crate::outcome::Refusal;
 
 /// Stage of a node's drain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -63,9 +65,8 @@
 struct Inner {
     running: AtomicUsize,
     idle: Notify,
-    stage: AtomicU8,
-    /// Time of the stop signal.
-    signal: OnceLock<Instant>,
+    drain: OnceLock<Drain>,
+    times: Mutex<RequestTimes>,
     ended: CancellationToken,
     aborted: CancellationToken,
     taken: AtomicUsize,
@@ -74,13 +75,30 @@
     cut: AtomicUsize,
 }
 
+/// The drain of a node.
+#[derive(Clone, Copy, Debug)]
+pub struct Drain {
+    /// Time of the stop signal.
+    pub signal: Instant,
+    /// The times after it.
+    pub times: DrainTimes,
+}
+
 /// Counts one request as in flight until dropped.
 #[derive(Debug)]
 pub struct InFlightGuard {
     inner: Arc<Inner>,
     entered: Instant,
     /// The request whose response is being passed on.
-    response: Option<(Hop, RequestId)>,
+    response: Option<PendingResponse>,
+}
+
+/// A response that is being passed on.
+#[derive(Debug)]
+struct PendingResponse {
+    hop: Hop,
+    request: RequestId,
+    kind: String,
 }
 
 impl InFlight {
@@ -104,34 +122,67 @@
     /// A request must enter before it checks the stage. Otherwise a drain that found no request in
     /// flight could miss one that is still accepted.
     pub fn stage(&self) -> DrainStage {
-        match self.inner.stage.load(Ordering::SeqCst) {
-            0 => DrainStage::Serving,
-            1 => DrainStage::Leaving,
-            _ => DrainStage::Refusing,
+        match self.drain() {
+            None => DrainStage::Serving,
+            Some(drain) if drain.signal.elapsed() < drain.times.take => DrainStage::Leaving,
+            Some(_) => DrainStage::Refusing,
         }
     }
 
-    /// Advances to `stage`; returns false if the drain had reached it before.
-    pub fn advance(&self, stage: DrainStage) -> bool {
-        self.inner.signal.get_or_init(Instant::now);
-        let stage = stage as u8;
-        self.inner.stage.fetch_max(stage, Ordering::SeqCst) < stage
+    /// Starts a drain; returns false if it has started before.
+    pub fn begin_drain(&self, times: DrainTimes) -> bool {
+        let signal = Instant::now();
+        self.inner.drain.set(Drain { signal, times }).is_ok()
+    }
+
+    /// Returns the drain, if it has started.
+    pub fn drain(&self) -> Option<Drain> {
+        self.inner.drain.get().copied()
     }
 
-    /// Returns the time of the stop signal, if there was one.
-    pub fn signal(&self) -> Option<Instant> {
-        self.inner.signal.get().copied()
+    /// Checks whether a request of this kind, whose caller waits for `left`, can end before the end
+    /// of the drain.
+    ///
+    /// # Errors
+    ///
+    /// As [`DrainTimes::check`].
+    pub fn check(&self, hop: Hop, kind: &str, left: Option<Duration>) -> Result<(), Refusal> {
+        let Some(drain) = self.drain() else {
+            return Ok(());
+        };
+        let estimate = match hop {
+            Hop::Ingress => self.times().likely(kind),
+            Hop::Egress => self.times().usual(kind),
+        };
+        let request = RequestEnd { left, estimate };
+        let checked = drain.times.check(drain.signal.elapsed(), request);
+        checked.inspect_err(|_| self.count_refused())
+    }
+
+    /// Returns the refusal of a new request if the drain takes no more.
+    pub fn check_stage(&self) -> Result<(), Refusal> {
+        match self.drain() {
+            Some(drain) if drain.signal.elapsed() >= drain.times.take => {
+                self.count_refused();
+                Err(drain.times.refusal(drain.signal.elapsed()))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn times(&self) -> MutexGuard<'_, RequestTimes> {
+        self.inner.lock_times()
     }
 
     /// Counts a request that is taken although the node drains.
     pub fn count_taken(&self) {
-        if self.signal().is_some() {
+        if self.drain().is_some() {
             self.inner.taken.fetch_add(1, Ordering::Relaxed);
         }
     }
 
     /// Counts a request that is refused because the node drains.
-    pub fn count_refused(&self) {
+    fn count_refused(&self) {
         self.inner.refused.fetch_add(1, Ordering::Relaxed);
     }
 
@@ -178,6 +229,12 @@
     }
 }
 
+impl Inner {
+    fn lock_times(&self) -> MutexGuard<'_, RequestTimes> {
+        self.times.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 impl InFlightGuard {
     /// Logs and counts a request that the drain ends without a response of its target.
     pub fn log_ended(&self, hop: Hop, request: RequestId) {
@@ -185,20 +242,25 @@
         self.log_cut(hop, request, "waiting");
     }
 
-    /// Starts to pass on the response to `request`; it counts as cut unless it is completed.
-    pub fn begin_response(&mut self, hop: Hop, request: RequestId) {
-        self.response = Some((hop, request));
+    /// Starts to pass on the response to `request`, whose route is `kind`; it counts as cut unless it
+    /// is completed.
+    pub fn begin_response(&mut self, hop: Hop, request: RequestId, kind: &str) {
+        let kind = kind.to_owned();
+        self.response = Some(PendingResponse { hop, request, kind });
     }
 
-    /// Completes the response.
+    /// Completes the response and records how long the request took.
     pub fn complete(&mut self) {
-        self.response = None;
+        if let Some(response) = self.response.take() {
+            let time = self.entered.elapsed();
+            self.inner.lock_times().record(&response.kind, time);
+        }
     }
 
     fn log_cut(&self, hop: Hop, request: RequestId, stage: &str) {
-        let signal = self.inner.signal.get();
-        let taken = signal.map(|s| signed_ms(*s, self.entered));
-        let since = signal.map(|s| s.elapsed().as_millis() as u64);
+        let drain = self.inner.drain.get();
+        let taken = drain.map(|d| signed_ms(d.signal, self.entered));
+        let since = drain.map(|d| d.signal.elapsed().as_millis() as u64);
         log::warn!(
             event = "drain-cut", request:% = request, hop = hop.name(), stage,
             age_ms = self.entered.elapsed().as_millis() as u64, taken_ms = taken, ms = since;
@@ -209,11 +271,11 @@
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        if let Some((hop, request)) = self.response
+        if let Some(response) = &self.response
             && self.inner.aborted.is_cancelled()
         {
             self.inner.cut.fetch_add(1, Ordering::Relaxed);
-            self.log_cut(hop, request, "response");
+            self.log_cut(response.hop, response.request, "response");
         }
         if self.inner.running.fetch_sub(1, Ordering::SeqCst) == 1 {
             self.inner.idle.notify_waiters();
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, Request, Response};
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 use crate::config::{Account, Config, Route, RouteMatch};
 use crate::http::body::{TimeoutBody, UploadBuffer};
@@ -173,10 +173,7 @@
     ) -> Result<Response<ResponseBody>, Outcome> {
         let in_flight = self.in_flight.enter();
         check_well_formed(&head).map_err(refused)?;
-        if self.in_flight.stage() == DrainStage::Refusing {
-            self.in_flight.count_refused();
-            return Err(retry_later(Reason::Draining));
-        }
+        self.in_flight.check_stage().map_err(refused)?;
         let config = self
             .components
             .config
@@ -202,10 +199,7 @@
         headers::strip_request(&mut head.headers);
         headers::set_host(&mut head.headers, &head.uri);
         let weight = weight(&config, route, identity.as_ref());
-        upload
-            .buffer_short(SHORT_BODY_BYTES)
-            .await
-            .map_err(body_failed)?;
+        self.receive_body(upload).await?;
         let shared_flow = identity.is_none() && !has_open_limit(&config, route);
         let mut ctx = RequestContext::new(
             info,
@@ -224,6 +218,7 @@
         }
         let call = shared_flow.then(|| self.calls.begin_call()).flatten();
         ctx.is_call = call.is_some();
+        self.check_drain(&ctx).map_err(refused)?;
         self.log_admitted(&ctx, &config);
         self.in_flight.count_taken();
         let result = self.run(&ctx, &config, active.as_ref(), &in_flight).await;
@@ -234,6 +229,21 @@
         Ok(self.build_response(&ctx, result?, active, in_flight))
     }
 
+    /// Buffers a short body before the first attempt.
+    ///
+    /// A draining node also waits for a body of unknown size, since it can't take a request whose body
+    /// arrives after it has stopped to take requests.
+    async fn receive_body(&self, upload: &UploadBuffer) -> Result<(), Outcome> {
+        if let Some(drain) = self.in_flight.drain() {
+            let limit = drain.signal + drain.times.take;
+            let read = timeout_at(limit, upload.read_ahead(SHORT_BODY_BYTES as usize)).await;
+            let in_time = read.map_err(|_| refused(drain.times.refusal(drain.signal.elapsed())));
+            in_time?.map_err(body_failed)?;
+        }
+        let buffered = upload.buffer_short(SHORT_BODY_BYTES).await;
+        buffered.map_err(body_failed)
+    }
+
     /// Returns the account of the key that came with a request.
     fn identify(&self, config: &Config, headers: &HeaderMap) -> Result<Identity, Refusal> {
         let mut values = headers.get_all(AUTHORIZATION).iter();
@@ -313,7 +323,7 @@
         .map_err(refused)?;
         match (&ctx.identity, &ctx.idempotency_key) {
             (Some(identity), Some(key)) => self.send_once(ctx, &identity.account, key).await,
-            _ => self.forwarder.send(ctx, || self.authorize(ctx)).await,
+            _ => self.forwarder.send(ctx, || self.check_attempt(ctx)).await,
         }
     }
 
@@ -333,7 +343,7 @@
             result: None,
         };
         let authorize = || match idempotency.is_valid(&report.permit) {
-            true => self.authorize(ctx),
+            true => self.check_attempt(ctx),
             false => Err(Refusal::after(Reason::RepeatUnknown, RETRY_LATER)),
         };
         let result = self.forwarder.send(ctx, authorize).await;
@@ -345,6 +355,21 @@
         result
     }
 
+    /// Checks whether a request may be sent to a target now.
+    fn check_attempt(&self, ctx: &RequestContext<'_>) -> Result<(), Refusal> {
+        self.check_drain(ctx)?;
+        self.authorize(ctx)
+    }
+
+    /// Checks that a request can end before the end of this node's drain.
+    fn check_drain(&self, ctx: &RequestContext<'_>) -> Result<(), Refusal> {
+        let left = ctx
+            .end
+            .map(|end| end.saturating_duration_since(Instant::now()));
+        self.in_flight
+            .check(Hop::Ingress, ctx.route.name.as_str(), left)
+    }
+
     /// Checks the freshness proof and the key against the configuration in force now.
     fn authorize(&self, ctx: &RequestContext<'_>) -> Result<(), Refusal> {
         let Some(identity) = &ctx.identity else {
@@ -399,7 +424,8 @@
         head.extensions.clear();
         headers::strip_response(&mut head.headers);
         self.dialect.complete_response(&mut head.headers, ctx.id);
-        let body = ResponseBody::new(body, ctx.id, active, ctx.end, in_flight);
+        let route = &ctx.route.name;
+        let body = ResponseBody::new(body, ctx.id, route, active, ctx.end, in_flight);
         Response::from_parts(head, body)
     }
 
--- a/src/node/listen.rs
+++ b/src/node/listen.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 
 use hyper::server::conn::{http1, http2};
@@ -63,6 +64,8 @@
 pub struct Shutdown {
     /// Cancelled to close connections once the requests on them have finished.
     pub closing: CancellationToken,
+    /// Cancelled to close connections at once, also those that carry a response.
+    pub aborting: CancellationToken,
     /// Counts open connections.
     pub connections: InFlight,
 }
@@ -126,10 +129,9 @@
     shutdown: Shutdown,
 ) {
     let limit = limits.connections;
-    let closing = shutdown.closing.clone();
+    let stop = shutdown.clone();
     accept_all(listener, limit, shutdown, move |stream| {
-        let closing = closing.clone();
-        serve_caller(stream, ingress.clone(), limits.clone(), closing)
+        serve_caller(stream, ingress.clone(), limits.clone(), stop.clone())
     })
     .await;
 }
@@ -138,7 +140,7 @@
     stream: TcpStream,
     ingress: Arc<Ingress<F, L, I, D>>,
     limits: Limits,
-    closing: CancellationToken,
+    shutdown: Shutdown,
 ) {
     let service = service_fn(move |request| Box::pin(ingress.clone().serve(request)));
     let guarded = GuardedStream::new(stream, limits.guard_limits());
@@ -148,9 +150,13 @@
         .header_read_timeout(limits.idle_time)
         .max_headers(limits.header_count)
         .serve_connection(TokioIo::new(guarded), service);
-    let mut closing = pin!(closing.cancelled());
+    let mut closing = pin!(shutdown.closing.cancelled());
+    let mut aborting = pin!(shutdown.aborting.cancelled());
     let mut is_closing = false;
     let ended = poll_fn(|cx| {
+        if is_closing && aborting.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Ok(()));
+        }
         if !is_closing && closing.as_mut().poll(cx).is_ready() {
             is_closing = true;
             Pin::new(&mut connection).graceful_shutdown();
@@ -235,11 +241,15 @@
     shutdown: Shutdown,
 ) {
     let service = Arc::new(service);
-    let closing = shutdown.closing.clone();
+    let stop = shutdown.clone();
     accept_all(listener, LINK_CONNECTIONS, shutdown, move |stream| {
-        let (service, closing) = (service.clone(), closing.clone());
+        let (service, stop) = (service.clone(), stop.clone());
         async move {
-            if let Err(e) = serve_link(stream, &service, closing).await {
+            let ended = tokio::select! {
+                ended = serve_link(stream, &service, stop.closing) => ended,
+                () = stop.aborting.cancelled() => return,
+            };
+            if let Err(e) = ended {
                 log::info!(event = "link-ended", error:% = e; "accepted link ended");
             }
         }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -16,6 +16,7 @@
 pub mod components;
 pub mod context;
 pub mod dialect;
+pub mod drain;
 pub mod egress;
 pub mod forward;
 pub mod idempotency_records;
@@ -47,7 +48,7 @@
 
 use bytes::Bytes;
 use tokio::sync::watch;
-use tokio::time::{Instant, MissedTickBehavior, interval, timeout_at};
+use tokio::time::{MissedTickBehavior, interval};
 use tokio_util::sync::CancellationToken;
 
 pub use components::{ActiveConfig, Components, Freshness, Idempotency, RateLimiter};
@@ -79,9 +80,6 @@
 /// Time between checks for targets that stopped announcing and for an expired freshness proof.
 const TICK: Duration = Duration::from_millis(250);
 
-/// Time after the limit of a drain for the responses of the requests that it ends.
-const CLOSE_TIME: Duration = Duration::from_millis(100);
-
 /// A running node.
 pub struct Handle {
     id: NodeId,
@@ -97,7 +95,6 @@
     shutdown: Shutdown,
     forwarder: Arc<Forwarder>,
     stop: CancellationToken,
-    refusing: CancellationToken,
     limits: Limits,
     seeds: watch::Sender<Vec<SocketAddr>>,
 }
@@ -266,7 +263,6 @@
         shutdown: shutdown.clone(),
         forwarder,
         stop: CancellationToken::new(),
-        refusing: CancellationToken::new(),
         limits: limits.clone(),
         seeds: watch::Sender::new(settings.control),
     };
@@ -426,18 +422,11 @@
     ///
     /// New requests are refused once the grace period is over.
     pub fn begin_drain(&self) {
-        if !self.in_flight.advance(DrainStage::Leaving) {
+        if !self.in_flight.begin_drain(self.limits.drain_times()) {
             return;
         }
         log::info!(event = "drain-started", running = self.in_flight.running(); "drain started");
         self.local.leave();
-        let (in_flight, refusing) = (self.in_flight.clone(), self.refusing.clone());
-        let grace = self.limits.drain_grace;
-        tokio::spawn(async move {
-            tokio::time::sleep(grace).await;
-            in_flight.advance(DrainStage::Refusing);
-            refusing.cancel();
-        });
     }
 
     /// Leaves the fleet: refuses new requests after a grace period, finishes those in flight, then
@@ -446,29 +435,9 @@
     /// Requests that are not finished in time get a refusal or an unknown outcome as their response.
     pub async fn drain(&self) {
         self.begin_drain();
-        self.refusing.cancelled().await;
-        let signal = self.in_flight.signal().unwrap_or_else(Instant::now);
-        let refusing_ms = signal.elapsed().as_millis() as u64;
-        let end = Instant::now() + self.limits.drain_max;
-        let finished = timeout_at(end, self.in_flight.idle()).await;
-        if finished.is_err() {
-            self.in_flight.end_requests();
-        }
-        let idle_ms = signal.elapsed().as_millis() as u64;
-        self.shutdown.closing.cancel();
-        let closed = timeout_at(end + CLOSE_TIME, self.shutdown.connections.idle()).await;
+        let end = drain::run(&self.in_flight, &self.shutdown).await;
         self.stop.cancel();
-        let counts = self.in_flight.counts();
-        self.metrics.add("drain.taken", counts.taken as u64);
-        self.metrics.add("drain.refused", counts.refused as u64);
-        self.metrics.add("drain.ended", counts.ended as u64);
-        self.metrics.add("drain.cut", counts.cut as u64);
-        log::info!(
-            event = "drain-ended", finished = finished.is_ok(), closed = closed.is_ok(),
-            taken = counts.taken, refused = counts.refused, ended = counts.ended, cut = counts.cut,
-            running = self.in_flight.running(), open = self.shutdown.connections.running(),
-            refusing_ms, idle_ms, ms = signal.elapsed().as_millis() as u64; "drain ended"
-        );
+        end.report(&self.metrics);
     }
 
     fn spawn_task(&self, task: impl Future<Output = ()> + Send + 'static) {
--- a/src/node/response_body.rs
+++ b/src/node/response_body.rs
@@ -10,7 +10,7 @@
 use tokio_util::sync::WaitForCancellationFutureOwned;
 
 use crate::http::body::BodyError;
-use crate::ids::RequestId;
+use crate::ids::{RequestId, RouteName};
 use crate::node::active_requests::ActiveRequest;
 use crate::node::in_flight::{Hop, InFlightGuard};
 use crate::outcome::Reason;
@@ -34,19 +34,21 @@
 }
 
 impl ResponseBody {
-    /// Wraps the response to `request`; `active` is `None` on open routes, and `end` is when the
+    /// Wraps the response to `request` of `route`; `active` is `None` on open routes, and `end` is when the
     /// caller's wait ends, if that is known.
     pub fn new(
         body: Incoming,
         request: RequestId,
+        route: &RouteName,
         active: Option<ActiveRequest>,
         end: Option<Instant>,
         mut in_flight: InFlightGuard,
     ) -> ResponseBody {
         let end = end.filter(|_| !body.is_end_stream());
         let active = active.filter(|_| !body.is_end_stream());
-        if !body.is_end_stream() {
-            in_flight.begin_response(Hop::Ingress, request);
+        in_flight.begin_response(Hop::Ingress, request, route.as_str());
+        if body.is_end_stream() {
+            in_flight.complete();
         }
         let watch = active.map(|active| KeyWatch {
             cancelled: Box::pin(active.token().clone().cancelled_owned()),
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::drain::DrainTimes;
 use crate::error::{Error, Result};
 use crate::http::GuardLimits;
 use crate::http::framing::HEADER_COUNT_MAX;
@@ -69,8 +70,12 @@
     pub connect_time: Duration,
     /// Time during which a draining node still accepts requests.
     pub drain_grace: Duration,
-    /// Longest time for requests in flight to finish; after it they are aborted.
+    /// Longest time for requests in flight to finish; after it they are ended.
     pub drain_max: Duration,
+    /// Time after that for responses that are on their way; after it they are broken off.
+    pub drain_flush: Duration,
+    /// Time after that for connections to close.
+    pub drain_close: Duration,
 }
 
 impl Default for Limits {
@@ -88,6 +93,8 @@
             connect_time: Duration::from_secs(1),
             drain_grace: Duration::from_secs(2),
             drain_max: Duration::from_secs(600),
+            drain_flush: Duration::from_millis(100),
+            drain_close: Duration::from_millis(100),
         }
     }
 }
@@ -124,13 +131,6 @@
 /// Maximum number of control processes of a fleet.
 const CONTROL_MAX: usize = 7;
 
-/// Part of the grace period during which a node that received a stop signal still accepts requests,
-/// as a divisor; callers are redirected only after several failed readiness checks.
-const DRAIN_DIVISOR: u32 = 2;
-
-/// Time before the end of the grace period at which a drain ends.
-const DRAIN_MARGIN: Duration = Duration::from_millis(200);
-
 /// Connect timeout within one site, some hundred times the latency between its zones.
 ///
 /// A request that encounters a partition is sent to another node after this time.
@@ -139,15 +139,29 @@
 impl Limits {
     /// Returns the limits of a node within one site that is killed `grace` after its stop signal.
     pub fn for_grace(grace: Duration) -> Limits {
-        let drain_grace = grace / DRAIN_DIVISOR;
+        let times = DrainTimes::for_grace(grace);
         Limits {
-            drain_grace,
             connect_time: SITE_CONNECT_TIME,
-            drain_max: grace.saturating_sub(drain_grace + DRAIN_MARGIN),
+            drain_grace: times.take,
+            drain_max: times.end - times.take,
+            drain_flush: times.flush - times.end,
+            drain_close: times.close - times.flush,
             ..Limits::default()
         }
     }
 
+    /// Returns the times of a drain.
+    pub fn drain_times(&self) -> DrainTimes {
+        let end = self.drain_grace + self.drain_max;
+        let flush = end + self.drain_flush;
+        DrainTimes {
+            take: self.drain_grace,
+            end,
+            flush,
+            close: flush + self.drain_close,
+        }
+    }
+
     /// Returns the limits on a connection of a caller.
     pub fn guard_limits(&self) -> GuardLimits {
         GuardLimits {
--- a/src/node/target_body.rs
+++ b/src/node/target_body.rs
@@ -57,14 +57,15 @@
 }
 
 impl TargetBody {
-    /// Creates the body of the response to an attempt.
+    /// Creates the body of the response to an attempt at a request of this kind.
     pub fn new(
         body: TimeoutBody,
         end: AttemptEnd,
+        kind: &str,
         resources: AttemptResources,
         mut in_flight: InFlightGuard,
     ) -> TargetBody {
-        in_flight.begin_response(Hop::Egress, end.request);
+        in_flight.begin_response(Hop::Egress, end.request, kind);
         let mut this = TargetBody {
             body,
             end,
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -278,6 +278,8 @@
         Err(e) => log::error!(event = "process-failed", error:% = e; "process failed"),
     }
     logging::flush();
+    // Tasks that still run must not delay the end of the process.
+    runtime.shutdown_background();
     ended
 }
 
--- a/tests/data_path/graceful_drain.rs
+++ b/tests/data_path/graceful_drain.rs
@@ -6,7 +6,10 @@
 
 use laburnumtide::node::Limits;
 
-use crate::cluster::{Cluster, eventually, outcome};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::cluster::{Cluster, KEY, TEST_TIMEOUT, eventually, outcome};
 
 fn limits() -> Limits {
     Limits {
@@ -130,6 +133,31 @@
     assert_eq!(outcome(&long).0, "answer");
 }
 
+/// Guards against a request that is sent on although its body arrives after the node has stopped to
+/// take requests.
+#[tokio::test]
+async fn late_body_is_not_run() {
+    let cluster = Cluster::with(limits(), 7, Duration::ZERO).await;
+    cluster.front.begin_drain();
+    let mut stream = TcpStream::connect(cluster.front.caller_addr())
+        .await
+        .unwrap();
+    let head = format!(
+        "POST /bake HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {KEY}\r\n\
+         transfer-encoding: chunked\r\n\r\n4\r\nabcd\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut response = String::new();
+    let read = stream.read_to_string(&mut response);
+    tokio::time::timeout(TEST_TIMEOUT, read)
+        .await
+        .unwrap()
+        .unwrap();
+    assert!(response.contains("laburnum-reason: draining"), "{response}");
+    assert!(response.contains("connection: close"), "{response}");
+    assert_eq!(cluster.runs().len(), 0);
+}
+
 /// Guards against callers whose connection is closed without a response at the limit of a drain, and
 /// against a drain that takes longer than its limit.
 #[tokio::test]
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -10,4 +10,5 @@
 mod lost_nodes;
 mod notes;
 mod operator_client;
+mod planned_stops;
 mod request_faults;
