Log when a control process can't store, and for how long

A full disk gave one line for each failed write (one for each message of the leader, three a second and more) and none when the disk had room again, so the logs of a group didn't tell which process could not store at a given moment, whether it led, nor that it had come back. Now: `write-failed` once with `leads`, `term` and `position`, `write-restored` with `outage_ms` and `failures`, and the gauge `control.outage`. Failed writes are still counted one by one in `control.write_failed`.

No change of behaviour.

--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -81,6 +81,12 @@
     responder: oneshot::Sender<SubmitResult>,
 }
 
+/// A time in which the journal can't be written.
+struct Outage {
+    since: Instant,
+    failures: u64,
+}
+
 /// State that the leader keeps for its term.
 struct LeaderState {
     term: Term,
@@ -132,6 +138,8 @@
     leader_state: Option<LeaderState>,
     /// When to reload the journal; set after a failed write until a reload succeeds.
     reload_at: Option<Instant>,
+    /// Set from a failed write of the journal until the next successful one.
+    outage: Option<Outage>,
     last_role: (Role, Term, Option<ReplicaId>),
     /// The last refusal of a process that wants to join the group, as logged.
     last_refusal: Option<(ReplicaId, Time)>,
@@ -182,6 +190,7 @@
             queue: VecDeque::new(),
             leader_state: None,
             reload_at: None,
+            outage: None,
             last_role,
             last_refusal: None,
         }
@@ -305,6 +314,7 @@
                         self.publish_applied(applied);
                         return self.recover(&e);
                     }
+                    self.end_outage();
                 }
                 Action::Send { to, message } => messages.push((to, message)),
                 Action::Apply(entry) => applied.extend(self.apply(&entry)?),
@@ -353,8 +363,7 @@
     ///
     /// The applied state is kept, so that reads continue while the disk is full.
     fn recover(&mut self, error: &Error) -> Result<()> {
-        warn!(event = "write-failed", error:% = error; "journal write failed; restoring the replica from its journal");
-        self.metrics.count("control.write_failed");
+        self.record_failure(error);
         if let Some(in_flight) = self.in_flight.take() {
             let text = format!("the note could not be stored: {error}");
             let _ = in_flight.responder.send(SubmitResult::Unavailable(text));
@@ -363,6 +372,39 @@
         self.poll_reload().map(|_| ())
     }
 
+    /// Counts a failed write; only the first one of an outage is logged.
+    fn record_failure(&mut self, error: &Error) {
+        self.metrics.count("control.write_failed");
+        self.metrics.gauge("control.outage", 1);
+        if let Some(outage) = &mut self.outage {
+            outage.failures += 1;
+            return;
+        }
+        self.outage = Some(Outage {
+            since: Instant::now(),
+            failures: 1,
+        });
+        let (term, position) = (self.replica.term(), self.replica.last_position());
+        let leads = self.replica.role() == Role::Leader;
+        warn!(
+            event = "write-failed", error:% = error, leads, term:% = term, position:% = position;
+            "journal write failed; restoring the replica from its journal"
+        );
+    }
+
+    /// Logs the end of an outage after a successful write.
+    fn end_outage(&mut self) {
+        let Some(outage) = self.outage.take() else {
+            return;
+        };
+        self.metrics.gauge("control.outage", 0);
+        info!(
+            event = "write-restored", outage_ms = outage.since.elapsed().as_millis() as u64,
+            failures = outage.failures;
+            "the journal can be written again"
+        );
+    }
+
     /// Reloads the journal if that is due after a failed write; returns true while a reload is
     /// pending.
     fn poll_reload(&mut self) -> Result<bool> {
