Count what a failed sync covered as lost, and sync names before using a directory

Nothing was seen by callers here.

Cause 1: after a failed write `StoreJournal` opened the directory again, and `recover_tail` took all complete frames that could be read as held. After a failed sync the page cache still shows them, but a later sync skips them and reports success. The synced length was extended over them, the replica acknowledged entries and votes on them, and a power loss left a log shorter than its synced length: corrupt, the process can't start any more. The store now keeps what it held before the failed write, as every record is in memory anyway. It reads nothing back. Frames that a process finds after the synced length at its start are written again before they are synced.

Cause 2: `Store::open` did not sync the directory.

The fake disk now loses what a failed sync covered, and can kill a process without a power loss.

Ruled out: superblocks that are written twice, torn tails of our own, failing truncations; each operation fails in turn in `any_failure_keeps_synced_state`. Dropped: writing the whole log again at each start, as it needs space on a disk that may be full.

--- a/src/control/journal.rs
+++ b/src/control/journal.rs
@@ -1,6 +1,6 @@
 //! Durable storage for the replica's log, snapshot and hard state.
 
-use std::path::PathBuf;
+use std::path::Path;
 
 use bytes::Bytes;
 
@@ -15,7 +15,8 @@
 
 /// Storage for the state of a replica that must survive a crash.
 pub trait Journal: Send + 'static {
-    /// Returns the stored state; also called again after a failed write.
+    /// Returns the stored state; also called again after a failed write, of which it then contains
+    /// nothing.
     ///
     /// # Errors
     ///
@@ -26,7 +27,8 @@
     ///
     /// # Errors
     ///
-    /// After a failure the change may or may not be stored.
+    /// After a failure the change may or may not be stored when the process starts again;
+    /// [`Journal::load`] must be called before the next write.
     fn write(&mut self, persist: &Persist) -> Result<()>;
 }
 
@@ -80,54 +82,28 @@
 
 /// A journal in a data directory.
 pub struct StoreJournal<D: Disk> {
-    disk: D,
-    dir: PathBuf,
-    /// Absent only while the directory is being reopened.
-    store: Option<Store<D>>,
-    /// True after a failed write, which can leave the store unusable until it is reopened.
-    failed: bool,
+    store: Store<D>,
 }
 
-impl<D: Disk + Clone> StoreJournal<D> {
+impl<D: Disk> StoreJournal<D> {
     /// Opens a data directory, and creates it with a new identity if it doesn't exist.
     ///
     /// # Errors
     ///
     /// Fails if the directory is in use, corrupt or not writable.
-    pub fn open(disk: D, dir: impl Into<PathBuf>) -> Result<StoreJournal<D>> {
-        let dir = dir.into();
-        let store = Store::open(disk.clone(), &dir)?;
-        Ok(StoreJournal {
-            disk,
-            dir,
-            store: Some(store),
-            failed: false,
-        })
-    }
-
-    /// Returns the store, reopened if a write failed.
-    fn store(&mut self) -> Result<&mut Store<D>> {
-        if self.failed {
-            // The directory's lock must be released before it can be reopened.
-            self.store = None;
-            self.failed = false;
-        }
-        if self.store.is_none() {
-            let opened = Store::open(self.disk.clone(), &self.dir);
-            self.failed = opened.is_err();
-            self.store = Some(opened?);
-        }
-        let missing = || Error::unavailable("the data folder is not open");
-        self.store.as_mut().ok_or_else(missing)
+    pub fn open(disk: D, dir: impl AsRef<Path>) -> Result<StoreJournal<D>> {
+        let store = Store::open(disk, dir)?;
+        Ok(StoreJournal { store })
     }
 }
 
-impl<D: Disk + Clone + Sync + 'static> Journal for StoreJournal<D>
+impl<D: Disk + 'static> Journal for StoreJournal<D>
 where
     Store<D>: Send,
 {
     fn load(&mut self) -> Result<Stored> {
-        let store = self.store()?;
+        self.store.repair()?;
+        let store = &self.store;
         let hard_state = match store.hard_state() {
             [] => HardState::new(store.identity()),
             bytes => decode_hard_state(bytes).map_err(corrupt)?,
@@ -152,8 +128,8 @@
     }
 
     fn write(&mut self, persist: &Persist) -> Result<()> {
-        let store = self.store()?;
-        let written = match persist {
+        let store = &mut self.store;
+        match persist {
             Persist::HardState(hard_state) => store.save_hard_state(&encode_hard_state(hard_state)),
             Persist::Append(entries) => {
                 let record = |e: &LogEntry| Record {
@@ -164,9 +140,7 @@
             }
             Persist::Truncate(first) => store.truncate_from(first.0),
             Persist::Snapshot(s) => store.save_snapshot(s.position.0, &encode_snapshot(s)),
-        };
-        self.failed = written.is_err();
-        written
+        }
     }
 }
 
--- a/src/storage/fake.rs
+++ b/src/storage/fake.rs
@@ -2,7 +2,8 @@
 //!
 //! File content and names that were not synced are lost in a [`FakeDisk::crash`]. In a
 //! [`FakeDisk::crash_torn`] a random part survives: whole sectors of a file, and a prefix of the
-//! name changes. Clones share one disk, so a test keeps a clone to inject faults.
+//! name changes. Data that a failed sync covered is not written by a later sync either, although it
+//! can still be read until then. Clones share one disk, so a test keeps a clone to inject faults.
 //!
 //! ```
 //! use laburnumtide::storage::{Disk, DiskFile, fake::FakeDisk};
@@ -16,6 +17,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -47,6 +49,8 @@
     free_bytes: Option<u64>,
     /// Write operations until they start to fail; `None` for never.
     operations_left: Option<u64>,
+    /// True if the process is killed at that operation: data that it has written can still be synced.
+    is_kill: bool,
     sync_fails: bool,
 }
 
@@ -54,6 +58,33 @@
 struct Content {
     current: Vec<u8>,
     durable: Vec<u8>,
+    /// Ranges of `current` that a failed sync covered and that were not written again since.
+    unsynced: Vec<Range<usize>>,
+}
+
+impl Content {
+    /// Makes the current content durable, but for the ranges that a failed sync covered.
+    fn sync(&mut self) {
+        let old = std::mem::replace(&mut self.durable, self.current.clone());
+        for range in &self.unsynced {
+            for i in range.clone() {
+                self.durable[i] = old.get(i).copied().unwrap_or(0);
+            }
+        }
+    }
+
+    /// Excludes the changes since the last sync from later syncs.
+    fn fail_sync(&mut self) {
+        let differs = |i: &usize| self.durable.get(*i) != Some(&self.current[*i]);
+        let changed = (0..self.current.len()).filter(differs);
+        let changed: Vec<_> = changed.map(|i| i..i + 1).collect();
+        self.unsynced.extend(changed);
+    }
+
+    /// Includes the bytes from `start` to `end` in later syncs again.
+    fn include(&mut self, start: usize, end: usize) {
+        self.unsynced.retain(|r| r.start < start || r.start >= end);
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -82,11 +113,27 @@
         self.state().restart(Some(StdRng::seed_from_u64(seed)));
     }
 
-    /// Makes write operations fail after the next `operations`, until the next crash.
+    /// Makes write operations fail after the next `operations`, until the next crash or
+    /// [`FakeDisk::stop_failing`].
     ///
     /// A write at the limit is partial.
     pub fn fail_after(&self, operations: u64) {
-        self.state().operations_left = Some(operations);
+        let mut state = self.state();
+        state.operations_left = Some(operations);
+        state.is_kill = false;
+    }
+
+    /// Like [`FakeDisk::fail_after`], as if the process were killed at that operation: its data is
+    /// kept unless a crash follows.
+    pub fn kill_after(&self, operations: u64) {
+        let mut state = self.state();
+        state.operations_left = Some(operations);
+        state.is_kill = true;
+    }
+
+    /// Ends the failure of write operations, without a crash.
+    pub fn stop_failing(&self) {
+        self.state().operations_left = None;
     }
 
     /// Returns true if an operation failed since [`FakeDisk::fail_after`].
@@ -140,6 +187,7 @@
                 file.durable = tear(file, rng);
             }
             file.current = file.durable.clone();
+            file.unsynced.clear();
         }
         self.locks.clear();
         self.epoch += 1;
@@ -187,6 +235,7 @@
             *free_bytes -= (offset + done).saturating_sub(length) as u64;
         }
         overwrite(&mut self.files[id].current, offset, &bytes[..done]);
+        self.files[id].include(offset, offset + done);
         counted?;
         match fits == bytes.len() {
             true => Ok(()),
@@ -333,18 +382,24 @@
         let content = &mut state.files[self.id].current;
         let freed = content.len().saturating_sub(length as usize) as u64;
         content.truncate(length as usize);
+        state.files[self.id].include(length as usize, usize::MAX);
         state.free_bytes = state.free_bytes.map(|n| n + freed);
         Ok(())
     }
 
     fn sync(&mut self) -> io::Result<()> {
         let mut state = self.state()?;
-        state.count_operation()?;
-        if state.sync_fails {
-            return Err(io::Error::other("sync fails"));
-        }
+        let counted = state.count_operation();
+        let fails = state.sync_fails;
+        let is_kill = state.is_kill && counted.is_err();
         let file = &mut state.files[self.id];
-        file.durable = file.current.clone();
+        if counted.is_err() || fails {
+            if !is_kill {
+                file.fail_sync();
+            }
+            return Err(counted.err().unwrap_or(io::Error::other("sync fails")));
+        }
+        file.sync();
         Ok(())
     }
 }
--- a/src/storage/store.rs
+++ b/src/storage/store.rs
@@ -36,11 +36,22 @@
     records: Vec<Record>,
     snapshot: Option<(u64, Vec<u8>)>,
     hard_state: Vec<u8>,
-    /// The reason why the directory must be opened again before the next write.
-    write_failure: Option<String>,
+    /// Set after a failed write until [`Store::repair`] succeeds.
+    damage: Option<Damage>,
     _lock: D::Lock,
 }
 
+/// The part of the files whose durable content is unknown after a failed write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Damage {
+    /// The log after its synced length, or the superblock with the other parity.
+    Tail,
+    /// The name of the log.
+    Log,
+    /// The name of the snapshot.
+    Snapshot,
+}
+
 impl<D: Disk> Store<D> {
     /// Opens a data directory, or creates it with a new identity if it does not exist.
     ///
@@ -72,33 +83,85 @@
             superblock: replay.superblock,
             records: replay.records,
             hard_state: replay.hard_state,
-            write_failure: None,
+            damage: None,
             _lock: lock,
             disk,
             dir,
             identity,
             snapshot,
         };
-        store.recover_tail(replay.length, file.len() as u64)?;
+        store.recover_tail(&file[..replay.length as usize], file.len() as u64)?;
+        // An earlier process may have been killed between a rename and the sync of the name.
+        store
+            .disk
+            .sync_dir(&store.dir)
+            .map_err(io_error("sync folder"))?;
         Ok(store)
     }
 
-    /// Truncates a torn tail after `length` and extends the superblock to the complete frames
-    /// before it.
-    fn recover_tail(&mut self, length: u64, file_length: u64) -> Result<()> {
-        if file_length > length {
+    /// Truncates a torn tail after the complete frames of `log`, and makes the frames durable.
+    ///
+    /// The frames after the synced length are written again: if an earlier process failed to sync
+    /// them, another sync would skip them.
+    fn recover_tail(&mut self, log: &[u8], file_length: u64) -> Result<()> {
+        let (start, end) = (self.superblock.length, log.len() as u64);
+        if file_length > end {
             let action = "truncate torn end of log";
-            self.log.truncate(length).map_err(io_error(action))?;
+            self.log.truncate(end).map_err(io_error(action))?;
         }
-        if file_length > length || self.superblock.length < length {
-            self.log.sync().map_err(io_error("sync log"))?;
+        if start < end {
+            let written = self.log.write_at(start, &log[start as usize..]);
+            written.map_err(io_error("write log"))?;
         }
-        if self.superblock.length < length {
-            self.write_superblock(length)?;
+        self.log.sync().map_err(io_error("sync log"))?;
+        match start < end {
+            true => self.write_superblock(end),
+            false => Ok(()),
         }
+    }
+
+    /// Makes the store writable again after a failed write; does nothing without one.
+    ///
+    /// The store keeps what it held before that write. What the write left in the files was not
+    /// synced and is removed, as a later sync could report success without writing it.
+    ///
+    /// # Errors
+    ///
+    /// [`Category::Io`] if the disk fails; the call can be retried.
+    pub fn repair(&mut self) -> Result<()> {
+        match self.damage {
+            None => return Ok(()),
+            Some(Damage::Tail) => self.discard_tail()?,
+            Some(Damage::Log) => self.compact_log()?,
+            Some(Damage::Snapshot) => self.restore_snapshot()?,
+        }
+        self.damage = None;
         Ok(())
     }
 
+    /// Removes what a failed write left after the synced length.
+    ///
+    /// The superblock comes first, since it must never contain more than the length of the file.
+    fn discard_tail(&mut self) -> Result<()> {
+        let length = self.superblock.length;
+        self.write_superblock(length)?;
+        let truncated = self.log.truncate(length).and_then(|()| self.log.sync());
+        truncated.map_err(io_error("truncate log"))
+    }
+
+    /// Replaces a snapshot file whose name may not be durable by the last snapshot that is.
+    fn restore_snapshot(&mut self) -> Result<()> {
+        if let Some((index, bytes)) = &self.snapshot {
+            let file = frame::encode_file(*index, bytes);
+            return replace_file(&self.disk, &self.dir, "snapshot", &file);
+        }
+        match self.disk.remove(&self.dir.join("snapshot")) {
+            Err(e) if e.kind() != io::ErrorKind::NotFound => Err(e),
+            _ => self.disk.sync_dir(&self.dir),
+        }
+        .map_err(io_error("remove snapshot"))
+    }
+
     /// Returns the identity of the directory.
     pub fn identity(&self) -> ReplicaId {
         self.identity
@@ -140,7 +203,7 @@
     ///
     /// [`Category::Invalid`] if the indexes are not consecutive or a record is too large. After an
     /// I/O error the store holds none of the records, but some may exist when the directory is
-    /// opened again. On a full disk, reads still work and the call can be retried.
+    /// opened again. Reads still work, and the call can be retried after [`Store::repair`].
     pub fn append(&mut self, records: &[Record]) -> Result<()> {
         let mut bytes = Vec::new();
         for (record, index) in records.iter().zip(self.last_index() + 1..) {
@@ -211,7 +274,10 @@
             return Err(Error::invalid(format!("snapshot {index} is outdated")));
         }
         let file = frame::encode_file(index, bytes);
-        replace_file(&self.disk, &self.dir, "snapshot", &file)?;
+        write_temporary(&self.disk, &self.dir, "snapshot", &file)?;
+        self.damage = Some(Damage::Snapshot);
+        rename_temporary(&self.disk, &self.dir, "snapshot")?;
+        self.damage = None;
         let covered = (index + 1 - self.first_index()) as usize;
         self.records.drain(..covered.min(self.records.len()));
         self.snapshot = Some((index, bytes.to_vec()));
@@ -228,21 +294,21 @@
         let (file, superblock) = frame::log_file(&frames);
         write_temporary(&self.disk, &self.dir, "log", &file)?;
         // From the rename on, the open file may be the replaced one.
-        self.write_failure = Some("the log was being replaced".to_owned());
+        self.damage = Some(Damage::Log);
         rename_temporary(&self.disk, &self.dir, "log")?;
         let path = self.dir.join("log");
         self.log = self.disk.open(&path).map_err(io_error("open log"))?;
         self.superblock = superblock;
-        self.write_failure = None;
+        self.damage = None;
         Ok(())
     }
 
     fn check_writable(&self) -> Result<()> {
-        match &self.write_failure {
+        match self.damage {
             None => Ok(()),
-            Some(why) => Err(Error::unavailable(format!(
-                "the data folder must be opened again: {why}"
-            ))),
+            Some(_) => Err(Error::unavailable(
+                "the data folder must be repaired after a failed write",
+            )),
         }
     }
 
@@ -252,15 +318,15 @@
         let end = self.superblock.length;
         if let Err(e) = self.log.write_at(end, frames) {
             // Partial frames must be removed, or later ones would follow a damaged frame.
-            if let Err(second) = self.log.truncate(end) {
-                self.write_failure = Some(format!("truncate after a failed write: {second}"));
+            if self.log.truncate(end).is_err() {
+                self.damage = Some(Damage::Tail);
             }
             return Err(Error::io("write log", e));
         }
         if let Err(e) = self.log.sync() {
             // After a failed sync the content of the disk is unknown, and a second sync may report
             // success without writing anything.
-            self.write_failure = Some(format!("sync failed: {e}"));
+            self.damage = Some(Damage::Tail);
             return Err(Error::io("sync log", e));
         }
         self.write_superblock(end + frames.len() as u64)
@@ -273,7 +339,7 @@
         };
         let written = self.log.write_at(superblock.offset(), &superblock.encode());
         if let Err(e) = written.and_then(|()| self.log.sync()) {
-            self.write_failure = Some(format!("superblock write failed: {e}"));
+            self.damage = Some(Damage::Tail);
             return Err(Error::io("write superblock", e));
         }
         self.superblock = superblock;
--- a/tests/durable_log.rs
+++ b/tests/durable_log.rs
@@ -2,7 +2,10 @@
 
 use std::path::Path;
 
+use laburnumtide::control::journal::{Journal, StoreJournal};
 use laburnumtide::error::Category;
+use laburnumtide::prelude::*;
+use laburnumtide::replica::{Entry, LogEntry, Persist};
 use laburnumtide::storage::fake::FakeDisk;
 use laburnumtide::storage::{Disk, RealDisk, Record, Store};
 use proptest::prelude::*;
@@ -360,3 +363,99 @@
     assert_eq!(Content::of(&store), content);
     assert_eq!(store.identity(), identity);
 }
+
+/// Guards against content that is taken as synced after a failed sync and is lost in a later crash.
+#[test]
+fn failed_sync_counts_as_lost() {
+    let disk = FakeDisk::new();
+    let mut journal = StoreJournal::open(disk.clone(), "data").unwrap();
+    let entry = |n: u64| LogEntry {
+        position: Position(n),
+        term: Term(1),
+        entry: Entry::Note(vec![n as u8; 40].into()),
+    };
+    journal.write(&Persist::Append(vec![entry(1)])).unwrap();
+    disk.set_sync_fails(true);
+    assert!(journal.write(&Persist::Append(vec![entry(2)])).is_err());
+    disk.set_sync_fails(false);
+    let held = journal.load().unwrap().entries;
+    drop(journal);
+    disk.crash();
+    let mut journal = StoreJournal::open(disk, "data").unwrap();
+    assert_eq!(journal.load().unwrap().entries, held);
+    assert_eq!(held, [entry(1)]);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1_000,
+        failure_persistence: None,
+        ..Default::default()
+    })]
+
+    /// Guards against acknowledged writes that are lost in a crash after the process was killed at
+    /// any operation and started again.
+    #[test]
+    fn any_kill_keeps_synced_state(
+        steps in prop::collection::vec(step(), 1..12),
+        operations in 1u64..80,
+        later in prop::collection::vec(step(), 1..4),
+        seed in any::<u64>(),
+    ) {
+        let disk = FakeDisk::new();
+        drop(Store::open(disk.clone(), "data"));
+        disk.kill_after(operations);
+        if let Ok(mut store) = Store::open(disk.clone(), "data") {
+            for step in &steps {
+                if step.run(&mut store).is_err() {
+                    break;
+                }
+            }
+        }
+        disk.stop_failing();
+        let mut store = open(&disk);
+        for step in &later {
+            step.run(&mut store).unwrap();
+        }
+        let content = Content::of(&store);
+        drop(store);
+        disk.crash_torn(seed);
+        prop_assert_eq!(Content::of(&open(&disk)), content);
+    }
+
+    /// Guards against a store that stays unusable, or loses acknowledged writes, after its disk
+    /// refused writes or syncs for a while.
+    #[test]
+    fn any_failure_keeps_synced_state(
+        steps in prop::collection::vec(step(), 1..12),
+        operations in 1u64..80,
+        retries in 0u64..6,
+        later in prop::collection::vec(step(), 1..4),
+        seed in any::<u64>(),
+    ) {
+        let disk = FakeDisk::new();
+        let mut store = open(&disk);
+        disk.fail_after(operations);
+        for step in &steps {
+            if step.run(&mut store).is_err() {
+                break;
+            }
+        }
+        let before = Content::of(&store);
+        for _ in 0..retries {
+            // Some attempts fail at a later operation.
+            disk.fail_after(retries);
+            let _ = store.repair();
+        }
+        disk.stop_failing();
+        store.repair().unwrap();
+        prop_assert_eq!(Content::of(&store), before);
+        for step in &later {
+            step.run(&mut store).unwrap();
+        }
+        let content = Content::of(&store);
+        drop(store);
+        disk.crash_torn(seed);
+        prop_assert_eq!(Content::of(&open(&disk)), content);
+    }
+}
