Bootstrap a group of one after its disk was full

What callers would see: a control process that is alone and whose disk refuses a write in its first election answers every change with 503 for good, while it runs and its disk has room again. Only a restart ended this.

A group of one has no peers. `poll_reload` now sets them, as the start does; it has no effect once the log holds a group.

`full_disks::full_at_bootstrap` failed before ("1 operations": no change within 4 s), and passes now with the disk failing at each of the first seven operations. `full_while_growing` passed before too.

--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -284,6 +284,7 @@
         }
     }
 
+    /// Passes the initial members to the replica; has no effect once the log contains a group.
     fn bootstrap(&mut self) {
         if let Some(members) = self.transport.initial_members() {
             self.replica.bootstrap(members);
@@ -364,8 +365,8 @@
     /// The applied state is kept, so that reads continue while the disk is full.
     fn recover(&mut self, error: &Error) -> Result<()> {
         self.record_failure(error);
+        let text = format!("the note could not be stored: {error}");
         if let Some(in_flight) = self.in_flight.take() {
-            let text = format!("the note could not be stored: {error}");
             let _ = in_flight.responder.send(SubmitResult::Unavailable(text));
         }
         self.reload_at = Some(Instant::now());
@@ -419,6 +420,7 @@
                 self.replica.set_voter_count(self.voters);
                 self.view.publish_meta(&self.replica, self.clock.now());
                 self.reload_at = None;
+                self.bootstrap();
                 Ok(false)
             }
             Err(e) if e.category() == Category::Corrupt => Err(e),
