Answer queued changes at once when a write fails

What callers saw: changes that were queued behind the one that could not be stored stayed unanswered until the limit of 1.8 s, if the store could not be written at once. They get the same "unavailable" as that one now.

`full_disks::queued_changes_answered`: 1.80 s before, bound 1 s; passes now.

--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -366,8 +366,10 @@
     fn recover(&mut self, error: &Error) -> Result<()> {
         self.record_failure(error);
         let text = format!("the note could not be stored: {error}");
-        if let Some(in_flight) = self.in_flight.take() {
-            let _ = in_flight.responder.send(SubmitResult::Unavailable(text));
+        let in_flight = self.in_flight.take().map(|i| i.responder);
+        let queued = self.queue.drain(..).map(|(_, responder)| responder);
+        for responder in in_flight.into_iter().chain(queued) {
+            let _ = responder.send(SubmitResult::Unavailable(text.clone()));
         }
         self.reload_at = Some(Instant::now());
         self.poll_reload().map(|_| ())
--- a/tests/full_disks.rs
+++ b/tests/full_disks.rs
@@ -207,6 +207,28 @@
     }
 }
 
+/// Guards against a queued change that stays unanswered while the disk is full.
+#[tokio::test]
+async fn queued_changes_answered() {
+    let mut group = Group::start(1).await;
+    group.change(ACK_MAX).await.expect("the disk has room");
+    group.disks[0].fail_after(1);
+    let api = group.handle(0).operator_api();
+    let submits = (2..6).map(|number| api.submit_note(replacement(number, 1)));
+    let start = Instant::now();
+    let results = futures::future::join_all(submits).await;
+    assert!(
+        start.elapsed() < Duration::from_secs(1),
+        "{:?}",
+        start.elapsed()
+    );
+    let is_unavailable = |r: &SubmitResult| matches!(r, SubmitResult::Unavailable(_));
+    assert!(results.iter().all(is_unavailable), "{results:?}");
+    group.disks[0].stop_failing();
+    group.number = 1;
+    assert!(group.change(ACK_MAX).await.is_some());
+}
+
 /// Guards against a group that never grows, or refuses its first change, after its disks were full
 /// one after another from the first start on.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
