Acknowledge a leave once two other nodes hold it

Cause: the acknowledgement rested on the memory of one process.

A leave (VM, name, incarnation) is given to four other nodes, chosen by a hash of their address and the VM's, and acknowledged once two hold it (one if only one is live, none if no other node is registered); gossip spreads it for 2.4 s. If they don't confirm within 0.8 s the call gets 503 and the reason is logged. A node that starts asks eight nodes in the same order, at most 300 ms after its configuration is in force, and uses no target before; it asks those that did not answer again each second for 30 s. The platform only waits for the result.

--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -7,6 +7,7 @@
 use rand::Rng;
 use rand::seq::IndexedRandom;
 
+use super::departures::Departure;
 use super::registry::{Member, Registry, RegistryChange, RegistryLog};
 use super::table::{Advertisement, RECORDS_MAX, RecordVersion, Records, Scope};
 use crate::error::Result;
@@ -80,6 +81,8 @@
     pub scope: Scope,
     /// True if the response should contain no recently changed records.
     pub without_updates: bool,
+    /// New departures; filled in by the caller, which stores them.
+    pub departures: Vec<Departure>,
 }
 
 /// An encoded log entry that one node sends another; only committed entries are sent.
@@ -270,6 +273,7 @@
             without_entries: true,
             scope,
             without_updates,
+            departures: Vec::new(),
         }
     }
 
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -92,19 +92,33 @@
             return text(StatusCode::PAYLOAD_TOO_LARGE, "announcement is too large\n");
         };
         match parse(&body.to_bytes()) {
-            Ok(announcement) => match self.local.announce(&announcement) {
+            Ok(announcement) => match self.apply(&announcement).await {
                 AnnounceResult::Accepted => text(StatusCode::OK, "announced\n"),
                 AnnounceResult::Stale => text(StatusCode::OK, "late, not taken over\n"),
                 AnnounceResult::Full => text(
                     StatusCode::SERVICE_UNAVAILABLE,
                     "too many targets on this VM\n",
                 ),
+                AnnounceResult::Unreplicated => text(
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    "too few other nodes hold the leave\n",
+                ),
             },
             Err(message) => text(StatusCode::BAD_REQUEST, message),
         }
     }
 }
 
+impl<F> Admin<F> {
+    async fn apply(&self, announcement: &Announcement) -> AnnounceResult {
+        let result = self.local.announce_durably(announcement).await;
+        if announcement.draining {
+            self.metrics.count(&result.drain_counter());
+        }
+        result
+    }
+}
+
 fn parse(body: &[u8]) -> Result<Announcement, String> {
     let announcement: Announcement =
         serde_json::from_slice(body).map_err(|e| format!("announcement: {e}\n"))?;
--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -17,11 +17,13 @@
 use crate::limit::{SURELY_SMALL_FLEET, stretch};
 use crate::metrics::Metrics;
 use crate::node::components::{ActiveConfig, Components, Freshness};
+use crate::node::departures::{NodeDepartures, keep_learning, learn, replicate};
 use crate::node::dialect::{Dialect, NativeDialect};
 use crate::node::forward::Forwarder;
 use crate::node::idempotency_records::IdempotencyRecords;
 use crate::node::limits::RateLimits;
 use crate::node::links::Links;
+use crate::node::local::LocalTargets;
 use crate::node::settings::Settings;
 use crate::node::sync::{ControlClient, Gossiper, serve_gossip};
 use crate::node::targets::Targets;
@@ -116,7 +118,10 @@
         limits: limits.clone(),
         idempotency: idempotency.clone(),
     });
-    let handle = spawn_with_metrics(settings, dialect, me, components, frames, metrics).await?;
+    let departures = view.departures().clone();
+    let identity = (me, departures.clone());
+    let handle =
+        spawn_with_metrics(settings, dialect, identity, components, frames, metrics).await?;
     handle.spawn_task(limits.clone().run());
     handle.spawn_task(idempotency.clone().run());
     handle.spawn_task(track_members(
@@ -142,6 +147,11 @@
         hello,
         handle.metrics.clone(),
     ));
+    handle.spawn_task(track_departures(
+        departures,
+        gossiper.clone(),
+        handle.local.clone(),
+    ));
     handle.spawn_task(gossiper.run());
     handle.spawn_task(publish_record(view.clone(), handle.records()));
     handle.spawn_task(traffic_report::run(handle.metrics.clone()));
@@ -241,6 +251,26 @@
     }
 }
 
+/// Learns the departures of this VM, puts its targets into use, and replicates later departures.
+async fn track_departures(
+    departures: Arc<NodeDepartures>,
+    gossiper: Arc<Gossiper>,
+    local: Arc<LocalTargets>,
+) {
+    let mut changes = departures.changes();
+    let replication = replicate(departures.clone(), gossiper.clone());
+    let application = async {
+        let missing = learn(&departures, &gossiper).await;
+        local.settle();
+        tokio::join!(keep_learning(&departures, &gossiper, missing), async {
+            while changes.changed().await.is_ok() {
+                local.apply_departures();
+            }
+        });
+    };
+    tokio::join!(replication, application);
+}
+
 /// Publishes each change of the node's own record.
 async fn publish_record(view: Arc<FleetView>, mut records: watch::Receiver<NodeRecord>) {
     let started = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/src/node/local.rs
+++ b/src/node/local.rs
@@ -1,8 +1,9 @@
 //! The targets on this VM, as announced by themselves.
 
-use std::cmp::Ordering;
+use std::cmp;
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
@@ -49,7 +50,7 @@
 const DRAIN_GRACE: Duration = Duration::from_millis(1_500);
 
 /// Link address in the departures of a node that exchanges none.
-const NO_ADDR: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+pub const NO_ADDR: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 
 /// The state that a target announces.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -96,6 +97,8 @@
     Stale,
     /// The VM has [`TARGETS_MAX`] other targets.
     Full,
+    /// The target drains, but too few other nodes hold that yet.
+    Unreplicated,
 }
 
 impl AnnounceResult {
@@ -105,8 +108,14 @@
             AnnounceResult::Accepted => "accepted",
             AnnounceResult::Stale => "stale",
             AnnounceResult::Full => "full",
+            AnnounceResult::Unreplicated => "unreplicated",
         }
     }
+
+    /// Returns the name of the counter of such results of announced drains.
+    pub fn drain_counter(self) -> String {
+        format!("leaves.draining.{}", self.code())
+    }
 }
 
 /// What a deregistration changes.
@@ -120,6 +129,8 @@
     Recorded,
     /// Nothing: the call names no run, and the target isn't known.
     Unidentified,
+    /// The run leaves, but too few other nodes hold that yet.
+    Unreplicated,
 }
 
 impl LeaveEffect {
@@ -130,8 +141,14 @@
             LeaveEffect::Repeated => "repeated",
             LeaveEffect::Recorded => "recorded",
             LeaveEffect::Unidentified => "unidentified",
+            LeaveEffect::Unreplicated => "unreplicated",
         }
     }
+
+    /// Returns true if the leave may be acknowledged.
+    pub fn is_lasting(self) -> bool {
+        !matches!(self, LeaveEffect::Unidentified | LeaveEffect::Unreplicated)
+    }
 }
 
 /// A target on this VM.
@@ -234,9 +251,9 @@
     /// Returns true if this target's known state is newer than the announcement.
     fn supersedes(&self, announcement: &Announcement) -> bool {
         match self.identity.incarnation.cmp(&announcement.incarnation) {
-            Ordering::Less => false,
-            Ordering::Greater => announcement.incarnation.is_some(),
-            Ordering::Equal => {
+            cmp::Ordering::Less => false,
+            cmp::Ordering::Greater => announcement.incarnation.is_some(),
+            cmp::Ordering::Equal => {
                 let last = self.last();
                 last.deregistered
                     || announcement
@@ -246,6 +263,11 @@
         }
     }
 
+    /// Returns true if this is the run `incarnation` of the target.
+    pub fn is_run(&self, incarnation: u64) -> bool {
+        self.identity.incarnation == Some(incarnation)
+    }
+
     /// Returns true if a request may be dispatched now.
     pub fn accepts_requests(&self) -> bool {
         let drain = self.last().drain;
@@ -294,6 +316,15 @@
         is_new
     }
 
+    /// Ends the dispatch of requests at once unless the target drains; returns false if it does.
+    fn end_dispatch(&self, now: Instant) -> bool {
+        let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_new = last.drain.is_none();
+        let end = DrainEnd::after(Duration::ZERO, now, self.clock);
+        last.drain.get_or_insert(end);
+        is_new
+    }
+
     fn last(&self) -> LastAnnouncement {
         let last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
         last.clone()
@@ -373,7 +404,9 @@
     clock: Monotonic,
     connect_timeout: Duration,
     targets: RwLock<BTreeMap<TargetName, Arc<LocalTarget>>>,
-    departures: NodeDepartures,
+    departures: Arc<NodeDepartures>,
+    /// False until the node has learned the departures of this VM; no target is used before.
+    is_settled: AtomicBool,
     tombstones: Mutex<Vec<Tombstone>>,
     record: watch::Sender<NodeRecord>,
 }
@@ -401,12 +434,26 @@
 }
 
 impl LocalTargets {
-    /// Creates an empty table for the node `me`; connections open within `connect_timeout`.
+    /// Creates an empty table for the node `me`, which is no member of a fleet; connections open
+    /// within `connect_timeout`.
     pub fn new(
         me: NodeId,
         zone: ZoneName,
         clock: Monotonic,
         connect_timeout: Duration,
+    ) -> LocalTargets {
+        let departures = Arc::new(NodeDepartures::standalone(NO_ADDR));
+        LocalTargets::with_departures(me, zone, clock, connect_timeout, departures)
+    }
+
+    /// Like [`LocalTargets::new`] with the departures of a node; those of a member of a fleet must be
+    /// learned before the targets are used.
+    pub fn with_departures(
+        me: NodeId,
+        zone: ZoneName,
+        clock: Monotonic,
+        connect_timeout: Duration,
+        departures: Arc<NodeDepartures>,
     ) -> LocalTargets {
         let record = NodeRecord {
             node: me,
@@ -420,12 +467,75 @@
             clock,
             connect_timeout,
             targets: RwLock::default(),
-            departures: NodeDepartures::new(NO_ADDR),
+            is_settled: AtomicBool::new(!departures.is_member()),
+            departures,
             tombstones: Mutex::default(),
             record: watch::Sender::new(record),
         }
     }
 
+    /// Applies an announcement; an announced drain is complete once other nodes hold it.
+    pub async fn announce_durably(&self, announcement: &Announcement) -> AnnounceResult {
+        let result = self.announce(announcement);
+        match announcement.incarnation.filter(|_| announcement.draining) {
+            Some(run) if !self.wait_replicated(&announcement.name, run).await => {
+                AnnounceResult::Unreplicated
+            }
+            _ => result,
+        }
+    }
+
+    /// Marks a target as leaving, which is complete once other nodes hold it.
+    pub async fn deregister_durably(
+        &self,
+        name: &TargetName,
+        incarnation: Option<u64>,
+    ) -> LeaveEffect {
+        let held = self.find(name).and_then(|t| t.identity.incarnation);
+        let effect = self.deregister(name, incarnation);
+        match incarnation.or(held) {
+            Some(run) if !self.wait_replicated(name, run).await => LeaveEffect::Unreplicated,
+            _ => effect,
+        }
+    }
+
+    async fn wait_replicated(&self, name: &TargetName, incarnation: u64) -> bool {
+        let is_replicated = self.departures.wait_replicated(name, incarnation).await;
+        if !is_replicated {
+            log::warn!(
+                event = "leave-unreplicated", target:% = name, incarnation;
+                "leave not acknowledged: too few other nodes hold it"
+            );
+        }
+        is_replicated
+    }
+
+    /// Puts the targets into use, after the departures of this VM have been learned.
+    pub fn settle(&self) {
+        self.apply_departures();
+        self.is_settled.store(true, Ordering::Release);
+        self.publish();
+    }
+
+    /// Sends no more requests to targets whose departure another node reported.
+    pub fn apply_departures(&self) {
+        let now = Instant::now();
+        let targets = self.targets.read().unwrap_or_else(PoisonError::into_inner);
+        for (name, target) in targets.iter() {
+            let run = target.identity.incarnation;
+            if run.is_some_and(|run| self.departures.contains(name, run))
+                && target.end_dispatch(now)
+            {
+                log::info!(
+                    event = "target-departed", target:% = name, incarnation:? = run;
+                    "another node reported that the target leaves"
+                );
+            }
+        }
+        drop(targets);
+        self.publish();
+    }
+
     /// Applies an announcement.
     pub fn announce(&self, announcement: &Announcement) -> AnnounceResult {
         let now = Instant::now();
@@ -444,7 +554,7 @@
             return AnnounceResult::Full;
         }
         self.replace_on_address(announcement, now);
-        match self.get(&announcement.name) {
+        match self.find(&announcement.name) {
             Some(current) if current.is_same_run(announcement, now) => {
                 current.update(announcement, now)
             }
@@ -470,13 +580,13 @@
         let Some(incarnation) = announcement.incarnation else {
             return;
         };
-        self.departures.record(&announcement.name, incarnation);
-        if let Some(current) = self.get(&announcement.name)
+        if let Some(current) = self.find(&announcement.name)
             && current.is_same_run(announcement, now)
         {
             current.start_drain(announcement, now);
             self.publish();
         }
+        self.departures.record(&announcement.name, incarnation);
     }
 
     /// Returns true if the announcement comes from a run that leaves, unless the target is in use
@@ -484,7 +594,7 @@
     fn is_departed(&self, announcement: &Announcement) -> bool {
         let is_departed = |incarnation| self.departures.contains(&announcement.name, incarnation);
         let is_held = || {
-            let target = self.get(&announcement.name);
+            let target = self.find(&announcement.name);
             target.is_some_and(|t| t.identity.incarnation == announcement.incarnation)
         };
         let may_be_used = announcement.draining && is_held();
@@ -500,18 +610,16 @@
     /// Marks a target as leaving; its requests in flight continue.
     pub fn deregister(&self, name: &TargetName, incarnation: Option<u64>) -> LeaveEffect {
         let now = Instant::now();
-        let target = self.get(name);
+        let target = self.find(name);
         let leaving = incarnation.or(target.as_ref().and_then(|t| t.identity.incarnation));
-        if let Some(incarnation) = leaving {
-            self.departures.record(name, incarnation);
-        }
         let effect = match &target {
             // Its earlier runs have ended too.
             Some(target) if target.identity.incarnation <= leaving => {
+                let is_new = target.leave(now);
                 if let Some(earlier) = target.identity.incarnation {
                     self.departures.record(name, earlier);
                 }
-                match target.leave(now) {
+                match is_new {
                     true => LeaveEffect::Started,
                     false => LeaveEffect::Repeated,
                 }
@@ -519,6 +627,9 @@
             _ if leaving.is_some() => LeaveEffect::Recorded,
             _ => LeaveEffect::Unidentified,
         };
+        if let Some(incarnation) = leaving {
+            self.departures.record(name, incarnation);
+        }
         let known = target.as_ref().and_then(|t| t.identity.incarnation);
         let sequence = target.as_ref().and_then(|t| t.last().sequence);
         log::info!(
@@ -596,8 +707,13 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the target with the given name.
+    /// Returns the target with the given name, if targets are in use.
     pub fn get(&self, name: &TargetName) -> Option<Arc<LocalTarget>> {
+        let is_settled = self.is_settled.load(Ordering::Acquire);
+        is_settled.then(|| self.find(name)).flatten()
+    }
+
+    fn find(&self, name: &TargetName) -> Option<Arc<LocalTarget>> {
         let targets = self.targets.read().unwrap_or_else(PoisonError::into_inner);
         targets.get(name).cloned()
     }
@@ -649,6 +765,9 @@
     }
 
     fn publish(&self) {
+        if !self.is_settled.load(Ordering::Acquire) {
+            return;
+        }
         let targets = self.targets.read().unwrap_or_else(PoisonError::into_inner);
         let list: Vec<TargetRecord> = targets.iter().map(|(n, t)| t.record(n)).collect();
         self.record.send_if_modified(|record| {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -52,9 +52,10 @@
 use tokio_util::sync::CancellationToken;
 
 pub use components::{ActiveConfig, Components, Freshness, Idempotency, RateLimiter};
+pub use departures::REPLICATION_TIMEOUT;
 pub use dialect::{Dialect, Dispatch, NativeDialect, RequestInfo};
 pub use join::{spawn, spawn_with_dialect};
-pub use local::{AnnounceResult, Announcement};
+pub use local::{AnnounceResult, Announcement, LeaveEffect};
 pub use settings::{Limits, Settings};
 
 use crate::config::Account;
@@ -67,6 +68,7 @@
 use crate::time::Monotonic;
 use crate::wire::{Channel, Handler, Hello};
 use admin::Admin;
+use departures::NodeDepartures;
 use egress::Egress;
 use forward::Forwarder;
 use in_flight::{DrainStage, InFlight};
@@ -74,7 +76,7 @@
 use key_check::KeyCheck;
 use links::Links;
 use listen::{LinkService, Shutdown};
-use local::LocalTargets;
+use local::{LocalTargets, NO_ADDR};
 use targets::Targets;
 
 /// Time between checks for targets that stopped announcing and for an expired freshness proof.
@@ -182,14 +184,24 @@
     H: Handler + Send + Sync + 'static,
 {
     let metrics = Metrics::open(settings.statsd)?;
-    spawn_with_metrics(settings, NativeDialect, me, components, handler, metrics).await
+    let departures = Arc::new(NodeDepartures::standalone(NO_ADDR));
+    let identity = (me, departures);
+    spawn_with_metrics(
+        settings,
+        NativeDialect,
+        identity,
+        components,
+        handler,
+        metrics,
+    )
+    .await
 }
 
 /// Starts the node `me` with given components and metrics.
 async fn spawn_with_metrics<F, L, I, H, D>(
     settings: Settings,
     dialect: D,
-    me: NodeId,
+    (me, departures): (NodeId, Arc<NodeDepartures>),
     components: Components<F, L, I>,
     handler: Arc<H>,
     metrics: Metrics,
@@ -214,7 +226,8 @@
     let freshness = components.freshness.clone();
     let targets = Arc::new(Targets::new(clock, settings.zone.clone()));
     let links = Arc::new(Links::new(me, settings.secret.clone(), limits.connect_time));
-    let local = LocalTargets::new(me, settings.zone, clock, limits.connect_time);
+    let zone = settings.zone;
+    let local = LocalTargets::with_departures(me, zone, clock, limits.connect_time, departures);
     let local = Arc::new(local);
     let forwarder = Forwarder::new(
         targets.clone(),
@@ -397,21 +410,22 @@
         self.targets.update_node(addr, record);
     }
 
-    /// Applies the announcement of a target on this VM.
-    pub fn announce(&self, announcement: &Announcement) -> AnnounceResult {
-        let result = self.local.announce(announcement);
+    /// Applies the announcement of a target on this VM; completes within [`REPLICATION_TIMEOUT`].
+    pub async fn announce(&self, announcement: &Announcement) -> AnnounceResult {
+        let result = self.local.announce_durably(announcement).await;
         if announcement.draining {
-            let name = format!("leaves.draining.{}", result.code());
-            self.metrics.count(&name);
+            self.metrics.count(&result.drain_counter());
         }
         result
     }
 
-    /// Marks a target on this VM as leaving, without an announced drain.
-    pub fn deregister(&self, name: &TargetName, incarnation: Option<u64>) {
-        let effect = self.local.deregister(name, incarnation);
-        let name = format!("leaves.deregister.{}", effect.code());
-        self.metrics.count(&name);
+    /// Marks a target on this VM as leaving, without an announced drain; completes within
+    /// [`REPLICATION_TIMEOUT`].
+    pub async fn deregister(&self, name: &TargetName, incarnation: Option<u64>) -> LeaveEffect {
+        let effect = self.local.deregister_durably(name, incarnation).await;
+        let counter = format!("leaves.deregister.{}", effect.code());
+        self.metrics.count(&counter);
+        effect
     }
 
     /// Replaces the seed addresses of the control processes.
--- a/src/node/sync.rs
+++ b/src/node/sync.rs
@@ -11,14 +11,15 @@
 
 use crate::error::{Error, Result};
 use crate::fleet::gossip::GOSSIP_INTERVAL;
-use crate::fleet::{GossipRequest, Member, RelayedEntry};
+use crate::fleet::{Departure, GossipRequest, Member, RelayedEntry};
 use crate::ids::NodeId;
 use crate::metrics::Metrics;
+use crate::node::departures::{DeparturePeers, EXCHANGE_TIMEOUT};
 use crate::node::sync_report::SyncReport;
 use crate::node::view::FleetView;
 use crate::replica::Confirmation;
 use crate::units::Position;
-use crate::wire::gossip::GossipMessage;
+use crate::wire::gossip::{DepartureRequest, GossipMessage};
 use crate::wire::sync::{DATA_MAX_BYTES, Response, SYNC_INTERVAL, WAIT_MAX};
 use crate::wire::{Channel, Hello, Peer, Secret};
 
@@ -333,6 +334,35 @@
     }
 }
 
+impl DeparturePeers for Arc<Gossiper> {
+    async fn members(&self) -> Vec<Member> {
+        self.view.other_members().await
+    }
+
+    fn live_count(&self) -> usize {
+        let live = self.view.members().live;
+        live.iter().filter(|id| id.0 != self.hello.id).count()
+    }
+
+    async fn give(
+        &self,
+        member: &Member,
+        departures: &[Departure],
+        vm: SocketAddr,
+    ) -> Result<Vec<Departure>> {
+        let departures = departures.to_vec();
+        let request = GossipMessage::DepartureRequest(DepartureRequest { departures, vm });
+        let peer = self.peer(member);
+        let bytes = peer
+            .call(Channel::Gossip, request.encode(), EXCHANGE_TIMEOUT)
+            .await?;
+        match GossipMessage::decode(bytes)? {
+            GossipMessage::Departures(held) => Ok(held),
+            _ => Err(Error::invalid("unexpected response to departures")),
+        }
+    }
+}
+
 /// Serves the gossip of another node.
 ///
 /// # Errors
@@ -352,7 +382,12 @@
             let entries = view.relay_entries(position);
             Ok(GossipMessage::Entries(entries).encode())
         }
-        GossipMessage::Response(_) | GossipMessage::Entries(_) => {
+        GossipMessage::DepartureRequest(request) => {
+            view.departures().merge(&request.departures);
+            let held = view.departures().of_vm(request.vm);
+            Ok(GossipMessage::Departures(held).encode())
+        }
+        GossipMessage::Response(_) | GossipMessage::Entries(_) | GossipMessage::Departures(_) => {
             Err(Error::invalid("an answer without a question"))
         }
     }
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -19,6 +19,7 @@
 use crate::freshness::{AGE_UNIT, ReplicaReport};
 use crate::ids::NodeId;
 use crate::node::components::{ActiveConfig, Freshness};
+use crate::node::departures::NodeDepartures;
 use crate::replica::Entry;
 use crate::time::{Clock, Monotonic, Time};
 use crate::units::{NoteNumber, Position};
@@ -73,6 +74,7 @@
     transfers: Semaphore,
     /// Notified when this node starts to leave.
     leave_started: Notify,
+    departures: Arc<NodeDepartures>,
     inner: Mutex<Inner>,
 }
 
@@ -97,6 +99,7 @@
     /// Creates an empty view.
     pub fn new(me: Member, clock: Monotonic, config: Arc<ActiveConfig>) -> FleetView {
         let gossip = Gossip::new(me.id);
+        let departures = Arc::new(NodeDepartures::replicated(me.addr));
         FleetView {
             me,
             clock,
@@ -105,6 +108,7 @@
             changes: watch::Sender::new(0),
             transfers: Semaphore::new(1),
             leave_started: Notify::new(),
+            departures,
             inner: Mutex::new(Inner {
                 client: sync::Client::new(),
                 gossip,
@@ -120,6 +124,24 @@
         self.changes.subscribe()
     }
 
+    /// Returns the departures of targets that this node knows.
+    pub fn departures(&self) -> &Arc<NodeDepartures> {
+        &self.departures
+    }
+
+    /// Waits until a configuration is in force, so that the registry is current, and returns the
+    /// other registered nodes.
+    pub async fn other_members(&self) -> Vec<Member> {
+        let mut changes = self.changes();
+        // The sender is part of the view.
+        let _ = changes.wait_for(|_| self.lock().in_force.is_some()).await;
+        let inner = self.lock();
+        let members = inner.gossip.registry().members().iter();
+        // An earlier process on this VM may still be registered.
+        let others = members.filter(|m| m.id != self.me.id && m.addr != self.me.addr);
+        others.cloned().collect()
+    }
+
     /// Returns the number of the last note that this node has received.
     pub fn note_number(&self) -> NoteNumber {
         self.lock().client.state().config().number()
@@ -285,8 +307,10 @@
         let mut inner = self.lock();
         let peers = inner.gossip.peers(&mut rand::rng());
         let now = self.clock.now();
+        let departures = self.departures.recent();
         let with_request = |member: Member| {
-            let request = inner.gossip.request(now, &member);
+            let mut request = inner.gossip.request(now, &member);
+            request.departures.clone_from(&departures);
             (member, request)
         };
         peers.into_iter().map(with_request).collect()
@@ -294,6 +318,7 @@
 
     /// Returns the response to a gossip request of a peer.
     pub fn respond_gossip(&self, request: &GossipRequest) -> GossipResponse {
+        self.departures.merge(&request.departures);
         let mut inner = self.lock();
         let mut response = inner.gossip.respond(self.clock.now(), request);
         if !request.without_entries {
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -1,22 +1,25 @@
 //! Encoding of the gossip messages between nodes.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use prost::{Message, Oneof};
 
 use crate::error::{Error, Result};
+use crate::fleet::departures::DEPARTURES_PER_MESSAGE;
 use crate::fleet::registry::MEMBERS_MAX;
 use crate::fleet::table::{RECORDS_MAX, TABLE_MAX};
 use crate::fleet::{
-    Advertisement, GossipRequest, GossipResponse, Push, RecordVersion, RelayedEntry, RequestStamp,
-    Scope,
+    Advertisement, Departure, GossipRequest, GossipResponse, Push, RecordVersion, RelayedEntry,
+    RequestStamp, Scope, TargetRun,
 };
 use crate::freshness::ProofAges;
 use crate::ids::NodeId;
 use crate::time::Time;
 use crate::units::Position;
-use crate::wire::records::{AdvertisementRecord, check_count, decode_readable};
+use crate::wire::records::{AdvertisementRecord, check_count, decode_readable, parse_addr};
 
 /// A message of a gossip exchange.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -31,11 +34,24 @@
     EntriesRequest(Position),
     /// The response to a request of entries.
     Entries(Vec<RelayedEntry>),
+    /// Gives departures to a node and requests those of a VM.
+    DepartureRequest(DepartureRequest),
+    /// The departures that the receiver of the request holds.
+    Departures(Vec<Departure>),
+}
+
+/// Departures for a node, which confirms that it holds them by responding.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DepartureRequest {
+    /// The departures.
+    pub departures: Vec<Departure>,
+    /// Link address of the VM whose departures are requested.
+    pub vm: SocketAddr,
 }
 
 #[derive(Clone, PartialEq, Message)]
 struct MessageRecord {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7")]
     body: Option<Body>,
 }
 
@@ -51,6 +67,36 @@
     EntriesRequest(u64),
     #[prost(message, tag = "5")]
     Entries(EntriesRecord),
+    #[prost(message, tag = "6")]
+    DepartureRequest(DepartureRequestRecord),
+    #[prost(message, tag = "7")]
+    Departures(DeparturesRecord),
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct DepartureRecord {
+    #[prost(string, tag = "1")]
+    vm: String,
+    #[prost(string, tag = "2")]
+    name: String,
+    #[prost(uint64, tag = "3")]
+    incarnation: u64,
+    #[prost(uint32, tag = "4")]
+    age_ms: u32,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct DepartureRequestRecord {
+    #[prost(message, repeated, tag = "1")]
+    departures: Vec<DepartureRecord>,
+    #[prost(string, tag = "2")]
+    vm: String,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct DeparturesRecord {
+    #[prost(message, repeated, tag = "1")]
+    departures: Vec<DepartureRecord>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -73,6 +119,8 @@
     with_health: bool,
     #[prost(bool, tag = "9")]
     without_updates: bool,
+    #[prost(message, repeated, tag = "10")]
+    departures: Vec<DepartureRecord>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -153,6 +201,15 @@
             GossipMessage::Entries(entries) => Body::Entries(EntriesRecord {
                 entries: encode_entries(entries),
             }),
+            GossipMessage::DepartureRequest(request) => {
+                Body::DepartureRequest(DepartureRequestRecord {
+                    departures: encode_departures(&request.departures),
+                    vm: request.vm.to_string(),
+                })
+            }
+            GossipMessage::Departures(departures) => Body::Departures(DeparturesRecord {
+                departures: encode_departures(departures),
+            }),
         };
         let record = MessageRecord { body: Some(body) };
         record.encode_to_vec().into()
@@ -173,6 +230,13 @@
             }),
             Body::EntriesRequest(position) => GossipMessage::EntriesRequest(Position(position)),
             Body::Entries(record) => GossipMessage::Entries(decode_entries(record.entries)),
+            Body::DepartureRequest(record) => GossipMessage::DepartureRequest(DepartureRequest {
+                departures: decode_departures(record.departures)?,
+                vm: parse_addr(&record.vm)?,
+            }),
+            Body::Departures(record) => {
+                GossipMessage::Departures(decode_departures(record.departures)?)
+            }
         })
     }
 }
@@ -193,10 +257,36 @@
             without_entries: request.without_entries,
             with_health: request.scope == Scope::WithHealth,
             without_updates: request.without_updates,
+            departures: encode_departures(&request.departures),
         }
     }
 }
 
+fn encode_departures(departures: &[Departure]) -> Vec<DepartureRecord> {
+    let records = departures.iter().map(|d| DepartureRecord {
+        vm: d.run.vm.to_string(),
+        name: d.run.name.to_string(),
+        incarnation: d.run.incarnation,
+        age_ms: u32::try_from(d.age.as_millis()).unwrap_or(u32::MAX),
+    });
+    records.collect()
+}
+
+fn decode_departures(records: Vec<DepartureRecord>) -> Result<Vec<Departure>> {
+    check_count(records.len(), DEPARTURES_PER_MESSAGE)?;
+    records.into_iter().map(decode_departure).collect()
+}
+
+fn decode_departure(record: DepartureRecord) -> Result<Departure> {
+    let run = TargetRun {
+        vm: parse_addr(&record.vm)?,
+        name: record.name.parse()?,
+        incarnation: record.incarnation,
+    };
+    let age = Duration::from_millis(record.age_ms.into());
+    Ok(Departure { run, age })
+}
+
 fn decode_request(r: RequestRecord) -> Result<GossipRequest> {
     Ok(GossipRequest {
         stamp: decode_stamp(r.from, r.sent),
@@ -207,6 +297,7 @@
         without_entries: r.without_entries,
         scope: decode_scope(r.with_health),
         without_updates: r.without_updates,
+        departures: decode_departures(r.departures)?,
     })
 }
 
--- a/src/wire/records.rs
+++ b/src/wire/records.rs
@@ -253,7 +253,8 @@
     }
 }
 
-fn parse_addr(text: &str) -> Result<std::net::SocketAddr> {
+/// Parses a numeric socket address.
+pub(super) fn parse_addr(text: &str) -> Result<std::net::SocketAddr> {
     let invalid = |_| Error::invalid("address is not numeric");
     text.parse().map_err(invalid)
 }
--- a/tests/fleet_gossip.rs
+++ b/tests/fleet_gossip.rs
@@ -287,6 +287,7 @@
         without_entries: true,
         scope: Scope::WithHealth,
         without_updates: true,
+        departures: Vec::new(),
     };
     let push = Push {
         records: vec![Arc::new(full_record())],
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod http_edge_cases;
 mod idempotency_faults;
+mod leaving_targets;
 mod lost_nodes;
 mod notes;
 mod operator_client;
