Deliver responses that end anyway after the withdrawal of their key

Cause: the ingress cancelled all active requests of a key after a grace period, whether or not anything else would end them.

A dispatched request now goes on if its caller's timeout, of at most 10 min (the longest deadline of a route), ends it. Without such an end it is cut as before, so that a caller can't choose to keep its response; the existing checks of that (withdrawn_key_ends_stream, withdrawn_key_ends_waiting_request, stale_node_ends_stream) are unchanged.

Nothing is dispatched with a withdrawn key: it is checked before an attempt opens its link, just before it is sent, and on leaving the queue at the target's node. There a wait below 1.8 s had passed unchecked; a key that was known on arrival must now still be known, and a queued request is refused as soon as its key is withdrawn on that node. A key that the node doesn't know yet may be new and is taken as before.

Failed before: key_withdrawal::withdrawal_cuts_no_ending_response (the chunked response cut), stale_node_cuts_no_ending_response, withdrawn_in_short_queue (the queued request ran). Passed before and after: distant_timeout_is_no_end, withdrawn_key_repeats_nothing.

--- a/src/node/active_requests.rs
+++ b/src/node/active_requests.rs
@@ -1,4 +1,4 @@
-//! Active requests by key, so that the withdrawal of a key cancels them.
+//! Active requests by key, so that the withdrawal of a key cancels those that it should end.
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -105,7 +105,10 @@
         self.for_each(|_, group| group.stale = is_stale.then(|| group.stale.unwrap_or(now)));
     }
 
-    /// Cancels the requests whose grace period is over.
+    /// Cancels the tokens of the requests whose grace period is over.
+    ///
+    /// The ingress decides what that ends: requests that haven't been dispatched, and responses that
+    /// nothing else ends.
     pub fn expire(&self, now: Instant) {
         let is_over = |since: Option<Instant>, grace| since.is_some_and(|t| now >= t + grace);
         self.for_each(|_, group| {
--- a/src/node/context.rs
+++ b/src/node/context.rs
@@ -6,7 +6,7 @@
 use http::request::Parts;
 use tokio::time::Instant;
 
-use crate::config::{Account, Config, Route};
+use crate::config::{Account, Config, DEADLINE_MAX_SECS, Route};
 use crate::http::UploadBuffer;
 use crate::idempotency::IdempotencyKey;
 use crate::ids::{KeyDigest, RequestId, ServiceName};
@@ -23,6 +23,9 @@
 /// the request, often to another zone.
 const SLOT_WAIT_DIVISOR: u32 = 8;
 
+/// Longest timeout of a caller that counts as the end of its response.
+const TIMEOUT_MAX: Duration = Duration::from_secs(DEADLINE_MAX_SECS);
+
 /// The key of a request and the account that it authenticates.
 #[derive(Clone, Debug)]
 pub struct Identity {
@@ -155,6 +158,15 @@
         self.idempotency_key.is_none() && self.route.is_idempotent(self.head.method.as_str())
     }
 
+    /// Returns true if the caller's timeout ends the response about as early as a route could.
+    ///
+    /// Such a request completes after the withdrawal of its key once it has been dispatched. Any
+    /// other response could go on without an end.
+    pub fn is_bounded(&self) -> bool {
+        self.end
+            .is_some_and(|end| end <= self.arrived + TIMEOUT_MAX)
+    }
+
     /// Returns the outcome of giving up for `refusal`.
     pub fn give_up(&self, refusal: Refusal) -> Outcome {
         self.delivery.final_outcome(refusal)
--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -63,6 +63,8 @@
     account: Option<AccountName>,
     /// Digest of the key, unless the ingress has an older version.
     key: Option<KeyDigest>,
+    /// True if this node knew the key when the request arrived.
+    key_known: bool,
     weight: Rate,
     kind: String,
     priority: u8,
@@ -116,10 +118,11 @@
             return Ok(Response::new(Either::Right(Empty::new())));
         }
         let in_flight = self.in_flight.enter();
-        let Ok(info) = AttemptInfo::read(request.headers()) else {
+        let Ok(mut info) = AttemptInfo::read(request.headers()) else {
             let outcome = not_run(Refusal::new(Reason::BadRequest));
             return Ok(outcome_response(&outcome));
         };
+        info.key_known = self.is_key_known(&info);
         let target = match self.target(&info) {
             Ok(target) => target,
             Err(refusal) => return Ok(self.refuse(&info, &not_run(refusal), None)),
@@ -151,7 +154,9 @@
             deadline: self.clock.now() + left,
         };
         let mut slot = tokio::select! {
+            biased;
             slot = target.queue.enter(slot) => slot.map_err(not_run)?,
+            refusal = self.key_withdrawn(info) => return Err(not_run(refusal)),
             () = self.in_flight.ended() => {
                 return Err(not_run(Refusal::after(Reason::Draining, RETRY_LATER)));
             }
@@ -225,15 +230,30 @@
         }
     }
 
+    fn is_key_known(&self, info: &AttemptInfo) -> bool {
+        let key = info.key.as_ref();
+        let account = info.account.as_ref();
+        account.is_some_and(|account| self.keys.is_known(account, key))
+    }
+
     fn check_key(&self, info: &AttemptInfo) -> std::result::Result<(), Refusal> {
+        let (key, waited) = (info.key.as_ref(), info.arrived.elapsed());
         match &info.account {
-            Some(account) => self
-                .keys
-                .check(account, info.key.as_ref(), info.arrived.elapsed()),
+            Some(account) => self.keys.check(account, key, waited, info.key_known),
             None => Ok(()),
         }
     }
 
+    /// Waits until the key of a queued request is withdrawn in this node's configuration.
+    async fn key_withdrawn(&self, info: &AttemptInfo) -> Refusal {
+        match &info.account {
+            Some(account) if info.key_known => {
+                self.keys.withdrawn(account, info.key.as_ref()).await
+            }
+            _ => std::future::pending().await,
+        }
+    }
+
     fn refuse(
         &self,
         info: &AttemptInfo,
@@ -340,6 +360,7 @@
                 false => None,
             },
             key: parse_header(from, &headers::KEY).ok(),
+            key_known: false,
             weight: Rate::from_millis(parse_header(from, &headers::WEIGHT)?),
             kind: parse_header(from, &headers::KIND)?,
             priority: parse_header(from, &headers::PRIORITY).unwrap_or_default(),
--- a/src/node/forward.rs
+++ b/src/node/forward.rs
@@ -78,7 +78,8 @@
     /// Each attempt has its own outcome. The request as a whole is "not run" only if none of its
     /// attempts may have reached a target.
     ///
-    /// `authorize` is called just before each attempt, since this process may have been paused.
+    /// `authorize` is called before each attempt opens its link, so that it isn't opened in vain, and
+    /// just before the attempt is sent, since this process may have been paused.
     pub async fn send(
         &self,
         ctx: &RequestContext<'_>,
@@ -88,6 +89,10 @@
         let mut retry_state = RetryState::new(attempts_max(ctx.route));
         let mut last = None;
         loop {
+            if let Err(refusal) = authorize() {
+                let refused = FailedAttempt::Outcome(Outcome::NotRun(refusal));
+                return self.give_up(ctx, Some(more_informative(last, refused)));
+            }
             let queue_at = retry_state
                 .queue_at()
                 .and_then(|id| self.targets.locate(id));
@@ -110,13 +115,7 @@
             }
             let outcome = failed.outcome();
             let retries = self.should_retry(ctx, &mut retry_state, pick.id, &outcome);
-            // A target's response, even an error, is more informative to the caller than a later
-            // refusal.
-            if !matches!(last, Some(FailedAttempt::Response(_)))
-                || matches!(failed, FailedAttempt::Response(_))
-            {
-                last = Some(failed);
-            }
+            last = Some(more_informative(last, failed));
             if !retries {
                 return self.give_up(ctx, last);
             }
@@ -329,6 +328,16 @@
     }
 }
 
+/// Returns what to tell the caller of two failures.
+///
+/// A target's response, even an error, is more informative than a later refusal.
+fn more_informative(earlier: Option<FailedAttempt>, later: FailedAttempt) -> FailedAttempt {
+    match (earlier, &later) {
+        (Some(earlier @ FailedAttempt::Response(_)), FailedAttempt::Outcome(_)) => earlier,
+        _ => later,
+    }
+}
+
 /// Reports the result of an attempt when dropped, also if the caller disconnected.
 struct AttemptReport<'a> {
     targets: &'a Targets,
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -276,7 +276,7 @@
         }
     }
 
-    /// Runs a request until its key is withdrawn.
+    /// Runs a request; the withdrawal of its key ends it as [`Self::withdrawn`] says.
     async fn run_authorized(
         &self,
         ctx: &RequestContext<'_>,
@@ -288,14 +288,24 @@
         };
         tokio::select! {
             biased;
-            () = active.token().cancelled() => {
-                let cause = self.authorize(ctx).err();
-                Err(ctx.give_up(cause.unwrap_or(Refusal::new(Reason::UnknownKey))))
-            }
+            refusal = self.withdrawn(ctx, active) => Err(ctx.give_up(refusal)),
             result = self.admit_and_send(ctx, config) => result,
         }
     }
 
+    /// Waits until the withdrawal of the key ends the request.
+    ///
+    /// A bounded request that has been dispatched goes on, as its target may be running it; the check
+    /// before each attempt keeps it from being dispatched again.
+    async fn withdrawn(&self, ctx: &RequestContext<'_>, active: &ActiveRequest) -> Refusal {
+        active.token().cancelled().await;
+        if ctx.is_bounded() && ctx.delivery.may_have_run() {
+            return std::future::pending().await;
+        }
+        let cause = self.authorize(ctx).err();
+        cause.unwrap_or(Refusal::new(Reason::UnknownKey))
+    }
+
     async fn admit_and_send(
         &self,
         ctx: &RequestContext<'_>,
@@ -395,6 +405,7 @@
         head.extensions.clear();
         headers::strip_response(&mut head.headers);
         self.dialect.complete_response(&mut head.headers, ctx.id);
+        let active = active.filter(|_| !ctx.is_bounded());
         let body = ResponseBody::new(body, ctx.id, active, ctx.end, in_flight);
         Response::from_parts(head, body)
     }
--- a/src/node/key_check.rs
+++ b/src/node/key_check.rs
@@ -34,7 +34,8 @@
     }
 
     /// Checks the key with `digest` of `account` after a request has waited for `waited`; the digest
-    /// is missing if the ingress has an older version.
+    /// is missing if the ingress has an older version. `was_known` is what [`KeyCheck::is_known`]
+    /// returned when the request arrived.
     ///
     /// # Errors
     ///
@@ -44,15 +45,29 @@
         account: &AccountName,
         digest: Option<&KeyDigest>,
         waited: Duration,
+        was_known: bool,
     ) -> Result<(), Refusal> {
-        let is_recent = waited <= INGRESS_CHECK_MAX;
+        // A key that this node doesn't know yet may be new.
+        let is_recent = waited <= INGRESS_CHECK_MAX && !was_known;
         if self.freshness.is_fresh() && (is_recent || self.is_known(account, digest)) {
             return Ok(());
         }
         Err(Refusal::after(Reason::StaleConfig, RETRY_LATER))
     }
 
-    fn is_known(&self, account: &AccountName, digest: Option<&KeyDigest>) -> bool {
+    /// Waits until a key that was known is withdrawn in this node's configuration.
+    pub async fn withdrawn(&self, account: &AccountName, digest: Option<&KeyDigest>) -> Refusal {
+        let mut changes = self.config.changes();
+        while self.is_known(account, digest) {
+            if changes.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+        Refusal::after(Reason::StaleConfig, RETRY_LATER)
+    }
+
+    /// Returns true if this node's configuration has the key with `digest` for `account`.
+    pub fn is_known(&self, account: &AccountName, digest: Option<&KeyDigest>) -> bool {
         let config = self.config.load();
         let holder = digest.and_then(|digest| config.as_ref()?.account_of(digest));
         holder.is_some_and(|holder| holder.name == *account)
--- a/src/node/response_body.rs
+++ b/src/node/response_body.rs
@@ -15,8 +15,8 @@
 use crate::node::in_flight::InFlightGuard;
 use crate::outcome::Reason;
 
-/// The response body of a target; it fails when the caller's key is withdrawn, or when the caller's
-/// wait ends.
+/// The response body of a target; it fails when the key of its request is withdrawn, unless the
+/// response is bounded, or when the caller's wait ends.
 #[derive(Debug)]
 pub struct ResponseBody {
     body: Incoming,
@@ -34,8 +34,8 @@
 }
 
 impl ResponseBody {
-    /// Wraps the response to `request`; `active` is `None` on open routes, and `end` is when the
-    /// caller's wait ends, if that is known.
+    /// Wraps the response to `request`; `active` is `None` on open routes and for bounded responses,
+    /// and `end` is when the caller's wait ends, if that is known.
     pub fn new(
         body: Incoming,
         request: RequestId,
--- a/tests/data_path/key_withdrawal.rs
+++ b/tests/data_path/key_withdrawal.rs
@@ -11,11 +11,17 @@
 const WITHDRAWAL: Duration = Duration::from_secs(5);
 
 async fn open_stream(cluster: &Cluster, path: &str) -> TcpStream {
+    open_stream_with(cluster, path, "").await
+}
+
+/// Sends a request with further headers.
+async fn open_stream_with(cluster: &Cluster, path: &str, headers: &str) -> TcpStream {
     let mut stream = TcpStream::connect(cluster.front.caller_addr())
         .await
         .unwrap();
-    let request =
-        format!("GET {path} HTTP/1.1\r\nhost: front\r\nauthorization: Bearer {KEY}\r\n\r\n");
+    let request = format!(
+        "GET {path} HTTP/1.1\r\nhost: front\r\nauthorization: Bearer {KEY}\r\n{headers}\r\n"
+    );
     stream.write_all(request.as_bytes()).await.unwrap();
     stream
 }
@@ -43,6 +49,86 @@
     eventually("the run is cancelled", || cluster.runs()[0].cancelled).await;
 }
 
+/// Time in which a caller awaits the end of its response, and with which the response has an end.
+const TIMEOUT: &str = "laburnum-timeout-ms: 12000\r\nconnection: close\r\n";
+
+/// Responses that take 3.6 s or more, longer than a request goes on after its key is withdrawn: in parts
+/// with and without a length, and after a long run.
+const LONG_RESPONSES: [&str; 3] = [
+    "/bulk?bytes=600000&gap_ms=100&chunked=1",
+    "/bulk?bytes=600000&gap_ms=100",
+    "/bulk?bytes=600000&delay_ms=3600",
+];
+
+/// Sends the requests for long responses, applies `change` while they run, and checks that all of
+/// them are delivered whole.
+async fn whole_after(change: impl FnOnce(&Cluster)) {
+    let cluster = Cluster::open().await;
+    let mut streams = Vec::new();
+    for path in LONG_RESPONSES {
+        streams.push(open_stream_with(&cluster, path, TIMEOUT).await);
+    }
+    let count = LONG_RESPONSES.len() as u32;
+    eventually("all run", || cluster.target.running().0 == count).await;
+    change(&cluster);
+    let responses = streams.into_iter().map(read_to_end);
+    for response in futures::future::join_all(responses).await {
+        assert!(response.starts_with("HTTP/1.1 200"), "{response:.200}");
+        let body = response.split_once("\r\n\r\n").unwrap().1;
+        let is_whole = match response.contains("transfer-encoding") {
+            true => body.ends_with("\r\n0\r\n\r\n"),
+            false => body.len() == 600_000,
+        };
+        assert!(is_whole, "{} bytes of {:.200}", body.len(), response);
+    }
+    assert!(cluster.runs().iter().all(|run| run.finished));
+    assert_eq!(cluster.runs().len(), LONG_RESPONSES.len());
+}
+
+/// Guards against a response that is cut by the withdrawal of its key although its caller's timeout
+/// ends it.
+#[tokio::test]
+async fn withdrawal_cuts_no_ending_response() {
+    whole_after(|cluster| cluster.front.active_config().store(config_without_key())).await;
+}
+
+/// Guards against a response that is cut as its node can't learn of a withdrawal, although its
+/// caller's timeout ends it.
+#[tokio::test]
+async fn stale_node_cuts_no_ending_response() {
+    whole_after(|cluster| cluster.fresh.set(false)).await;
+}
+
+/// Guards against a caller that keeps its response after a withdrawal by a timeout of hours.
+#[tokio::test]
+async fn distant_timeout_is_no_end() {
+    let cluster = Cluster::open().await;
+    let path = "/bulk?bytes=1000000000&gap_ms=5&chunked=1";
+    let timeout = "laburnum-timeout-ms: 36000000\r\n";
+    let stream = open_stream_with(&cluster, path, timeout).await;
+    eventually("the stream runs", || cluster.target.running().0 == 1).await;
+    let start = Instant::now();
+    cluster.front.active_config().store(config_without_key());
+    read_to_end(stream).await;
+    assert!(start.elapsed() < WITHDRAWAL);
+    eventually("the run is cancelled", || cluster.runs()[0].cancelled).await;
+}
+
+/// Guards against a second run, after the withdrawal of the key, of a request that was passed on
+/// before.
+#[tokio::test]
+async fn withdrawn_key_repeats_nothing() {
+    let cluster = Cluster::open().await;
+    let path = "/bulk?fault=reset&delay_ms=3600";
+    let stream = open_stream_with(&cluster, path, TIMEOUT).await;
+    eventually("the request runs", || cluster.target.running().0 == 1).await;
+    cluster.front.active_config().store(config_without_key());
+    let response = read_to_end(stream).await;
+    assert!(!response.starts_with("HTTP/1.1 200"), "{response}");
+    assert!(response.contains("laburnum-outcome: unknown"), "{response}");
+    assert_eq!(cluster.runs().len(), 1);
+}
+
 /// Guards against a stalled request that is not polled and so is not cancelled by the withdrawal.
 #[tokio::test]
 async fn withdrawn_key_ends_waiting_request() {
@@ -150,6 +236,27 @@
     assert_eq!((reason.as_str(), cluster.runs().len()), ("stale-config", 1));
 }
 
+/// Guards against the run of a request whose key is withdrawn at the node of its target while it is
+/// queued for a short time.
+#[tokio::test]
+async fn withdrawn_in_short_queue() {
+    let run_time = Duration::from_millis(1_200);
+    let cluster = Cluster::with(Default::default(), 1, run_time).await;
+    let first = cluster.get("/bulk?bytes=1");
+    let second = async {
+        eventually("the first request runs", || cluster.target.running().0 == 1).await;
+        cluster.get("/bulk?bytes=1").await
+    };
+    let later = async {
+        tokio::time::sleep(run_time / 2).await;
+        cluster.back.active_config().store(config_without_key());
+    };
+    let (first, second, ()) = tokio::join!(first, second, later);
+    assert_eq!(outcome(&first).0, "answer");
+    assert_eq!(outcome(&second), ("not-run", "stale-config"));
+    assert_eq!(cluster.runs().len(), 1);
+}
+
 /// Guards against the run of a queued request by an egress that can't know of a withdrawal.
 #[tokio::test]
 async fn stale_while_queued() {
