--- a/src/node/local.rs
+++ b/src/node/local.rs
@@ -68,7 +68,8 @@
     pub load: f64,
     /// Identifies the run of the target and increases with each start, such as the start time.
     ///
-    /// If it is `None`, only the address and the time since the start distinguish two runs.
+    /// If it is `None`, a sequence that goes on shows the same run; without a sequence, only the address
+    /// and the time since the start distinguish two runs.
     #[serde(default)]
     pub incarnation: Option<u64>,
     /// Increases with each announcement of one run, so that a delayed one is detected; `None` if
@@ -157,6 +158,7 @@
     fn is_same_run(&self, announcement: &Announcement, now: Instant) -> bool {
         let earlier = self.last().started;
         let restarted = announcement.incarnation.is_none()
+            && announcement.sequence.is_none()
             && announcement.started(now) > earlier + RESTART_MARGIN;
         self.identity == TargetIdentity::of(announcement) && !restarted
     }
@@ -165,17 +167,26 @@
     fn supersedes(&self, announcement: &Announcement) -> bool {
         match self.identity.incarnation.cmp(&announcement.incarnation) {
             Ordering::Less => false,
-            Ordering::Greater => announcement.incarnation.is_some(),
+            // Without an incarnation it could be of any run, and of another writer.
+            Ordering::Greater => true,
             Ordering::Equal => {
                 let last = self.last();
                 last.deregistered
                     || announcement
                         .sequence
                         .is_some_and(|s| Some(s) <= last.sequence)
+                    || self.contradicts(announcement)
             }
         }
     }
 
+    /// Returns true if the announcement names another service or address and doesn't show that the
+    /// target started anew.
+    fn contradicts(&self, announcement: &Announcement) -> bool {
+        let tells_run = announcement.incarnation.is_some() || announcement.sequence.is_some();
+        tells_run && self.identity != TargetIdentity::of(announcement)
+    }
+
     /// Returns true if a request may be dispatched now.
     pub fn accepts_requests(&self) -> bool {
         let since = self.last().draining_since;
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -181,6 +181,72 @@
     });
 }
 
+/// Guards against a target that is moved to another service or address by an announcement that doesn't
+/// show a later start (review/3: a target ran the requests of another service).
+#[tokio::test]
+async fn foreign_announcements() {
+    let other = |a: &Announcement| Announcement {
+        service: "mills".parse().unwrap(),
+        ..a.clone()
+    };
+    let moved = |a: &Announcement| Announcement {
+        address: ([127, 0, 0, 1], 9_001).into(),
+        ..a.clone()
+    };
+    for incarnation in [Some(1), None] {
+        let zone = "a".parse().unwrap();
+        let local = LocalTargets::new(NodeId(1), zone, Monotonic::new(), Duration::from_secs(1));
+        let own = Announcement {
+            incarnation,
+            ..announcement("a", 9_000)
+        };
+        assert_eq!(local.announce(&own), AnnounceResult::Accepted);
+        let before = local.get(&own.name).unwrap();
+        let later = Announcement {
+            sequence: Some(9),
+            ..own.clone()
+        };
+        let unknown_run = Announcement {
+            incarnation: None,
+            ..later.clone()
+        };
+        for odd in [&later, &unknown_run]
+            .into_iter()
+            .flat_map(|a| [other(a), moved(a)])
+        {
+            assert_eq!(local.announce(&odd), AnnounceResult::Stale, "{odd:?}");
+        }
+        let next = Announcement {
+            sequence: Some(2),
+            ..own.clone()
+        };
+        assert_eq!(local.announce(&next), AnnounceResult::Accepted);
+        let after = local.get(&own.name).unwrap();
+        assert!(Arc::ptr_eq(&before, &after));
+        assert_eq!(local.records().borrow().targets[0].service, own.service);
+    }
+}
+
+/// Guards against a target without a start time that counts as started anew with each announcement,
+/// and so loses its queue.
+#[tokio::test]
+async fn run_without_start_time() {
+    let zone = "a".parse().unwrap();
+    let local = LocalTargets::new(NodeId(1), zone, Monotonic::new(), Duration::from_secs(1));
+    let own = |sequence, started_ms_ago| Announcement {
+        started_ms_ago,
+        incarnation: None,
+        sequence: Some(sequence),
+        ..announcement("a", 9_000)
+    };
+    let first = own(1, 1_500);
+    local.announce(&first);
+    let before = local.get(&first.name).unwrap();
+    assert_eq!(local.announce(&own(2, 0)), AnnounceResult::Accepted);
+    let after = local.get(&first.name).unwrap();
+    assert!(Arc::ptr_eq(&before, &after));
+}
+
 proptest! {
     /// Guards against bytes that end a process or hide what is readable.
     #[test]
