Play full disks in turn in virtual time and with real processes

It found no fault of the replica.

`processes::control_faults::full_disks`: five real processes. A soft limit on the size of files (prlimit on the own child, SIGXFSZ ignored by the shell that starts it) makes every write of one process fail for 3 s, first that of the leader, then the others, then that of the leader of the moment.

Tried and dropped: 200 proposals a second with one entry in a message.

--- a/tests/processes/control_faults.rs
+++ b/tests/processes/control_faults.rs
@@ -168,3 +168,54 @@
     assert!(process.log().contains("log"), "{}", process.log());
     submit(&fleet, 2);
 }
+
+/// Time within which a change must be acknowledged.
+const ACK_MAX: Duration = Duration::from_secs(4);
+
+/// Submits notes after `last` until `length` is over, at least one; returns the last number and the
+/// longest time of a submission.
+fn submit_for(fleet: &Fleet, last: usize, length: Duration) -> (usize, Duration) {
+    let start = Instant::now();
+    let (mut number, mut longest) = (last, Duration::ZERO);
+    while number == last || start.elapsed() < length {
+        number += 1;
+        let submitted = Instant::now();
+        submit(fleet, number);
+        longest = longest.max(submitted.elapsed());
+    }
+    (number, longest)
+}
+
+/// Guards against changes that are refused or lost after each disk was full for a while, one after
+/// another.
+#[test]
+fn full_disks() {
+    let fleet = Fleet::start(5, 0);
+    submit(&fleet, 1);
+    let mut number = 1;
+    let first = wait_for_leader(&fleet);
+    // The first leader, the others, and whichever leads in the end.
+    for i in (first..first + 5).map(|i| i % 5).chain([5]) {
+        let full = match i {
+            5 => wait_for_leader(&fleet),
+            other => other,
+        };
+        let process = fleet.controls[full].as_ref().expect("it runs");
+        process.limit_files(Some(0));
+        let (last, longest) = submit_for(&fleet, number, Duration::from_secs(3));
+        process.limit_files(None);
+        println!(
+            "full={full} notes={} longest_ms={}",
+            last - number,
+            longest.as_millis()
+        );
+        assert!(longest <= ACK_MAX, "{longest:?}");
+        number = last;
+    }
+    let (last, time) = submit_for(&fleet, number, Duration::ZERO);
+    println!("first_ms={}", time.as_millis());
+    assert!(time <= ACK_MAX, "{time:?}");
+    eventually("every replica has every note", || {
+        all_hold(&fleet, last as u64)
+    });
+}
--- a/tests/replica_faults.rs
+++ b/tests/replica_faults.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use rand::RngExt;
 use replica_sim::{Sim, VMS};
 
 /// Default seeds; `REPLICA_SEEDS=first..end` overrides them.
@@ -122,3 +123,48 @@
         sim.check_recovered();
     }
 }
+
+/// Time within which a change must be acknowledged.
+const ACK_MAX: Duration = Duration::from_secs(4);
+
+/// Runs until another entry is committed; returns the time.
+fn time_to_commit(sim: &mut Sim) -> Duration {
+    let (start, count) = (sim.now, sim.committed.len());
+    while sim.committed.len() == count && sim.now < start + 2 * ACK_MAX {
+        sim.run(Duration::from_millis(5));
+    }
+    sim.now.since(start)
+}
+
+/// Guards against a group that stops committing entries after each disk was full for a while.
+#[test]
+fn full_disks_in_turn() {
+    const SIZE: usize = 5;
+    let (mut longest, mut last) = (Duration::ZERO, Duration::ZERO);
+    for seed in seeds() {
+        let mut sim = Sim::with_size(seed, SIZE);
+        sim.heal();
+        sim.run(Duration::from_secs(5));
+        let shift = sim.rng.random_range(0..SIZE);
+        for i in 0..SIZE {
+            let next = (i + shift) % SIZE;
+            let length = Duration::from_millis(sim.rng.random_range(1_000..6_000));
+            sim.fill(next, length);
+            let end = sim.now + length;
+            while sim.now < end {
+                longest = longest.max(time_to_commit(&mut sim));
+            }
+        }
+        let time = time_to_commit(&mut sim);
+        last = last.max(time);
+        assert!(time <= ACK_MAX, "seed {seed}: {time:?}");
+        assert!(longest <= ACK_MAX, "seed {seed}: {longest:?}");
+        sim.run(Duration::from_secs(3));
+        sim.check_recovered();
+    }
+    println!(
+        "longest_ms={} last_ms={}",
+        longest.as_millis(),
+        last.as_millis()
+    );
+}
