Play voters that are replaced while their disks are full

`full_disks::replaced_while_full`: seven processes, five voters, each disk failing in turn for 1.5 to 4 s.

A process id now has sixteen networks, for eleven groups.

--- a/tests/full_disks.rs
+++ b/tests/full_disks.rs
@@ -36,7 +36,8 @@
 
 impl Group {
     async fn start(size: usize) -> Group {
-        let network = (std::process::id() << 3) | NETWORKS.fetch_add(1, Ordering::Relaxed);
+        let count = NETWORKS.fetch_add(1, Ordering::Relaxed);
+        let network = (std::process::id() << 4) | (count & 15);
         let mut group = Group {
             network,
             disks: (0..size).map(|_| FakeDisk::new()).collect(),
@@ -64,7 +65,7 @@
             operator: self.addr(i, 7101),
             peers: Vec::new(),
             bootstrap: false,
-            voters: size,
+            voters: size.min(SIZE),
             offline: OFFLINE_TIME,
             data_dir: "unused".into(),
             fleet_secret: Secret::new(b"fleet-secret-0123456789").unwrap(),
@@ -85,11 +86,16 @@
         (0..self.disks.len()).find(leads)
     }
 
+    fn voters(&self) -> Vec<ReplicaId> {
+        self.handle(0).view().meta().replicas.voters().collect()
+    }
+
     async fn grown(&self) {
         let start = Instant::now();
         let is_voter = |i: usize| {
             let meta = self.handle(i).view().meta();
-            meta.replicas.voters().count() == self.disks.len()
+            meta.replicas.voters().count() == self.disks.len().min(SIZE)
+                && meta.replicas.members().len() == self.disks.len()
         };
         while !(0..self.disks.len()).all(is_voter) || self.leader().is_none() {
             assert!(start.elapsed() < TIMEOUT, "the group does not grow");
@@ -153,7 +159,7 @@
 /// a disk was full, and the time of the first one after it.
 async fn full_in_turn(group: &mut Group, rng: &mut StdRng) -> (Duration, Duration) {
     let mut longest = Duration::ZERO;
-    for i in 0..SIZE {
+    for i in 0..group.disks.len() {
         let full = Duration::from_millis(rng.random_range(1_500..4_000));
         group.disks[i].fail_after(rng.random_range(1..8));
         let start = Instant::now();
@@ -207,6 +213,26 @@
     }
 }
 
+/// Guards against a group that does not recover its voters and learners when voters are replaced by
+/// learners while their disks are full.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn replaced_while_full() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut group = Group::start(SIZE + 2).await;
+    group.grown().await;
+    let voters = group.voters();
+    let (longest, first) = full_in_turn(&mut group, &mut rng).await;
+    let replaced = group
+        .voters()
+        .iter()
+        .filter(|v| !voters.contains(v))
+        .count();
+    println!("longest={longest:?} first={first:?} replaced={replaced}");
+    assert!(longest <= ACK_MAX && first <= ACK_MAX);
+    group.grown().await;
+    assert!(group.change(ACK_MAX).await.is_some());
+}
+
 /// Guards against a queued change that stays unanswered while the disk is full.
 #[tokio::test]
 async fn queued_changes_answered() {
