Catch signals before the settings are read

Cause: the signals were caught only after the addresses were bound, and SIGHUP not at all by laburnum-node and laburnum-control. Daemon::start now starts the runtime and catches them before the settings are read; a signal to stop is kept until the daemon waits for it, and the process ends with exit code 0.

The tests hold a daemon at the reading of its settings or secret by a pipe and send the signal there.

--- a/src/bin/laburnum-control.rs
+++ b/src/bin/laburnum-control.rs
@@ -2,7 +2,7 @@
 
 use laburnumtide::Result;
 use laburnumtide::control::{self, Settings};
-use laburnumtide::settings::{self, Checker, ControlArgs};
+use laburnumtide::settings::{self, Checker, ControlArgs, Daemon, Signals};
 
 fn main() -> anyhow::Result<()> {
     let args: ControlArgs = settings::parse_args("laburnum-control");
@@ -10,16 +10,17 @@
         println!("laburnum-control {}", env!("CARGO_PKG_VERSION"));
         return Ok(());
     }
+    let daemon = Daemon::start()?;
     let settings = settings::unwrap_or_exit(args.check(Checker::from_env()));
-    settings::run_daemon(&settings.log, run(settings.control))?;
+    daemon.run(&settings.log, |signals| run(settings.control, signals))?;
     Ok(())
 }
 
-async fn run(settings: Settings) -> Result<()> {
+async fn run(settings: Settings, mut signals: Signals) -> Result<()> {
     let mut handle = control::spawn(settings).await?;
     tokio::select! {
         ended = handle.ended() => return ended,
-        signal = settings::shutdown_signal() => signal?,
+        () = signals.stop.received() => {}
     }
     handle.stop().await
 }
--- a/src/bin/laburnum-node.rs
+++ b/src/bin/laburnum-node.rs
@@ -2,7 +2,7 @@
 
 use laburnumtide::Result;
 use laburnumtide::node::{self, Settings};
-use laburnumtide::settings::{self, Checker, NodeArgs};
+use laburnumtide::settings::{self, Checker, Daemon, NodeArgs, Signals};
 
 fn main() -> anyhow::Result<()> {
     let args: NodeArgs = settings::parse_args("laburnum-node");
@@ -10,14 +10,15 @@
         println!("laburnum-node {}", env!("CARGO_PKG_VERSION"));
         return Ok(());
     }
+    let daemon = Daemon::start()?;
     let settings = settings::unwrap_or_exit(args.check(Checker::from_env()));
-    settings::run_daemon(&settings.log, run(settings.node))?;
+    daemon.run(&settings.log, |signals| run(settings.node, signals))?;
     Ok(())
 }
 
-async fn run(settings: Settings) -> Result<()> {
+async fn run(settings: Settings, mut signals: Signals) -> Result<()> {
     let handle = node::spawn(settings).await?;
-    settings::shutdown_signal().await?;
+    signals.stop.received().await;
     handle.drain().await;
     Ok(())
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -5,6 +5,7 @@
 //! never from a flag, since the flags of a process are visible to every user of a VM.
 
 mod control;
+mod daemon;
 mod node;
 
 use std::fmt;
@@ -14,10 +15,10 @@
 use argh::{EarlyExit, FromArgs};
 
 use crate::error::{Error, Result};
-use crate::logging;
 use crate::wire::Secret;
 
 pub use control::{ControlArgs, ControlSettings};
+pub use daemon::{Daemon, ReloadSignal, Signals, StopSignal};
 pub use node::{NodeArgs, NodeSettings};
 
 /// Prefix of every environment variable.
@@ -250,49 +251,3 @@
         std::process::exit(EXIT_USAGE);
     })
 }
-
-/// Starts logging with `filter` and runs a daemon to completion on all cores.
-///
-/// On a VM with one core it uses the single-threaded runtime, since further threads would only
-/// compete for the core.
-///
-/// # Errors
-///
-/// Fails if logging or the runtime can't be started, or with the daemon's error.
-pub fn run_daemon<D>(filter: &str, daemon: D) -> Result<()>
-where
-    D: Future<Output = Result<()>>,
-{
-    logging::init(filter)?;
-    let cores = std::thread::available_parallelism().map_or(1, |n| n.get());
-    let mut builder = match cores {
-        1 => tokio::runtime::Builder::new_current_thread(),
-        _ => tokio::runtime::Builder::new_multi_thread(),
-    };
-    let runtime = builder.enable_all().build();
-    let runtime = runtime.map_err(|e| Error::io("start the runtime", e))?;
-    log::info!(event = "process-started", version = env!("CARGO_PKG_VERSION"), cores; "process started");
-    let ended = runtime.block_on(daemon);
-    match &ended {
-        Ok(()) => log::info!(event = "process-ended"; "process ended"),
-        Err(e) => log::error!(event = "process-failed", error:% = e; "process failed"),
-    }
-    logging::flush();
-    ended
-}
-
-/// Waits for SIGTERM or SIGINT.
-///
-/// # Errors
-///
-/// Fails if the signal handlers can't be installed.
-pub async fn shutdown_signal() -> Result<()> {
-    use tokio::signal::unix::{SignalKind, signal};
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    Ok(())
-}
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -11,3 +11,4 @@
 mod notes;
 mod operator_client;
 mod request_faults;
+mod start_signals;
