Catch signals in a runtime that starts sooner

Signals to a starting daemon had their default effect until the runtime with a thread for each core was up. They are now caught in a runtime without threads before it. What is left is the time before main and the first runtime.

--- a/src/settings/daemon.rs
+++ b/src/settings/daemon.rs
@@ -50,16 +50,11 @@
     /// Fails if the runtime can't be started or the signals can't be caught.
     pub fn start() -> Result<Daemon> {
         let cores = std::thread::available_parallelism().map_or(1, |n| n.get());
-        let mut builder = match cores {
-            1 => Builder::new_current_thread(),
-            _ => Builder::new_multi_thread(),
-        };
-        let runtime = builder.enable_all().build();
-        let runtime = runtime.map_err(|e| Error::io("start the runtime", e))?;
-        let signals = {
-            let _context = runtime.enter();
-            Signals::catch()?
-        };
+        let signals = Signals::catch_early()?;
+        let runtime = match cores {
+            1 => start(Builder::new_current_thread()),
+            _ => start(Builder::new_multi_thread()),
+        }?;
         Ok(Daemon {
             runtime,
             cores,
@@ -92,7 +87,20 @@
     }
 }
 
+fn start(mut builder: Builder) -> Result<Runtime> {
+    let runtime = builder.enable_all().build();
+    runtime.map_err(|e| Error::io("start the runtime", e))
+}
+
 impl Signals {
+    /// Catches the signals in a runtime without threads, which starts sooner; they are kept for the
+    /// process.
+    fn catch_early() -> Result<Signals> {
+        let runtime = start(Builder::new_current_thread())?;
+        let _context = runtime.enter();
+        Signals::catch()
+    }
+
     fn catch() -> Result<Signals> {
         Ok(Signals {
             stop: StopSignal {
