--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -13,3 +13,4 @@
 mod operator_client;
 mod planned_stops;
 mod request_faults;
+mod start_signals;
