--- a/src/node/departures.rs
+++ b/src/node/departures.rs
@@ -39,6 +39,9 @@
 /// Delay before departures are sent again after too few nodes have confirmed them.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Time for which a started node that reaches no other node uses no target.
+const ISOLATED_MAX: Duration = Duration::from_secs(10);
+
 /// Time between two questions to nodes that have not told a started node its departures.
 const RELEARN_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -183,27 +186,46 @@
     ) -> impl Future<Output = Result<Vec<Departure>>> + Send;
 }
 
-/// Learns the departures of this VM from other nodes, within [`EXCHANGE_TIMEOUT`] after the registered
-/// nodes are known, and returns the nodes that have not answered.
+/// Learns the departures of this VM from other nodes and returns those that have not answered.
+///
+/// It takes at most [`EXCHANGE_TIMEOUT`] after the registered nodes are known if any other node answers,
+/// and [`ISOLATED_MAX`] more if none does.
 pub async fn learn<P: DeparturePeers>(departures: &NodeDepartures, peers: &P) -> Vec<Member> {
-    let mut missing = peers.members().await;
-    sort_holders(&mut missing, departures.vm);
-    missing.truncate(SOURCES);
-    let asked = missing.len();
-    let both = async {
-        ask(departures, peers, &mut missing).await;
-        if !missing.is_empty() {
-            sleep(RETRY_DELAY).await;
-            ask(departures, peers, &mut missing).await;
+    let start = Instant::now();
+    loop {
+        let mut missing = peers.members().await;
+        sort_holders(&mut missing, departures.vm);
+        missing.truncate(SOURCES);
+        let asked = missing.len();
+        let _ = timeout(EXCHANGE_TIMEOUT, ask_twice(departures, peers, &mut missing)).await;
+        let is_answered = missing.len() < asked || asked == 0;
+        if is_answered || start.elapsed() >= ISOLATED_MAX {
+            log::info!(
+                event = "departures-learned", asked, answered = asked - missing.len(),
+                known = departures.of_vm(departures.vm).len();
+                "departures of the targets on this VM learned from other nodes"
+            );
+            return missing;
         }
-    };
-    let _ = timeout(EXCHANGE_TIMEOUT, both).await;
-    log::info!(
-        event = "departures-learned", asked, answered = asked - missing.len(),
-        known = departures.of_vm(departures.vm).len();
-        "departures of the targets on this VM learned from other nodes"
-    );
-    missing
+        log::info!(
+            event = "departures-unknown", asked;
+            "targets not in use: no other node has told the departures of this VM"
+        );
+        sleep(RETRY_DELAY).await;
+    }
+}
+
+/// Asks nodes, and those that fail once more.
+async fn ask_twice<P: DeparturePeers>(
+    departures: &NodeDepartures,
+    peers: &P,
+    missing: &mut Vec<Member>,
+) {
+    ask(departures, peers, missing).await;
+    if !missing.is_empty() {
+        sleep(RETRY_DELAY).await;
+        ask(departures, peers, missing).await;
+    }
 }
 
 /// Asks the nodes that have not answered [`learn`] again, as long as an announcement may be late.
