--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -418,8 +418,13 @@
         }
         match self.journal.load() {
             Ok(stored) => {
+                let snapshot = stored.snapshot.clone();
                 self.replica = Replica::restore(self.clock.now(), stored)?;
                 self.replica.set_voter_count(self.voters);
+                // The failed write may have been that of a received snapshot.
+                if let Some(snapshot) = snapshot {
+                    self.install(snapshot.position, snapshot.data)?;
+                }
                 self.view.publish_meta(&self.replica, self.clock.now());
                 self.reload_at = None;
                 self.bootstrap();
--- a/tests/full_disks.rs
+++ b/tests/full_disks.rs
@@ -7,9 +7,11 @@
 use bytes::Bytes;
 use laburnumtide::config::{Note, Replacement};
 use laburnumtide::control::driver::SubmitResult;
-use laburnumtide::control::journal::StoreJournal;
+use laburnumtide::control::journal::{Journal, StoreJournal};
 use laburnumtide::control::{Handle, OFFLINE_TIME, Settings, spawn_with};
+use laburnumtide::error::{Error, Result};
 use laburnumtide::prelude::*;
+use laburnumtide::replica::{Persist, Stored};
 use laburnumtide::storage::fake::FakeDisk;
 use laburnumtide::wire::Secret;
 use rand::rngs::StdRng;
@@ -29,6 +31,8 @@
     network: u32,
     disks: Vec<FakeDisk>,
     handles: Vec<Option<Handle>>,
+    /// The process whose first snapshot is stored but reported as failed.
+    doubtful: Option<usize>,
     /// The number of the last change, acknowledged or not.
     number: u64,
     acknowledged: u64,
@@ -42,6 +46,7 @@
             network,
             disks: (0..size).map(|_| FakeDisk::new()).collect(),
             handles: (0..size).map(|_| None).collect(),
+            doubtful: None,
             number: 0,
             acknowledged: 0,
         };
@@ -73,7 +78,11 @@
             statsd: None,
         };
         let settings = settings.with_seeds(&seeds, true);
-        let journal = StoreJournal::open(self.disks[i].clone(), "data").unwrap();
+        let inner = StoreJournal::open(self.disks[i].clone(), "data").unwrap();
+        let journal = DoubtfulJournal {
+            inner,
+            is_doubtful: self.doubtful == Some(i),
+        };
         self.handles[i] = Some(spawn_with(settings, journal).await.unwrap());
     }
 
@@ -145,6 +154,28 @@
     }
 }
 
+/// A journal whose first snapshot may be stored although its write fails, as where the log can't be
+/// shortened after it.
+struct DoubtfulJournal {
+    inner: StoreJournal<FakeDisk>,
+    is_doubtful: bool,
+}
+
+impl Journal for DoubtfulJournal {
+    fn load(&mut self) -> Result<Stored> {
+        self.inner.load()
+    }
+
+    fn write(&mut self, persist: &Persist) -> Result<()> {
+        self.inner.write(persist)?;
+        let is_snapshot = matches!(persist, Persist::Snapshot(_));
+        match is_snapshot && std::mem::take(&mut self.is_doubtful) {
+            true => Err(Error::unavailable("the disk is full")),
+            false => Ok(()),
+        }
+    }
+}
+
 fn replacement(number: u64, base: u64) -> Note {
     Note::replace(Replacement {
         number: NoteNumber(number),
@@ -268,3 +299,38 @@
     let time = group.change(ACK_MAX).await;
     assert!(time.is_some(), "no change within {ACK_MAX:?}");
 }
+
+/// Guards against a process that ends because it holds a received snapshot but not its state.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stored_snapshot_is_installed() {
+    let mut group = Group::start(3).await;
+    group.grown().await;
+    // More entries than are kept in memory.
+    let leader = group.leader().expect("a leader is known");
+    for number in 1..=1_200 {
+        let note = replacement(number, number - 1);
+        let result = group.handle(leader).operator_api().submit_note(note).await;
+        assert!(matches!(result, SubmitResult::Committed(_)));
+    }
+    (group.number, group.acknowledged) = (1_200, 1_200);
+    let late = group.disks.len();
+    group.disks.push(FakeDisk::new());
+    group.handles.push(None);
+    group.doubtful = Some(late);
+    group.spawn(late).await;
+    let start = Instant::now();
+    let is_current = |group: &Group| {
+        let view = group.handle(late).view();
+        view.state().config().number() == NoteNumber(group.number)
+    };
+    while !is_current(&group) {
+        assert!(start.elapsed() < TIMEOUT, "the process does not catch up");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    group.change(TIMEOUT).await.expect("all disks have room");
+    let start = Instant::now();
+    while !is_current(&group) {
+        assert!(start.elapsed() < ACK_MAX, "the process does not follow");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
