Give a started node the departures of other VMs too

A started node now takes over the latest departures of other VMs too, up to the size of one message.

--- a/src/fleet/departures.rs
+++ b/src/fleet/departures.rs
@@ -107,6 +107,10 @@
             is_changed |= known.is_none();
             let entry = self.entry(now, &departure.run);
             entry.stated = known.map_or(stated, |known| known.max(stated));
+            if known.is_none() {
+                // An older departure has been announced to all nodes.
+                entry.announced = stated;
+            }
             entry.is_replicated = true;
         }
         self.prune(now);
@@ -137,9 +141,17 @@
         self.list(self.entries.iter().filter(is_recent), now)
     }
 
-    /// Returns the latest departures of the targets of one VM.
-    pub fn of_vm(&self, now: Time, vm: SocketAddr) -> Vec<Departure> {
-        self.list(self.entries.iter().filter(|e| e.run.vm == vm), now)
+    /// Returns the departures for a node that starts on `vm`: first those of its targets, then others,
+    /// which it holds in place of the process before it.
+    pub fn known_for(&self, now: Time, vm: SocketAddr) -> Vec<Departure> {
+        let (mut known, mut others): (Vec<&Entry>, Vec<&Entry>) =
+            self.entries.iter().partition(|e| e.run.vm == vm);
+        let latest_first = |entry: &&Entry| std::cmp::Reverse(entry.stated);
+        known.sort_by_key(latest_first);
+        others.sort_by_key(latest_first);
+        known.extend(others);
+        known.truncate(DEPARTURES_PER_MESSAGE);
+        known.into_iter().map(|e| e.departure(now)).collect()
     }
 
     /// Lists the latest of the given departures, as many as a message takes.
--- a/src/node/departures.rs
+++ b/src/node/departures.rs
@@ -127,9 +127,9 @@
         self.lock().recent(self.now())
     }
 
-    /// Returns the latest departures of the targets of one VM.
-    pub fn of_vm(&self, vm: SocketAddr) -> Vec<Departure> {
-        self.lock().of_vm(self.now(), vm)
+    /// Returns the departures for a node that starts on `vm`, as [`Departures::known_for`].
+    pub fn known_for(&self, vm: SocketAddr) -> Vec<Departure> {
+        self.lock().known_for(self.now(), vm)
     }
 
     /// Returns a receiver that is notified of new departures and of their replication.
@@ -202,7 +202,7 @@
         if is_answered || start.elapsed() >= ISOLATED_MAX {
             log::info!(
                 event = "departures-learned", asked, answered = asked - missing.len(),
-                known = departures.of_vm(departures.vm).len();
+                known = departures.known_for(departures.vm).len();
                 "departures of the targets on this VM learned from other nodes"
             );
             return missing;
--- a/src/node/sync.rs
+++ b/src/node/sync.rs
@@ -384,7 +384,7 @@
         }
         GossipMessage::DepartureRequest(request) => {
             view.departures().merge(&request.departures);
-            let held = view.departures().of_vm(request.vm);
+            let held = view.departures().known_for(request.vm);
             Ok(GossipMessage::Departures(held).encode())
         }
         GossipMessage::Response(_) | GossipMessage::Entries(_) | GossipMessage::Departures(_) => {
--- a/tests/departure_seeds.rs
+++ b/tests/departure_seeds.rs
@@ -193,7 +193,7 @@
         let receiver = world.departures(to);
         let receiver = receiver.ok_or_else(|| Error::unavailable("no process"))?;
         receiver.merge(departures);
-        let held = receiver.of_vm(vm);
+        let held = receiver.known_for(vm);
         world.delay(40).await;
         match world.random(0..20) {
             0 => Err(Error::unavailable("response lost")),
