Let a leave cover the earlier runs of its target

A node that had restarted and learned the leave of one run took a late announcement of the run before it, on the same address, as ready.

A departure now covers earlier runs too, for 60 s: longer than an announcement is late, and not for the whole time that a departure is kept, as a clock that was set back gives a sound target a lower number.

acknowledged_leave::earlier_run failed before (Accepted in place of Stale).

--- a/src/fleet/departures.rs
+++ b/src/fleet/departures.rs
@@ -10,6 +10,11 @@
 /// is delayed.
 pub const DEPARTURE_TTL: Duration = Duration::from_secs(600);
 
+/// Time for which a departure also covers earlier runs of its target.
+///
+/// It is shorter, because a clock that was set back gives a new run a lower number.
+const EARLIER_RUN_TTL: Duration = Duration::from_secs(60);
+
 /// Maximum number of departures that a node keeps; the oldest ones are dropped.
 pub const DEPARTURES_MAX: usize = 4_096;
 
@@ -81,14 +86,18 @@
         self.entries.is_empty()
     }
 
-    /// Returns true if the run is known to leave or to have left.
-    pub fn contains(&self, run: &TargetRun) -> bool {
-        self.find(run).is_some()
+    /// Returns true if the run is known to leave or to have left, also as one before a later run that
+    /// leaves.
+    pub fn contains(&self, now: Time, run: &TargetRun) -> bool {
+        let from = self.position(run).unwrap_or_else(|at| at);
+        let is_same_target = |e: &&Entry| e.run.vm == run.vm && e.run.name == run.name;
+        let mut later = self.entries[from..].iter().take_while(is_same_target);
+        later.any(|e| e.run == *run || now.since(e.stated) < EARLIER_RUN_TTL)
     }
 
     /// Records what a target of this VM states; returns true if it is new.
     pub fn record(&mut self, now: Time, run: &TargetRun) -> bool {
-        let is_new = !self.contains(run);
+        let is_new = self.find(run).is_none();
         let entry = self.entry(now, run);
         if now.since(entry.stated) > DEPARTURE_TTL / 2 {
             entry.announced = now;
--- a/tests/acknowledged_leave.rs
+++ b/tests/acknowledged_leave.rs
@@ -134,3 +134,14 @@
     assert_eq!(local.announce(&ready(5, 5)), AnnounceResult::Accepted);
     assert!(is_used(&local));
 }
+
+/// Guards against a delayed announcement of the run before the one whose leave was acknowledged.
+#[tokio::test(start_paused = true)]
+async fn earlier_run() {
+    let local = local();
+    local.deregister(&name(), Some(5));
+    assert_eq!(local.announce(&ready(4, 9)), AnnounceResult::Stale);
+    assert!(!is_used(&local));
+    assert_eq!(local.announce(&ready(6, 1)), AnnounceResult::Accepted);
+    assert!(is_used(&local));
+}
