Ignore a drain that names another service

What callers would see: a sound target that is used no more.

acknowledged_leave::foreign_drain failed before.

--- a/src/node/local.rs
+++ b/src/node/local.rs
@@ -592,8 +592,11 @@
             return;
         };
         if let Some(current) = self.find(&announcement.name)
-            && current.is_same_run(announcement, now)
+            && current.is_run(incarnation)
         {
+            if current.contradicts(announcement) {
+                return;
+            }
             current.start_drain(announcement, now);
             self.publish();
         }
--- a/tests/acknowledged_leave.rs
+++ b/tests/acknowledged_leave.rs
@@ -145,3 +145,17 @@
     assert_eq!(local.announce(&ready(6, 1)), AnnounceResult::Accepted);
     assert!(is_used(&local));
 }
+
+/// Guards against a drain of another service under a target's name that ends the use of the target.
+#[tokio::test(start_paused = true)]
+async fn foreign_drain() {
+    let local = local();
+    local.announce(&ready(5, 1));
+    let foreign = Announcement {
+        service: "other".parse().unwrap(),
+        ..draining(5, 2)
+    };
+    assert_eq!(local.announce(&foreign), AnnounceResult::Stale);
+    assert_eq!(local.announce(&ready(5, 3)), AnnounceResult::Accepted);
+    assert!(is_used(&local));
+}
