--- a/src/node/departures.rs
+++ b/src/node/departures.rs
@@ -100,7 +100,8 @@
 
     /// Returns true if a run of a target on this VM is known to leave or to have left.
     pub fn contains(&self, name: &TargetName, incarnation: u64) -> bool {
-        self.lock().contains(self.now(), &self.run(name, incarnation))
+        self.lock()
+            .contains(self.now(), &self.run(name, incarnation))
     }
 
     /// Waits until other nodes hold the departure of a run on this VM; returns false if they don't
