Deliver a response that has arrived when a drain ends its request

What callers would see: 502 with the reason draining in place of the response of their target. Found by the independent review, by reading: the end of a drain was looked at before the response, so a process that had been starved of processor time around the limit answered itself although the response was there. No test shows it: it needs both in one wake-up.

--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -282,11 +282,11 @@
     ) -> Result<Response<Incoming>, Outcome> {
         tokio::select! {
             biased;
+            result = self.run_authorized(ctx, config, active) => result,
             () = self.in_flight.ended() => {
                 in_flight.log_ended(Hop::Ingress, ctx.id);
                 Err(ctx.give_up(Refusal::after(Reason::Draining, RETRY_LATER)))
             }
-            result = self.run_authorized(ctx, config, active) => result,
         }
     }
 
