--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,7 +4,8 @@
 //! change it. The control leader derives these changes from its [`MembershipTable`]. A committed
 //! entry is accepted once a majority of the registered nodes holds it too, which [`AckTracker`]
 //! determines. [`Records`] is one node's table of the [`NodeRecord`]s that all nodes publish about
-//! their targets, [`Departures`] lists runs of targets that must get no more requests, and [`Gossip`] exchanges records and freshness proofs between nodes.
+//! their targets, [`Departures`] lists runs of targets that must get no more requests, and [`Gossip`]
+//! exchanges records and freshness proofs between nodes.
 
 pub mod acks;
 pub mod departures;
